--- /dev/null
+++ b/crates/rw-daemon/src/control/mod.rs
@@ -0,0 +1,13 @@
+//! Membership and configuration: who is there, and what is confirmed.
+
+mod poll;
+mod push;
+mod shared;
+mod sync;
+mod watch;
+
+pub use poll::poll;
+pub use push::push;
+pub use shared::{Shared, View};
+pub use sync::{answer_sync, receive_push, sync};
+pub use watch::{gather, status_of, watch};
--- /dev/null
+++ b/crates/rw-daemon/src/control/poll.rs
@@ -0,0 +1,97 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use rw_coord::{AppendLog, Result};
+use rw_observe::Event;
+use rw_platform::HostList;
+use rw_protocol::{Generation, HostListing};
+
+use super::push;
+use crate::Context;
+
+/// Reads the table service and the host list while that is this daemon's duty,
+/// and pushes what is new to the availability zone.
+pub async fn poll(cx: Arc<Context>) {
+    let ticks = cx
+        .timer
+        .subscribe(Duration::from_millis(cx.deployment.control.poll_ms));
+    let mut first = true;
+    while ticks.recv_async().await.is_ok() {
+        if first || is_poller(&cx) {
+            first = false;
+            once(&cx).await;
+        }
+    }
+}
+
+fn is_poller(cx: &Context) -> bool {
+    let count = cx.deployment.control.pollers_per_zone.get() as usize;
+    let zone = &cx.daemon.zone;
+    let view = cx.shared.read();
+    view.has_duty(&format!("poll/{zone}"), &cx.name, count, |h| {
+        h.zone == *zone
+    })
+}
+
+async fn once(cx: &Arc<Context>) {
+    let reader = cx.clone();
+    let read = tokio::task::spawn_blocking(move || read(&reader)).await;
+    let Ok((gens, listing)) = read else { return };
+    note_table(cx, gens.is_ok());
+    let gens = cx.shared.apply(gens.unwrap_or_default());
+    let listing = cx
+        .shared
+        .apply_listing(listing.unwrap_or_else(|| unchanged(cx)));
+    note_applied(cx, &gens);
+    if !gens.is_empty() || !listing.hosts.is_empty() {
+        push(cx, gens, listing).await;
+    }
+}
+
+fn read(cx: &Context) -> (Result<Vec<Generation>>, Option<HostListing>) {
+    let (head, list_version) = {
+        let view = cx.shared.read();
+        (view.cfg.head(), view.list_version)
+    };
+    (read_log(cx, head), cx.platform.hosts(list_version).ok())
+}
+
+fn read_log(cx: &Context, head: u64) -> Result<Vec<Generation>> {
+    let log = AppendLog::new(cx.platform.clone(), "config");
+    if log.head()? <= head {
+        return Ok(Vec::new());
+    }
+    let entries = log.since(head)?;
+    let parse = |(number, text): (u64, String)| {
+        serde_json::from_str(&text)
+            .map_err(|err| rw_coord::Error::Corrupt(number.to_string(), err.to_string()))
+    };
+    entries.into_iter().map(parse).collect()
+}
+
+fn unchanged(cx: &Context) -> HostListing {
+    HostListing {
+        version: cx.shared.read().list_version,
+        hosts: Vec::new(),
+    }
+}
+
+fn note_table(cx: &Context, up: bool) {
+    if cx.set_table_reachable(up) {
+        let event = if up {
+            Event::TableReachable
+        } else {
+            Event::TableUnreachable
+        };
+        cx.recorder.emit(event, "");
+    }
+}
+
+/// Records generations that came into force.
+pub(super) fn note_applied(cx: &Context, gens: &[Generation]) {
+    for gen in gens {
+        let detail = format!("generation={} plan={}", gen.number, gen.plan_id);
+        cx.recorder.emit(Event::GenerationApplied, &detail);
+        cx.recorder.metrics().head.set(gen.number as i64);
+    }
+}
--- /dev/null
+++ b/crates/rw-daemon/src/control/shared.rs
@@ -0,0 +1,137 @@
+use std::collections::BTreeMap;
+use std::sync::{Mutex, PoisonError, RwLock, RwLockReadGuard};
+
+use rw_intent::Configuration;
+use rw_protocol::{rank, Generation, HostEntry, HostListing, HostState, Name, Role};
+
+/// Configuration and hosts as known here.
+#[derive(Default)]
+pub struct View {
+    /// The confirmed configuration.
+    pub cfg: Configuration,
+    /// Hosts by name, those that are gone included.
+    pub hosts: BTreeMap<Name, HostEntry>,
+    /// Version of the host list.
+    pub list_version: u64,
+}
+
+impl View {
+    /// Hosts and entries that are not gone.
+    pub fn present(&self) -> impl Iterator<Item = &HostEntry> {
+        self.hosts.values().filter(|h| h.state != HostState::Gone)
+    }
+
+    /// Peer address of a daemon.
+    pub fn addr(&self, name: &str) -> Option<Name> {
+        self.hosts.get(name).map(|h| h.addr.clone())
+    }
+
+    /// Changes of the host list after a known version.
+    pub fn listing_since(&self, version: u64) -> HostListing {
+        let changed = self.hosts.values().filter(|h| h.changed > version);
+        HostListing {
+            version: self.list_version,
+            hosts: changed.cloned().collect(),
+        }
+    }
+
+    /// Whether `name` is one of the `count` daemons that a duty falls to; the
+    /// daemons that `fits` picks share it by rendezvous hashing.
+    pub fn has_duty(
+        &self,
+        duty: &str,
+        name: &str,
+        count: usize,
+        fits: impl Fn(&HostEntry) -> bool,
+    ) -> bool {
+        let live = self
+            .present()
+            .filter(|h| h.state == HostState::Live && fits(h));
+        let mut ranks: Vec<(u64, &Name)> = live.map(|h| (rank(duty, &h.name), &h.name)).collect();
+        ranks.sort_by(|a, b| b.cmp(a));
+        // A daemon that is not listed yet helps out when nobody else would.
+        ranks.is_empty() || ranks.iter().take(count).any(|(_, n)| ***n == *name)
+    }
+
+    /// Live hosts of a role.
+    pub fn live(&self, role: Role) -> impl Iterator<Item = &HostEntry> {
+        self.present()
+            .filter(move |h| h.role == role && h.state == HostState::Live)
+    }
+}
+
+/// The view, shared by all parts, and a signal when it changes.
+#[derive(Default)]
+pub struct Shared {
+    view: RwLock<View>,
+    subscribers: Mutex<Vec<flume::Sender<()>>>,
+}
+
+impl Shared {
+    /// Reads the view.
+    pub fn read(&self) -> RwLockReadGuard<'_, View> {
+        self.view.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A signal for every change; a slow subscriber gets one for several.
+    pub fn subscribe(&self) -> flume::Receiver<()> {
+        let (tx, rx) = flume::bounded(1);
+        let mut subs = self
+            .subscribers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        subs.push(tx);
+        rx
+    }
+
+    fn notify(&self) {
+        let mut subs = self
+            .subscribers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        subs.retain(|tx| !matches!(tx.try_send(()), Err(flume::TrySendError::Disconnected(()))));
+    }
+
+    /// Takes generations into force that follow the one in force; returns the
+    /// new ones.
+    pub fn apply(&self, gens: Vec<Generation>) -> Vec<Generation> {
+        let mut new = Vec::new();
+        {
+            let mut view = self.view.write().unwrap_or_else(PoisonError::into_inner);
+            for gen in gens {
+                match view.cfg.apply(gen.clone()) {
+                    Ok(true) => new.push(gen),
+                    Ok(false) => {}
+                    Err(_) => break,
+                }
+            }
+        }
+        if !new.is_empty() {
+            self.notify();
+        }
+        new
+    }
+
+    /// Takes changes of the host list in; returns those that were new.
+    pub fn apply_listing(&self, listing: HostListing) -> HostListing {
+        let mut new = HostListing {
+            version: listing.version,
+            hosts: Vec::new(),
+        };
+        {
+            let mut view = self.view.write().unwrap_or_else(PoisonError::into_inner);
+            for host in listing.hosts {
+                let known = view.hosts.get(&host.name).map_or(0, |h| h.changed);
+                if host.changed > known {
+                    new.hosts.push(host.clone());
+                    view.hosts.insert(host.name.clone(), host);
+                }
+            }
+            view.list_version = view.list_version.max(listing.version);
+        }
+        if !new.hosts.is_empty() {
+            self.notify();
+        }
+        new
+    }
+}
--- /dev/null
+++ b/crates/rw-daemon/src/control/sync.rs
@@ -0,0 +1,100 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::seq::IteratorRandom;
+use rw_protocol::{Ack, Name, PeerReply, PeerRequest, PushRequest, SyncReply, SyncRequest};
+
+use super::poll::note_applied;
+use super::push::relay_to;
+use crate::Context;
+
+/// Generations in one answer, so that a daemon far behind asks in steps.
+const MAX_GENERATIONS: usize = 256;
+
+/// Compares the configuration with random daemons, one of this availability
+/// zone and one of any, so that news get through whatever is cut or down.
+pub async fn sync(cx: Arc<Context>) {
+    let ticks = cx
+        .timer
+        .subscribe(Duration::from_millis(cx.deployment.control.sync_ms));
+    while ticks.recv_async().await.is_ok() {
+        for addr in partners(&cx) {
+            sync_with(&cx, &addr).await;
+        }
+    }
+}
+
+fn partners(cx: &Context) -> Vec<Name> {
+    let view = cx.shared.read();
+    let others = || view.present().filter(|h| h.name != cx.name);
+    let mut rng = rand::rng();
+    let near = others()
+        .filter(|h| h.zone == cx.daemon.zone)
+        .choose(&mut rng);
+    let any = others().choose(&mut rng);
+    let mut out: Vec<Name> = near
+        .into_iter()
+        .chain(any)
+        .map(|h| h.addr.clone())
+        .collect();
+    out.dedup();
+    if out.is_empty() {
+        // No host list yet: the settings name the others.
+        let seeds = cx
+            .deployment
+            .daemons
+            .iter()
+            .filter(|(name, _)| **name != cx.name);
+        out.extend(seeds.map(|(_, d)| advertised(d)).choose(&mut rng));
+    }
+    out
+}
+
+/// Peer address that other daemons use for a daemon of the settings.
+fn advertised(daemon: &rw_settings::Daemon) -> Name {
+    if daemon.advertise.is_empty() {
+        daemon.listen.clone()
+    } else {
+        Name::from(daemon.advertise.as_str())
+    }
+}
+
+async fn sync_with(cx: &Arc<Context>, addr: &Name) {
+    let req = {
+        let view = cx.shared.read();
+        PeerRequest::Sync(SyncRequest {
+            name: cx.name.clone(),
+            head: view.cfg.head(),
+            list_version: view.list_version,
+        })
+    };
+    let reply = cx.pool.ask(addr, &req, cx.peer_timeout()).await;
+    if let Ok(PeerReply::Sync(reply)) = reply {
+        let new = cx.shared.apply(reply.generations);
+        note_applied(cx, &new);
+        cx.shared.apply_listing(reply.listing);
+    }
+}
+
+/// Answers a daemon that compares its configuration with ours.
+pub fn answer_sync(cx: &Context, req: &SyncRequest) -> PeerReply {
+    let view = cx.shared.read();
+    let mut generations = view.cfg.since(req.head);
+    generations.truncate(MAX_GENERATIONS);
+    PeerReply::Sync(SyncReply {
+        head: view.cfg.head(),
+        generations,
+        listing: view.listing_since(req.list_version),
+    })
+}
+
+/// Takes pushed news in and passes them on.
+pub fn receive_push(cx: &Arc<Context>, req: PushRequest) -> PeerReply {
+    let new = cx.shared.apply(req.generations.clone());
+    note_applied(cx, &new);
+    cx.shared.apply_listing(req.listing.clone());
+    relay_to(cx, req.generations, req.listing, req.relay);
+    PeerReply::Ack(Ack {
+        head: cx.shared.read().cfg.head(),
+    })
+}
--- /dev/null
+++ b/crates/rw-daemon/src/control/watch.rs
@@ -0,0 +1,241 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rw_coord::{unix_ms, AppendLog, Appended, LeaseKeeper};
+use rw_intent::{replace_failed, report, Observed};
+use rw_observe::Event;
+use rw_protocol::{
+    Change, Generation, HostEntry, HostState, HostStatus, Name, PeerReply, PeerRequest, Role,
+    StatusReport, WatchRequest,
+};
+use tokio::task::JoinSet;
+
+use super::View;
+use crate::Context;
+
+const WATCH_PERIOD: Duration = Duration::from_secs(2);
+/// Entries that watch the outcome of intents.
+const WATCHERS: usize = 2;
+/// Hosts asked at once.
+const GATHER_AT_ONCE: usize = 64;
+/// Checks that a host has to miss before it is replaced.
+const MISSES_TO_REPLACE: u32 = 3;
+/// Age from which an open claim counts as unresolved.
+const UNRESOLVED_AFTER_MS: u64 = 30_000;
+
+/// Asks every daemon that is present for its status.
+pub async fn gather(cx: &Arc<Context>) -> Observed {
+    let hosts: Vec<HostEntry> = cx.shared.read().present().cloned().collect();
+    let mut seen = Observed {
+        table_reachable: cx.is_table_reachable(),
+        ..Observed::default()
+    };
+    let mut asking = JoinSet::new();
+    for host in hosts {
+        if asking.len() >= GATHER_AT_ONCE {
+            note(&mut seen, asking.join_next().await);
+        }
+        let cx = cx.clone();
+        asking.spawn(async move { (host.name.clone(), status_of(&cx, &host.addr).await) });
+    }
+    while let Some(done) = asking.join_next().await {
+        note(&mut seen, Some(done));
+    }
+    let counter = cx.clone();
+    let count = tokio::task::spawn_blocking(move || {
+        rw_ledger::unresolved(&counter.platform, UNRESOLVED_AFTER_MS)
+    });
+    match count.await {
+        Ok(Ok(claims)) => seen.unresolved = claims.len() as u64,
+        _ => seen.table_reachable = false,
+    }
+    seen
+}
+
+type Answer = Result<(Name, Option<HostStatus>), tokio::task::JoinError>;
+
+fn note(seen: &mut Observed, done: Option<Answer>) {
+    match done {
+        Some(Ok((name, Some(status)))) => drop(seen.hosts.insert(name, status)),
+        Some(Ok((name, None))) => seen.unreachable.push(name),
+        _ => {}
+    }
+}
+
+/// The status that a daemon reports.
+pub async fn status_of(cx: &Context, addr: &Name) -> Option<HostStatus> {
+    let req = PeerRequest::Watch(WatchRequest {
+        name: cx.name.clone(),
+    });
+    match cx.pool.ask(addr, &req, cx.peer_timeout()).await {
+        Ok(PeerReply::Status(status)) => Some(status),
+        _ => None,
+    }
+}
+
+/// Compares the outcome of intents with what is confirmed, raises events for
+/// what is amiss and replaces hosts that failed. Few entries do this; doing it
+/// twice is harmless, since every write is conditional.
+pub async fn watch(cx: Arc<Context>) {
+    let ticks = cx.timer.subscribe(WATCH_PERIOD);
+    let mut watcher = Watcher::default();
+    while ticks.recv_async().await.is_ok() {
+        let mine = cx
+            .shared
+            .read()
+            .has_duty("watch", &cx.name, WATCHERS, |h| h.role == Role::Entry);
+        if mine {
+            watcher.check(&cx).await;
+        }
+    }
+}
+
+#[derive(Default)]
+struct Watcher {
+    misses: BTreeMap<Name, u32>,
+    late: BTreeSet<Name>,
+    fulfilled: BTreeMap<Name, Name>,
+    unresolved: u64,
+    spare_missing: BTreeSet<Name>,
+}
+
+impl Watcher {
+    async fn check(&mut self, cx: &Arc<Context>) {
+        let seen = gather(cx).await;
+        self.count_misses(cx, &seen);
+        let status = report(&cx.shared.read().cfg, &seen, unix_ms());
+        self.raise(cx, &status);
+        self.replace(cx).await;
+    }
+
+    fn count_misses(&mut self, cx: &Context, seen: &Observed) {
+        self.misses
+            .retain(|name, _| seen.unreachable.contains(name));
+        for name in &seen.unreachable {
+            let count = self.misses.entry(name.clone()).or_default();
+            *count += 1;
+            if *count == MISSES_TO_REPLACE {
+                cx.recorder
+                    .emit(Event::HostUnreachable, &format!("host={name}"));
+            }
+        }
+    }
+
+    fn raise(&mut self, cx: &Context, status: &StatusReport) {
+        let metrics = cx.recorder.metrics();
+        let open = status.intents.iter().filter(|i| i.serving < i.wanted);
+        metrics.unfulfilled.set(open.count() as i64);
+        metrics.unresolved.set(status.unresolved as i64);
+        if status.unresolved > self.unresolved {
+            let detail = format!("open={}", status.unresolved);
+            cx.recorder.emit(Event::ClaimUnresolved, &detail);
+        }
+        self.unresolved = status.unresolved;
+        for intent in &status.intents {
+            let name = &intent.intent;
+            if intent.late && self.late.insert(name.clone()) {
+                let detail = format!(
+                    "intent={name} serving={} wanted={}",
+                    intent.serving, intent.wanted
+                );
+                cx.recorder.emit(Event::IntentLate, &detail);
+            }
+            let whole = intent.serving >= intent.wanted;
+            if whole {
+                self.late.remove(name);
+            }
+            if whole
+                && self
+                    .fulfilled
+                    .insert(name.clone(), intent.version.clone())
+                    .as_ref()
+                    != Some(&intent.version)
+            {
+                let detail = format!("intent={name} version={}", intent.version);
+                cx.recorder.emit(Event::IntentFulfilled, &detail);
+            }
+        }
+    }
+
+    // A region of which nobody answers is cut off rather than dead: its hosts
+    // go on serving, and come back whole.
+    fn region_answers(&self, view: &View, name: &Name) -> bool {
+        let Some(host) = view.hosts.get(name) else {
+            return false;
+        };
+        let mut others = view.present().filter(|h| h.region == host.region);
+        others.any(|h| !self.misses.contains_key(&h.name))
+    }
+
+    async fn replace(&mut self, cx: &Arc<Context>) {
+        let failed: BTreeSet<Name> = {
+            let view = cx.shared.read();
+            let missed = self.misses.iter().filter(|(_, n)| **n >= MISSES_TO_REPLACE);
+            let failed = missed
+                .map(|(name, _)| name)
+                .filter(|name| self.region_answers(&view, name));
+            let gone = view.hosts.values().filter(|h| h.state != HostState::Live);
+            failed.chain(gone.map(|h| &h.name)).cloned().collect()
+        };
+        let affected: Vec<Name> = {
+            let view = cx.shared.read();
+            let lost = |a: &rw_intent::Active| a.assignments.keys().any(|h| failed.contains(h));
+            let intents = view.cfg.intents().values().filter(|a| lost(a));
+            intents.map(|a| a.intent.name.clone()).collect()
+        };
+        self.spare_missing.retain(|name| affected.contains(name));
+        for intent in affected {
+            let (worker, failed, name) = (cx.clone(), failed.clone(), intent.clone());
+            let done =
+                tokio::task::spawn_blocking(move || replace_in(&worker, &name, &failed)).await;
+            if matches!(done, Ok(None)) && self.spare_missing.insert(intent.clone()) {
+                cx.recorder
+                    .emit(Event::ReplaceFailed, &format!("intent={intent}"));
+            }
+        }
+    }
+}
+
+// Returns `None` when no host is spare.
+fn replace_in(cx: &Context, intent: &Name, failed: &BTreeSet<Name>) -> Option<()> {
+    let life = Duration::from_millis(cx.deployment.control.lease_ms);
+    let keeper = LeaseKeeper::new(cx.platform.clone(), &cx.name, life);
+    let lease_name = format!("replace/{intent}");
+    let Ok(lease) = keeper.acquire(&lease_name, rand::random()) else {
+        return Some(());
+    };
+    let (base, change) = {
+        let view = cx.shared.read();
+        let active = view.cfg.intents().get(intent)?;
+        let hosts: Vec<HostEntry> = view.hosts.values().cloned().collect();
+        (
+            view.cfg.head(),
+            replace_failed(&view.cfg, active, &hosts, failed, lease.epoch),
+        )
+    };
+    let Some(change) = change else {
+        let _ = keeper.release(&lease_name, &lease);
+        return None;
+    };
+    let detail = format!(
+        "intent={intent} gone={} added={}",
+        change.gone.len(),
+        change.added.len()
+    );
+    let plan_id = Name::from(format!("replace-{:016x}", rand::random::<u64>()));
+    let gen = Generation {
+        number: base + 1,
+        plan_id: plan_id.clone(),
+        at_ms: unix_ms(),
+        change: Change::Replace(change),
+    };
+    let log = AppendLog::new(cx.platform.clone(), "config");
+    if let (true, Ok(text)) = (lease.is_live(), serde_json::to_string(&gen)) {
+        if let Ok(Appended::Done(_)) = log.append(base, &text, &plan_id) {
+            cx.recorder.emit(Event::HostsReplaced, &detail);
+        }
+    }
+    let _ = keeper.release(&lease_name, &lease);
+    Some(())
+}
--- /dev/null
+++ b/crates/rw-daemon/src/entry/callers.rs
@@ -0,0 +1,269 @@
+//! The callers' port.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::{Frame, Incoming};
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use rw_observe::Event;
+use rw_protocol::{Blob, Name};
+use serde_json::{json, Value};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+
+use super::call::{run, Collect, Sink};
+use super::request::{self, CallerRequest};
+use super::respond::{streamed, Body, BodyTx, Outcome};
+use super::{once, Entry};
+
+/// Time in which a caller has to send its request's head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Parts that wait for a slow caller.
+const BACKLOG: usize = 64;
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts callers until `stop` is closed; connections finish what they have.
+pub async fn serve_callers(entry: Arc<Entry>, listener: TcpListener, stop: flume::Receiver<()>) {
+    let limit = entry.cx.deployment.limits.max_connections.get() as usize;
+    let places = Arc::new(Semaphore::new(limit));
+    loop {
+        // Callers beyond the limit wait in the listener's backlog.
+        let Ok(place) = places.clone().acquire_owned().await else {
+            return;
+        };
+        let conn = tokio::select! {
+            conn = listener.accept() => conn,
+            _ = stop.recv_async() => return,
+        };
+        match conn {
+            Ok((conn, _)) => {
+                let (entry, stop) = (entry.clone(), stop.clone());
+                tokio::spawn(async move {
+                    connection(entry, conn, stop).await;
+                    drop(place);
+                });
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn connection(entry: Arc<Entry>, conn: TcpStream, stop: flume::Receiver<()>) {
+    let _ = conn.set_nodelay(true);
+    let max_head = entry.cx.deployment.limits.max_header_bytes as usize;
+    let service = service_fn(move |req| {
+        let entry = entry.clone();
+        async move { Ok::<_, Infallible>(handle(&entry, req).await) }
+    });
+    let conn = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(max_head)
+        .serve_connection(TokioIo::new(conn), service);
+    tokio::pin!(conn);
+    let ended = tokio::select! {
+        ended = conn.as_mut() => Some(ended),
+        _ = stop.recv_async() => None,
+    };
+    if ended.is_none() {
+        conn.as_mut().graceful_shutdown();
+        // A caller that breaks off is no fault of ours.
+        let _ = conn.await;
+    }
+}
+
+// Counts a call as in progress until its answer is written.
+struct InFlight(Arc<Entry>);
+
+impl InFlight {
+    fn new(entry: &Arc<Entry>) -> Self {
+        entry.cx.recorder.metrics().in_flight.inc();
+        InFlight(entry.clone())
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.cx.recorder.metrics().in_flight.dec();
+    }
+}
+
+async fn handle(entry: &Arc<Entry>, req: Request<Incoming>) -> Response<Body> {
+    let in_flight = InFlight::new(entry);
+    let given = request::header(req.headers(), "x-request-id").unwrap_or_default();
+    let request_id = match given.is_empty() {
+        true => Name::from(format!("{:016x}", rand::random::<u64>())),
+        false => given,
+    };
+    let call = match request::read(&entry.cx, req, &request_id).await {
+        Ok(call) => call,
+        Err(refused) => return end(entry, &request_id, Outcome::Refused(refused)),
+    };
+    if call.is_draft() && call.stream {
+        return stream(entry, call, in_flight).await;
+    }
+    // The work goes on when the caller leaves, so that a claim gets closed.
+    let worker = entry.clone();
+    let work = tokio::spawn(async move {
+        let outcome = match call.is_draft() {
+            true => draft(&worker, &call).await,
+            false => once::run_plain(&worker, &call).await,
+        };
+        note(&worker, &call, &outcome);
+        outcome
+    });
+    match work.await {
+        Ok(outcome) => end(entry, &request_id, outcome),
+        Err(err) => end(entry, &request_id, Outcome::Unknown(err.to_string())),
+    }
+}
+
+fn end(entry: &Entry, request_id: &Name, outcome: Outcome) -> Response<Body> {
+    entry.cx.recorder.metrics().count_call(outcome.name());
+    outcome.response(request_id)
+}
+
+fn note(entry: &Entry, call: &CallerRequest, outcome: &Outcome) {
+    if let (Outcome::Unknown(reason), false) = (outcome, call.idempotent) {
+        let detail = format!(
+            "request={} team={} service={} reason={reason:?}",
+            call.request_id, call.team, call.service
+        );
+        entry.cx.recorder.emit(Event::CallUnknown, &detail);
+    }
+}
+
+// A draft in one piece.
+async fn draft(entry: &Arc<Entry>, call: &CallerRequest) -> Outcome {
+    let mut events = Collect::default();
+    match run(entry, call, &mut events).await {
+        Outcome::Answered(200, _) => Outcome::Answered(200, joined(&events.0, &call.request_id)),
+        Outcome::Answered(status, _) => {
+            let body = json!({"error": {"outcome": "answered", "reason": "the engine refused the request"}});
+            Outcome::Answered(status, body.to_string().into_bytes())
+        }
+        other => other,
+    }
+}
+
+// Joins the events of a stream into the answer that callers without streaming
+// expect.
+fn joined(events: &[u8], request_id: &Name) -> Vec<u8> {
+    let text = String::from_utf8_lossy(events);
+    let mut content = String::new();
+    let mut model = String::new();
+    for data in text.split("\n\n").filter_map(|e| e.strip_prefix("data: ")) {
+        let event: Value = serde_json::from_str(data).unwrap_or_default();
+        content.push_str(
+            event["choices"][0]["delta"]["content"]
+                .as_str()
+                .unwrap_or(""),
+        );
+        model = event["model"].as_str().unwrap_or("").to_string();
+    }
+    let message = json!({"role": "assistant", "content": content});
+    let choice = json!({"index": 0, "message": message, "finish_reason": "stop"});
+    let answer = json!({
+        "id": &**request_id, "object": "chat.completion", "model": model, "choices": [choice],
+    });
+    answer.to_string().into_bytes()
+}
+
+struct Forward {
+    tx: BodyTx,
+    started: Option<flume::Sender<()>>,
+}
+
+impl Sink for Forward {
+    async fn part(&mut self, body: Blob) -> bool {
+        self.started = None;
+        self.tx.send_async(Ok(Frame::data(body.0))).await.is_ok()
+    }
+
+    fn has_sent(&self) -> bool {
+        self.started.is_none()
+    }
+}
+
+// The response's head waits for the first part, so that a call that did not
+// run still gets a status that says so.
+async fn stream(entry: &Arc<Entry>, call: CallerRequest, in_flight: InFlight) -> Response<Body> {
+    let (response, tx) = streamed(&call.request_id, BACKLOG);
+    let (started_tx, started) = flume::bounded::<()>(1);
+    let (done_tx, done) = flume::bounded(1);
+    let (worker, id) = (entry.clone(), call.request_id.clone());
+    let start = entry.cx.now();
+    let work = tokio::spawn(async move {
+        let mut sink = Forward {
+            tx: tx.clone(),
+            started: Some(started_tx),
+        };
+        let outcome = run(&worker, &call, &mut sink).await;
+        if sink.has_sent() {
+            finish(&worker, &call, &tx, &outcome).await;
+        } else {
+            let _ = done_tx.send(outcome);
+        }
+        drop(in_flight);
+    });
+    // A caller that leaves before the first part cancels the work.
+    let guard = AbortOnDrop(Some(work));
+    // `started` is closed by the first part; without one, `done` is first.
+    let outcome = tokio::select! {
+        biased;
+        outcome = done.recv_async() => outcome.ok(),
+        _ = started.recv_async() => None,
+    };
+    guard.disarm();
+    match outcome {
+        Some(Outcome::Answered(200, _)) => return empty_stream(entry, &id),
+        Some(other) => return end(entry, &id, other),
+        None => {}
+    }
+    let first = entry.cx.now().saturating_sub(start);
+    entry
+        .cx
+        .recorder
+        .metrics()
+        .first_token
+        .observe(first.as_secs_f64());
+    response
+}
+
+fn empty_stream(entry: &Entry, id: &Name) -> Response<Body> {
+    entry.cx.recorder.metrics().count_call("answered");
+    let (response, tx) = streamed(id, 1);
+    let _ = tx.send(Ok(Frame::data(Bytes::from_static(b"data: [DONE]\n\n"))));
+    response
+}
+
+// The last event tells a whole answer from one that was cut off.
+async fn finish(entry: &Entry, call: &CallerRequest, tx: &BodyTx, outcome: &Outcome) {
+    entry.cx.recorder.metrics().count_call(outcome.name());
+    let last = match outcome {
+        Outcome::Answered(..) => "data: [DONE]\n\n".to_string(),
+        failed => format!("event: error\ndata: {}\n\n", failed.event(&call.request_id)),
+    };
+    // The caller may be gone.
+    let _ = tx.send_async(Ok(Frame::data(Bytes::from(last)))).await;
+}
+
+struct AbortOnDrop(Option<tokio::task::JoinHandle<()>>);
+
+impl AbortOnDrop {
+    fn disarm(mut self) {
+        self.0 = None;
+    }
+}
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        if let Some(task) = self.0.take() {
+            task.abort();
+        }
+    }
+}
--- /dev/null
+++ b/crates/rw-daemon/src/entry/respond.rs
@@ -0,0 +1,194 @@
+use std::convert::Infallible;
+use std::time::Duration;
+
+use bytes::Bytes;
+use flume::r#async::RecvStream;
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::Frame;
+use hyper::{Response, StatusCode};
+use rw_protocol::Name;
+use serde_json::json;
+
+/// Body of every answer.
+pub type Body = BoxBody<Bytes, Infallible>;
+/// Sends parts of a streamed body.
+pub type BodyTx = flume::Sender<Result<Frame<Bytes>, Infallible>>;
+
+/// A request that is wrong in itself.
+#[derive(Clone, Debug)]
+pub struct Refused {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// What is wrong.
+    pub reason: String,
+}
+
+impl Refused {
+    /// The request is malformed.
+    pub fn bad(reason: String) -> Self {
+        Refused {
+            status: StatusCode::BAD_REQUEST,
+            reason,
+        }
+    }
+
+    /// What it names does not exist.
+    pub fn not_found(reason: String) -> Self {
+        Refused {
+            status: StatusCode::NOT_FOUND,
+            reason,
+        }
+    }
+
+    /// Only POST is allowed.
+    pub fn method() -> Self {
+        Refused {
+            status: StatusCode::METHOD_NOT_ALLOWED,
+            reason: "method: use POST".to_string(),
+        }
+    }
+
+    /// The body is above the limit.
+    pub fn too_large(limit: usize) -> Self {
+        Refused {
+            status: StatusCode::PAYLOAD_TOO_LARGE,
+            reason: format!("body: above the limit of {limit} bytes"),
+        }
+    }
+
+    /// The key belongs to another request.
+    pub fn key_reused() -> Self {
+        Refused {
+            status: StatusCode::UNPROCESSABLE_ENTITY,
+            reason: "header idempotency-key: was used with another request".to_string(),
+        }
+    }
+}
+
+/// How a call ended.
+#[derive(Clone, Debug)]
+pub enum Outcome {
+    /// The backend server's whole answer.
+    Answered(u32, Vec<u8>),
+    /// It did not run and will not.
+    NotRun(String, Duration),
+    /// A call with the same key is running.
+    InProgress(Duration),
+    /// It may have run.
+    Unknown(String),
+    /// The request is wrong in itself.
+    Refused(Refused),
+}
+
+impl Outcome {
+    /// Name for metrics and answers.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Outcome::Answered(..) => "answered",
+            Outcome::NotRun(..) => "not_run",
+            Outcome::InProgress(_) => "in_progress",
+            Outcome::Unknown(_) => "unknown",
+            Outcome::Refused(_) => "refused",
+        }
+    }
+
+    /// The answer for the caller.
+    pub fn response(self, request_id: &Name) -> Response<Body> {
+        let name = self.name();
+        match self {
+            Outcome::Answered(status, body) => {
+                let status = StatusCode::from_u16(status as u16).unwrap_or(StatusCode::BAD_GATEWAY);
+                whole(status, body, request_id, name, None)
+            }
+            Outcome::NotRun(reason, after) => error(
+                StatusCode::SERVICE_UNAVAILABLE,
+                &reason,
+                request_id,
+                name,
+                Some(after),
+            ),
+            Outcome::InProgress(after) => {
+                let reason = "a call with this idempotency key is running";
+                error(StatusCode::CONFLICT, reason, request_id, name, Some(after))
+            }
+            Outcome::Unknown(reason) => {
+                error(StatusCode::BAD_GATEWAY, &reason, request_id, name, None)
+            }
+            Outcome::Refused(refused) => {
+                error(refused.status, &refused.reason, request_id, name, None)
+            }
+        }
+    }
+
+    /// The same as a JSON object, for the end of a stream that failed.
+    pub fn event(&self, request_id: &Name) -> String {
+        let reason = match self {
+            Outcome::NotRun(reason, _) | Outcome::Unknown(reason) => reason.as_str(),
+            _ => "",
+        };
+        let error = json!({"outcome": self.name(), "reason": reason, "request_id": &**request_id});
+        json!({ "error": error }).to_string()
+    }
+}
+
+fn error(
+    status: StatusCode,
+    reason: &str,
+    request_id: &Name,
+    outcome: &str,
+    after: Option<Duration>,
+) -> Response<Body> {
+    let after_ms = after.map(|d| d.as_millis() as u64);
+    let error = json!({
+        "outcome": outcome, "reason": reason, "request_id": &**request_id, "retry_after_ms": after_ms,
+    });
+    let body = json!({ "error": error }).to_string().into_bytes();
+    whole(status, body, request_id, outcome, after)
+}
+
+fn whole(
+    status: StatusCode,
+    body: Vec<u8>,
+    request_id: &Name,
+    outcome: &str,
+    after: Option<Duration>,
+) -> Response<Body> {
+    let mut res = head(status, "application/json", request_id).header("x-outcome", outcome);
+    if let Some(after) = after {
+        // The header counts whole seconds; the body has milliseconds.
+        res = res.header(
+            "retry-after",
+            after.as_millis().div_ceil(1000).max(1).to_string(),
+        );
+    }
+    finish(res.body(Full::new(Bytes::from(body)).boxed()))
+}
+
+/// A streamed answer and where its parts go.
+pub fn streamed(request_id: &Name, backlog: usize) -> (Response<Body>, BodyTx) {
+    let (tx, rx): (BodyTx, _) = flume::bounded(backlog);
+    let stream: RecvStream<'static, Result<Frame<Bytes>, Infallible>> = rx.into_stream();
+    let res =
+        head(StatusCode::OK, "text/event-stream", request_id).header("cache-control", "no-store");
+    (
+        finish(res.body(BodyExt::boxed(StreamBody::new(stream)))),
+        tx,
+    )
+}
+
+fn head(status: StatusCode, kind: &str, request_id: &Name) -> http::response::Builder {
+    Response::builder()
+        .status(status)
+        .header("content-type", kind)
+        .header("x-request-id", &**request_id)
+}
+
+// Only a header with forbidden characters could fail here.
+fn finish(res: http::Result<Response<Body>>) -> Response<Body> {
+    res.unwrap_or_else(|_| {
+        let mut res = Response::new(Full::new(Bytes::new()).boxed());
+        *res.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+        res
+    })
+}
--- /dev/null
+++ b/crates/rw-daemon/src/entry/watchers.rs
@@ -0,0 +1,87 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rw_protocol::{rank, HostEntry, HostState, Name, PeerReply, PeerRequest, Role, WatchRequest};
+
+use super::dispatcher::{Dispatcher, Message};
+use crate::Context;
+
+const RECONNECT_PAUSE: Duration = Duration::from_millis(300);
+
+/// Keeps a status stream open to each host of this entry's subset.
+pub async fn watch_hosts(cx: Arc<Context>, dispatcher: Dispatcher) {
+    let changed = cx.shared.subscribe();
+    let mut watched: BTreeMap<Name, tokio::task::JoinHandle<()>> = BTreeMap::new();
+    loop {
+        let subset = subset(&cx);
+        watched.retain(|name, task| {
+            let keep = subset.iter().any(|h| h.name == *name);
+            if !keep {
+                task.abort();
+                dispatcher.tell(Message::Lost(name.clone()));
+            }
+            keep
+        });
+        for host in subset {
+            let (cx, dispatcher) = (cx.clone(), dispatcher.clone());
+            let name = host.name.clone();
+            watched
+                .entry(name)
+                .or_insert_with(|| tokio::spawn(watch(cx, dispatcher, host)));
+        }
+        if changed.recv_async().await.is_err() {
+            return;
+        }
+    }
+}
+
+// Hosts of each service that this entry connects to: those of its own zone
+// first, then by rank, so that entries differ in what lies beyond their zone.
+fn subset(cx: &Context) -> Vec<HostEntry> {
+    let limit = cx.deployment.limits.subset.get() as usize;
+    let view = cx.shared.read();
+    let mut services: BTreeMap<&Name, Vec<&HostEntry>> = BTreeMap::new();
+    for host in view.live(Role::Host) {
+        services.entry(&host.service).or_default().push(host);
+    }
+    let mut out = Vec::new();
+    for hosts in services.values_mut() {
+        hosts.sort_by_key(|h| (h.zone != cx.daemon.zone, rank(&cx.name, &h.name)));
+        out.extend(hosts.iter().take(limit).map(|h| (*h).clone()));
+    }
+    out
+}
+
+async fn watch(cx: Arc<Context>, dispatcher: Dispatcher, host: HostEntry) {
+    loop {
+        follow(&cx, &dispatcher, &host).await;
+        dispatcher.tell(Message::Lost(host.name.clone()));
+        tokio::time::sleep(RECONNECT_PAUSE).await;
+    }
+}
+
+async fn follow(cx: &Context, dispatcher: &Dispatcher, host: &HostEntry) {
+    let addr = cx
+        .shared
+        .read()
+        .addr(&host.name)
+        .unwrap_or_else(|| host.addr.clone());
+    let near = host.zone == cx.daemon.zone;
+    let req = PeerRequest::Watch(WatchRequest {
+        name: cx.name.clone(),
+    });
+    let Ok(mut rx) = cx.pool.open(&addr, &req).await else {
+        return;
+    };
+    while let Ok(Some(PeerReply::Status(mut status))) = rx.next().await {
+        // The host list lags, but where it is ahead of the host it counts.
+        let listed = cx.shared.read().hosts.get(&host.name).map(|h| h.state);
+        status.leaving |= listed != Some(HostState::Live);
+        // An address may be taken by another host meanwhile.
+        if status.host != host.name {
+            return;
+        }
+        dispatcher.tell(Message::Status(status, near));
+    }
+}
--- /dev/null
+++ b/crates/rw-daemon/src/host/runner.rs
@@ -0,0 +1,260 @@
+//! Keeps the backend server at what the confirmed configuration says.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rw_coord::{Lease, LeaseKeeper};
+use rw_engine::{Backend, BackendState, HttpBackend, LoadOrder};
+use rw_intent::Duty;
+use rw_observe::Event;
+use rw_platform::HttpPlatform;
+use rw_protocol::{HostState, Name, Serving};
+use rw_settings::ServiceKind;
+use tokio::time::Instant;
+
+use super::{Admission, StatusBoard, Weights};
+use crate::control::status_of;
+use crate::Context;
+
+const CHECK_PERIOD: Duration = Duration::from_millis(250);
+/// Part of a lease that must be left when an order is sent, and that the
+/// order's own time limit stays below.
+const LEASE_MARGIN: Duration = Duration::from_millis(500);
+
+/// The backend server and what its daemon knows of it.
+pub struct Runner {
+    cx: Arc<Context>,
+    backend: HttpBackend,
+    admission: Arc<Admission>,
+    board: Arc<StatusBoard>,
+    weights: Arc<Weights>,
+    leases: LeaseKeeper<HttpPlatform>,
+    // When the last chunk of the wanted model was here.
+    whole_since: Option<(Name, Instant)>,
+}
+
+/// Checks and orders for as long as the daemon runs.
+pub async fn run_backend(
+    cx: Arc<Context>,
+    backend: HttpBackend,
+    admission: Arc<Admission>,
+    board: Arc<StatusBoard>,
+    weights: Arc<Weights>,
+) {
+    // Two processes on the same host differ, also after a restart.
+    let holder = format!("{}/{:016x}", cx.name, rand::random::<u64>());
+    let life = Duration::from_millis(cx.deployment.control.lease_ms);
+    let ticks = cx.timer.subscribe(CHECK_PERIOD);
+    let mut runner = Runner {
+        leases: LeaseKeeper::new(cx.platform.clone(), &holder, life),
+        cx,
+        backend,
+        admission,
+        board,
+        weights,
+        whole_since: None,
+    };
+    while ticks.recv_async().await.is_ok() {
+        runner.check().await;
+    }
+}
+
+impl Runner {
+    async fn check(&mut self) {
+        if self.is_plain() {
+            return self.check_plain().await;
+        }
+        let duty = self.cx.shared.read().cfg.duty(&self.cx.name);
+        let Some(state) = self.state().await else {
+            return self.stop("the backend server does not answer");
+        };
+        let Some(duty) = duty else {
+            return self.stop("no intent uses this host");
+        };
+        if state.manifest == duty.manifest && state.version == duty.version {
+            return self.serve(&duty, &state);
+        }
+        self.keep_old(&duty, &state);
+        if self.weights.is_complete(&duty.manifest) && self.is_turn(&duty).await {
+            self.switch(&duty).await;
+        }
+    }
+
+    fn is_plain(&self) -> bool {
+        let service = self
+            .cx
+            .deployment
+            .services
+            .get(self.cx.daemon.service.as_str());
+        service.is_some_and(|s| s.kind == ServiceKind::Plain)
+    }
+
+    async fn check_plain(&mut self) {
+        if self.state().await.is_none() {
+            return self.stop("the backend server does not answer");
+        }
+        let service = Name::from(self.cx.daemon.service.as_str());
+        let serving = Serving {
+            service,
+            model: Name::default(),
+            version: Name::default(),
+            manifest: Name::default(),
+            intent: Name::default(),
+        };
+        self.announce(vec![serving]);
+    }
+
+    async fn state(&self) -> Option<BackendState> {
+        let backend = self.backend.clone();
+        tokio::task::spawn_blocking(move || backend.state())
+            .await
+            .ok()?
+            .ok()
+    }
+
+    fn announce(&self, serving: Vec<Serving>) {
+        let detail = serving
+            .first()
+            .map(|s| format!("service={} version={}", s.service, s.version));
+        if self.admission.serve(serving) {
+            if let Some(detail) = detail {
+                self.cx.recorder.emit(Event::RunnerServing, &detail);
+            }
+            self.board.publish();
+        }
+        self.board.set_problem("");
+    }
+
+    fn serve(&self, duty: &Duty, state: &BackendState) {
+        self.announce(vec![Serving {
+            service: duty.service.clone(),
+            model: state.model.clone(),
+            version: state.version.clone(),
+            manifest: state.manifest.clone(),
+            intent: duty.intent.clone(),
+        }]);
+    }
+
+    // The version before this one goes on serving until the switch. Anything
+    // else in the engine was ordered by somebody else: no calls go there.
+    fn keep_old(&self, duty: &Duty, state: &BackendState) {
+        let previous = {
+            let view = self.cx.shared.read();
+            let active = view.cfg.intents().get(&duty.intent);
+            active.map(|a| a.previous.clone()).unwrap_or_default()
+        };
+        if !state.manifest.is_empty() && state.manifest == previous {
+            return self.serve(duty, state);
+        }
+        if !self.admission.serving().is_empty() {
+            let detail = format!("wanted={} loaded={}", duty.manifest, state.manifest);
+            self.cx.recorder.emit(Event::RunnerQuarantined, &detail);
+        }
+        self.stop("the wanted model is not loaded yet");
+    }
+
+    fn stop(&self, problem: &str) {
+        if self.admission.serve(Vec::new()) {
+            self.board.publish();
+        }
+        self.board.set_problem(problem);
+    }
+
+    // Hosts switch wave by wave, so that most of them serve at any time. A
+    // late or dead host holds the next wave up only for a bounded time.
+    async fn is_turn(&mut self, duty: &Duty) -> bool {
+        let limit = Duration::from_millis(self.cx.deployment.weights.wave_timeout_ms);
+        let since = match &self.whole_since {
+            Some((manifest, at)) if *manifest == duty.manifest => *at,
+            _ => Instant::now(),
+        };
+        self.whole_since = Some((duty.manifest.clone(), since));
+        if duty.wave == 0 || self.admission.serving().is_empty() || since.elapsed() >= limit {
+            return true;
+        }
+        for addr in self.earlier(duty) {
+            let status = status_of(&self.cx, &addr).await;
+            let waits =
+                status.is_some_and(|s| !s.serving.iter().any(|s| s.manifest == duty.manifest));
+            if waits {
+                return false;
+            }
+        }
+        true
+    }
+
+    fn earlier(&self, duty: &Duty) -> Vec<Name> {
+        let view = self.cx.shared.read();
+        let Some(active) = view.cfg.intents().get(&duty.intent) else {
+            return Vec::new();
+        };
+        let hosts = active
+            .assignments
+            .iter()
+            .filter(|(_, wave)| **wave < duty.wave);
+        let hosts = hosts.filter_map(|(name, _)| view.hosts.get(name));
+        let live = hosts.filter(|h| h.state == HostState::Live);
+        live.map(|h| h.addr.clone()).collect()
+    }
+
+    async fn switch(&self, duty: &Duty) {
+        self.stop("switching to another version");
+        let limit = Duration::from_millis(self.cx.deployment.limits.drain_ms);
+        if !self.admission.drained(limit).await {
+            let detail = format!("held={}", self.admission.held());
+            return self.cx.recorder.emit(Event::DrainTimedOut, &detail);
+        }
+        let Some(lease) = self.lease().await else {
+            return;
+        };
+        self.order(duty, lease).await;
+    }
+
+    async fn lease(&self) -> Option<Lease> {
+        let name = format!("runner/{}", self.cx.name);
+        let taken = tokio::task::block_in_place(|| self.leases.acquire(&name, rand::random()));
+        match taken {
+            Ok(lease) => Some(lease),
+            Err(err) => {
+                self.board
+                    .set_problem(&format!("no lease to order the backend server: {err}"));
+                None
+            }
+        }
+    }
+
+    // The lease is checked last of all, and the order's time limit ends before
+    // the lease. What the engine really holds is read back by the next check.
+    async fn order(&self, duty: &Duty, lease: Lease) {
+        let order = LoadOrder {
+            model: duty.model.clone(),
+            version: duty.version.clone(),
+            manifest: duty.manifest.clone(),
+            source: format!(
+                "http://{}/weights/{}",
+                self.cx.daemon.operator_listen, duty.manifest
+            ),
+            fence: lease.epoch,
+        };
+        let left = lease.left().saturating_sub(LEASE_MARGIN);
+        if left.is_zero() {
+            return self
+                .cx
+                .recorder
+                .emit(Event::OrderLapsed, &format!("epoch={}", lease.epoch));
+        }
+        let detail = format!("version={} epoch={}", duty.version, lease.epoch);
+        self.cx.recorder.emit(Event::OrderSent, &detail);
+        let backend = self.backend.clone();
+        let sent =
+            tokio::task::spawn_blocking(move || backend.load(&order, left.as_millis() as u64));
+        if let Ok(Err(err)) = sent.await {
+            self.cx
+                .recorder
+                .emit(Event::OrderFailed, &format!("{detail} error={err}"));
+        }
+        let name = format!("runner/{}", self.cx.name);
+        // A lease that is not released lapses.
+        let _ = tokio::task::block_in_place(|| self.leases.release(&name, &lease));
+    }
+}
--- /dev/null
+++ b/crates/rw-daemon/src/operator/plans.rs
@@ -0,0 +1,206 @@
+use std::collections::BTreeMap;
+
+use rw_coord::{unix_ms, AppendLog, Appended};
+use rw_intent::{parse_intent, plan as work_out, Site};
+use rw_observe::Event;
+use rw_platform::{ObjectStore, Origin};
+use rw_protocol::{
+    manifest_id, Change, Generation, HostEntry, Intent, Manifest, Name, Plan, RemoveIntent,
+};
+use rw_settings::ServiceKind;
+use serde_json::json;
+
+use super::server::{fail, ok, Answer, Operators};
+use crate::Context;
+
+const BITS_PER_BYTE: u64 = 8;
+
+/// Works out and keeps a plan for an intent file; nothing else changes.
+pub(super) fn plan(operators: &Operators, body: &str) -> Answer {
+    let cx = &operators.cx;
+    let intent = match parse_intent(body, unix_ms()) {
+        Ok(intent) => intent,
+        Err(err) => return fail(400, &err.to_string()),
+    };
+    let faults = unknown_names(cx, &intent);
+    if !faults.is_empty() {
+        return fail(400, &faults.join("\n"));
+    }
+    let manifest = match cx.platform.manifest(&intent.model, &intent.version) {
+        Ok(manifest) => manifest,
+        Err(err @ rw_platform::Error::NotFound(_)) => {
+            let what = format!("model {} version {}", intent.model, intent.version);
+            return fail(404, &format!("{what}: not at the origin ({err})"));
+        }
+        Err(err) => return fail(503, &format!("origin: {err}; try again")),
+    };
+    let planned = {
+        let view = cx.shared.read();
+        let hosts: Vec<HostEntry> = view.hosts.values().cloned().collect();
+        work_out(&view.cfg, &hosts, intent, &manifest, &site(cx), unix_ms())
+    };
+    match planned {
+        Ok(plan) => keep(cx, plan, Some(&manifest)),
+        Err(err) => fail(409, &err.to_string()),
+    }
+}
+
+/// Works out and keeps a plan that ends an intent.
+pub(super) fn plan_removal(operators: &Operators, name: &str) -> Answer {
+    let cx = &operators.cx;
+    let plan = {
+        let view = cx.shared.read();
+        let Some(active) = view.cfg.intents().get(name) else {
+            return fail(404, &format!("no confirmed intent is called '{name}'"));
+        };
+        Plan {
+            id: Name::default(),
+            base: view.cfg.head(),
+            change: Change::Remove(RemoveIntent {
+                name: Name::from(name),
+            }),
+            joining: Vec::new(),
+            leaving: active.assignments.keys().cloned().collect(),
+            keeping: Vec::new(),
+            origin_bytes: 0,
+            links: Vec::new(),
+            expected_ms: 0,
+            warnings: vec!["calls that only this intent serves will be refused".to_string()],
+        }
+    };
+    keep(cx, plan, None)
+}
+
+fn unknown_names(cx: &Context, intent: &Intent) -> Vec<String> {
+    let dep = &cx.deployment;
+    let mut out = Vec::new();
+    let service = dep.services.get(&intent.service);
+    if service.is_none_or(|s| s.kind != ServiceKind::Engine) {
+        out.push(format!(
+            "intent.service: '{}' is not a service with a model engine",
+            intent.service
+        ));
+    }
+    for team in intent.teams.iter().filter(|t| !dep.teams.contains_key(*t)) {
+        out.push(format!(
+            "intent.teams: '{team}' is not a team of this deployment"
+        ));
+    }
+    for region in intent
+        .regions
+        .iter()
+        .filter(|r| !dep.regions.contains_key(*r))
+    {
+        out.push(format!(
+            "intent.regions: '{region}' is not a region of this deployment"
+        ));
+    }
+    out
+}
+
+fn site(cx: &Context) -> Site {
+    let regions = cx.deployment.regions.iter();
+    let links = regions.map(|(name, r)| (name.clone(), r.link_bits_per_s / BITS_PER_BYTE));
+    Site {
+        home: cx.deployment.home(),
+        uplink_bytes_per_s: cx.deployment.weights.uplink_bytes_per_s,
+        link_bytes_per_s: links.collect::<BTreeMap<_, _>>(),
+    }
+}
+
+fn plan_key(id: &str) -> String {
+    format!("plan/{id}")
+}
+
+// The plan goes to the object store, so that any daemon can confirm it, and
+// the manifest too, for hosts that cannot get it from another.
+fn keep(cx: &Context, mut plan: Plan, manifest: Option<&Manifest>) -> Answer {
+    plan.id = Name::from(format!("{:016x}", rand::random::<u64>()));
+    let stored = (|| {
+        if let Some(manifest) = manifest {
+            let body = serde_json::to_vec(manifest).unwrap_or_default();
+            ObjectStore::put(
+                &cx.platform,
+                &format!("manifest/{}", manifest_id(manifest)),
+                &body,
+            )?;
+        }
+        let body = serde_json::to_vec(&plan).unwrap_or_default();
+        ObjectStore::put(&cx.platform, &plan_key(&plan.id), &body)
+    })();
+    match stored {
+        Ok(()) => ok(&plan),
+        Err(err) => fail(503, &format!("object store: {err}; try again")),
+    }
+}
+
+/// Appends a kept plan to the configuration, unless it is stale. Confirming a
+/// plan twice changes nothing more.
+pub(super) fn confirm(operators: &Operators, id: &str) -> Answer {
+    let cx = &operators.cx;
+    if id.is_empty() || !id.chars().all(|c| c.is_ascii_hexdigit()) {
+        return fail(400, "plan: not the id of a plan");
+    }
+    let body = match ObjectStore::get(&cx.platform, &plan_key(id)) {
+        Ok(body) => body,
+        Err(rw_platform::Error::NotFound(_)) => {
+            return fail(404, &format!("no plan is called '{id}'"))
+        }
+        Err(err) => return fail(503, &format!("object store: {err}; try again")),
+    };
+    let plan: Plan = match serde_json::from_slice(&body) {
+        Ok(plan) => plan,
+        Err(err) => return fail(500, &format!("plan {id} cannot be read: {err}")),
+    };
+    append(cx, plan)
+}
+
+fn append(cx: &Context, plan: Plan) -> Answer {
+    let gen = Generation {
+        number: plan.base + 1,
+        plan_id: plan.id.clone(),
+        at_ms: unix_ms(),
+        change: plan.change,
+    };
+    let text = serde_json::to_string(&gen).unwrap_or_default();
+    let log = AppendLog::new(cx.platform.clone(), "config");
+    match log.append(plan.base, &text, &plan.id) {
+        Ok(Appended::Done(number)) => {
+            let detail = format!("generation={number} plan={}", plan.id);
+            cx.recorder.emit(Event::GenerationConfirmed, &detail);
+            ok(&json!({ "generation": number }))
+        }
+        Ok(Appended::Stale(head)) => {
+            let by = overtaken_by(&log, plan.base);
+            cx.recorder.emit(Event::PlanStale, &format!("plan={} base={} head={head}", plan.id, plan.base));
+            fail(409, &format!("the plan is stale: it was made from generation {}, {by}; plan again", plan.base))
+        }
+        Err(rw_coord::Error::Platform(rw_platform::Error::Unknown(msg))) => fail(
+            504,
+            &format!("it is not known whether the plan was confirmed ({msg}); confirm the same plan again to find out"),
+        ),
+        Err(err) => fail(503, &format!("not confirmed: {err}; try again")),
+    }
+}
+
+fn overtaken_by(log: &AppendLog<rw_platform::HttpPlatform>, base: u64) -> String {
+    let entries = log.since(base).unwrap_or_default();
+    let Some((number, text)) = entries.first() else {
+        return "the configuration has moved on".to_string();
+    };
+    let gen: Option<Generation> = serde_json::from_str(text).ok();
+    let what = gen.map(|gen| match gen.change {
+        Change::Put(put) => format!(
+            "plan {} put intent {} version {}",
+            gen.plan_id, put.intent.name, put.intent.version
+        ),
+        Change::Remove(remove) => format!("plan {} removed intent {}", gen.plan_id, remove.name),
+        Change::Replace(replace) => {
+            format!("failed hosts of intent {} were replaced", replace.intent)
+        }
+    });
+    format!(
+        "then generation {number} came: {}",
+        what.unwrap_or_default()
+    )
+}
--- /dev/null
+++ b/crates/rw-daemon/src/peer/wire.rs
@@ -0,0 +1,82 @@
+use std::future::poll_fn;
+
+use bytes::Bytes;
+use h2::{Reason, RecvStream, SendStream};
+use rw_protocol::{encode, Decoder};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+
+use super::{Error, Result};
+
+/// Sends messages on one stream.
+pub struct FrameTx {
+    stream: SendStream<Bytes>,
+}
+
+impl FrameTx {
+    pub(super) fn new(stream: SendStream<Bytes>) -> Self {
+        FrameTx { stream }
+    }
+
+    /// Sends one message, as fast as the peer takes it.
+    pub async fn send<T: Serialize>(&mut self, msg: &T) -> Result<()> {
+        let mut buf = encode(msg)?;
+        while !buf.is_empty() {
+            self.stream.reserve_capacity(buf.len());
+            let room = poll_fn(|cx| self.stream.poll_capacity(cx)).await;
+            let room = room.ok_or_else(|| Error::Broken("closed".to_string()))??;
+            let part = buf.split_to(room.min(buf.len()));
+            self.stream.send_data(part, false)?;
+        }
+        Ok(())
+    }
+
+    /// Ends the stream.
+    pub fn finish(&mut self) -> Result<()> {
+        Ok(self.stream.send_data(Bytes::new(), true)?)
+    }
+
+    /// Breaks the stream off.
+    pub fn reset(&mut self) {
+        self.stream.send_reset(Reason::CANCEL);
+    }
+
+    /// Waits until the peer breaks the stream off.
+    pub async fn closed(&mut self) {
+        // An error of the connection ends the stream as well.
+        let _ = poll_fn(|cx| self.stream.poll_reset(cx)).await;
+    }
+}
+
+/// Receives messages of one stream.
+pub struct FrameRx {
+    body: RecvStream,
+    decoder: Decoder,
+}
+
+impl FrameRx {
+    pub(super) fn new(body: RecvStream) -> Self {
+        FrameRx {
+            body,
+            decoder: Decoder::default(),
+        }
+    }
+
+    /// The next message; `None` once the peer ended the stream.
+    pub async fn next<T: DeserializeOwned>(&mut self) -> Result<Option<T>> {
+        loop {
+            if let Some(msg) = self.decoder.next()? {
+                return Ok(Some(msg));
+            }
+            let Some(data) = self.body.data().await else {
+                return match self.decoder.is_empty() {
+                    true => Ok(None),
+                    false => Err(Error::Broken("stream ends inside a frame".to_string())),
+                };
+            };
+            let data = data?;
+            self.body.flow_control().release_capacity(data.len())?;
+            self.decoder.extend(&data);
+        }
+    }
+}
--- /dev/null
+++ b/crates/rw-observe/src/catalogue.rs
@@ -0,0 +1,102 @@
+use std::fmt::Write;
+
+use log::Level;
+
+macro_rules! events {
+    ($($number:literal $name:ident $level:ident $doc:literal $action:literal;)*) => {
+        /// A numbered event; `docs/EVENTS.md` is the catalogue.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        pub enum Event {
+            $(#[doc = $doc] $name,)*
+        }
+
+        impl Event {
+            /// Every event, by number.
+            pub const ALL: &'static [Event] = &[$(Event::$name,)*];
+
+            /// Number of the event; it never changes.
+            pub fn number(self) -> u32 {
+                match self { $(Event::$name => $number,)* }
+            }
+
+            /// Name of the event.
+            pub fn name(self) -> &'static str {
+                match self { $(Event::$name => stringify!($name),)* }
+            }
+
+            /// Level at which the event is logged.
+            pub fn level(self) -> Level {
+                match self { $(Event::$name => Level::$level,)* }
+            }
+
+            /// What happened.
+            pub fn doc(self) -> &'static str {
+                match self { $(Event::$name => $doc,)* }
+            }
+
+            /// What an operator does about it.
+            pub fn action(self) -> &'static str {
+                match self { $(Event::$name => $action,)* }
+            }
+        }
+    };
+}
+
+events! {
+    100 DaemonStarted Info "A daemon started." "Nothing.";
+    101 DaemonDraining Info "A daemon refuses new work and finishes what it has." "Nothing.";
+    102 DaemonStopped Info "A daemon stopped after its last call." "Nothing.";
+    103 DrainTimedOut Error "Calls were still running when the drain limit passed." "Raise limits.drain_ms or look for stuck calls.";
+    200 GenerationApplied Info "A confirmed generation is in force on this daemon." "Nothing.";
+    201 GenerationConfirmed Info "An operator confirmed a plan." "Nothing.";
+    202 PlanStale Warn "A confirmation lost against a newer generation." "Plan again.";
+    203 TableUnreachable Warn "The table service does not answer." "Look at the platform; confirmations wait, calls with an idempotency key are refused.";
+    204 TableReachable Info "The table service answers again." "Nothing.";
+    205 HostsReplaced Warn "Failed hosts of an intent were replaced by spare ones." "Look at the failed hosts.";
+    206 ReplaceFailed Warn "An intent has failed hosts and no spare ones." "Add hosts or lower the intent's count.";
+    300 TransferStarted Info "A host began to collect a model." "Nothing.";
+    301 TransferComplete Info "A host holds a whole verified model." "Nothing.";
+    302 ChunkCorrupt Warn "A chunk did not match its hash; its sender is avoided." "If it repeats, look at the named sender.";
+    303 ChunkRefetched Info "A chunk was asked for elsewhere after a failure." "Nothing.";
+    304 TransferCancelled Info "A transfer was dropped because its manifest is no longer wanted." "Nothing.";
+    305 ManifestMismatch Error "The origin offers other bytes under a confirmed manifest." "Restore the version at the origin; versions are immutable.";
+    306 OriginUnreachable Warn "The origin does not answer." "Look at the origin; hosts go on from each other.";
+    400 OrderSent Info "An engine was ordered to load a model." "Nothing.";
+    401 OrderFailed Warn "An order to an engine failed." "Look at the engine if it repeats.";
+    402 OrderLapsed Warn "A lease lapsed before its order could be sent." "Nothing; the order is repeated under a new lease.";
+    403 RunnerServing Info "A backend server serves what the configuration says." "Nothing.";
+    404 RunnerQuarantined Warn "A backend server has something else loaded than it should; it gets no calls." "Nothing if RunnerServing follows; otherwise look for another sender of orders.";
+    405 BackendUnreachable Warn "A backend server does not answer its daemon." "Look at the backend server.";
+    500 CallUnknown Error "A call's outcome is not known." "Ask the backend server's own records; see unresolved.";
+    501 VersionMismatch Error "An answer came from another version than pinned; it was dropped." "Look for another sender of orders to this engine.";
+    502 StrayFrame Warn "A frame of another dispatch was dropped." "Nothing.";
+    503 HostCircuitOpen Warn "Calls to a host failed; it gets none for a while." "Look at the host if it repeats.";
+    504 ClaimUnresolved Error "A call that may run once has an unknown end." "ragworttack unresolved lists it; settle it with the customer.";
+    600 IntentLate Error "An intent is not fulfilled and its deadline has passed." "ragworttack status names the missing hosts.";
+    601 IntentFulfilled Info "Every host of an intent serves its model." "Nothing.";
+    602 HostUnreachable Warn "A host that should serve does not answer." "Look at the host.";
+}
+
+/// The catalogue as a Markdown page.
+///
+/// ```
+/// assert!(rw_observe::catalogue_page().contains("| 100 |"));
+/// ```
+pub fn catalogue_page() -> String {
+    let mut out = String::from(
+        "# Events\n\nNumbers never change. A test holds this page to the code.\n\n\
+         | number | event | level | what happened | what to do |\n| --- | --- | --- | --- | --- |\n",
+    );
+    for event in Event::ALL {
+        let _ = writeln!(
+            out,
+            "| {} | `{}` | {} | {} | {} |",
+            event.number(),
+            event.name(),
+            event.level().as_str().to_lowercase(),
+            event.doc(),
+            event.action()
+        );
+    }
+    out
+}
--- /dev/null
+++ b/crates/rw-platform/src/http.rs
@@ -0,0 +1,150 @@
+use rw_protocol::{HostListing, Manifest};
+use serde::de::DeserializeOwned;
+
+use crate::{Commit, Error, HostList, ObjectStore, Origin, Result, Row, TableService, Transaction};
+
+const HTTP_OK: i32 = 200;
+const HTTP_NOT_FOUND: i32 = 404;
+const HTTP_CONFLICT: i32 = 409;
+const HTTP_TOO_MANY: i32 = 429;
+const HTTP_UNAVAILABLE: i32 = 503;
+/// Time limit of one chunk from the origin, which may be slow under load.
+const ORIGIN_TIMEOUT_S: u64 = 120;
+
+/// Platform services over HTTP and JSON.
+#[derive(Clone, Debug)]
+pub struct HttpPlatform {
+    url: String,
+    origin_url: String,
+    timeout_s: u64,
+}
+
+impl HttpPlatform {
+    /// Uses the given base URLs; `timeout_ms` is rounded up to whole seconds.
+    ///
+    /// ```
+    /// let platform = rw_platform::HttpPlatform::new("http://127.0.0.1:1", "http://127.0.0.1:1", 2000);
+    /// use rw_platform::TableService;
+    /// assert!(platform.read("k").is_err());
+    /// ```
+    pub fn new(url: &str, origin_url: &str, timeout_ms: u64) -> Self {
+        HttpPlatform {
+            url: url.trim_end_matches('/').to_string(),
+            origin_url: origin_url.trim_end_matches('/').to_string(),
+            timeout_s: timeout_ms.div_ceil(1000).max(1),
+        }
+    }
+
+    fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
+        let res = send(minreq::get(format!("{}{path}", self.url)), self.timeout_s)?;
+        json(&res)
+    }
+}
+
+fn send(req: minreq::Request, timeout_s: u64) -> Result<minreq::Response> {
+    let res = req.with_timeout(timeout_s).send().map_err(transport)?;
+    match res.status_code {
+        HTTP_TOO_MANY | HTTP_UNAVAILABLE => Err(Error::Refused(format!(
+            "status {}: {}",
+            res.status_code,
+            res.as_str().unwrap_or("")
+        ))),
+        HTTP_NOT_FOUND => Err(Error::NotFound(res.url.clone())),
+        _ => Ok(res),
+    }
+}
+
+// A refused connection carried nothing; after any other fault the call may
+// have taken effect.
+fn transport(err: minreq::Error) -> Error {
+    match &err {
+        minreq::Error::IoError(io) if io.kind() == std::io::ErrorKind::ConnectionRefused => {
+            Error::Refused(err.to_string())
+        }
+        _ => Error::Unknown(err.to_string()),
+    }
+}
+
+fn json<T: DeserializeOwned>(res: &minreq::Response) -> Result<T> {
+    if res.status_code != HTTP_OK && res.status_code != HTTP_CONFLICT {
+        return Err(Error::Malformed(format!("status {}", res.status_code)));
+    }
+    serde_json::from_slice(res.as_bytes()).map_err(|err| Error::Malformed(err.to_string()))
+}
+
+/// Percent-encodes everything but letters, digits and `-._~`.
+fn escape(text: &str) -> String {
+    let mut out = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        if byte.is_ascii_alphanumeric() || b"-._~".contains(&byte) {
+            out.push(byte as char);
+        } else {
+            out.push_str(&format!("%{byte:02X}"));
+        }
+    }
+    out
+}
+
+impl TableService for HttpPlatform {
+    fn commit(&self, txn: &Transaction) -> Result<Commit> {
+        let body = serde_json::to_vec(txn).map_err(|err| Error::Malformed(err.to_string()))?;
+        let req = minreq::post(format!("{}/table/commit", self.url)).with_body(body);
+        json(&send(req, self.timeout_s)?)
+    }
+
+    fn read(&self, key: &str) -> Result<Option<Row>> {
+        match self.get(&format!("/table/row?key={}", escape(key))) {
+            Ok(row) => Ok(Some(row)),
+            Err(Error::NotFound(_)) => Ok(None),
+            Err(err) => Err(err),
+        }
+    }
+
+    fn scan(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<Row>> {
+        self.get(&format!(
+            "/table/scan?prefix={}&after={}&limit={limit}",
+            escape(prefix),
+            escape(after)
+        ))
+    }
+}
+
+impl ObjectStore for HttpPlatform {
+    fn put(&self, key: &str, body: &[u8]) -> Result<()> {
+        let req = minreq::put(format!("{}/objects?key={}", self.url, escape(key))).with_body(body);
+        send(req, self.timeout_s).map(drop)
+    }
+
+    fn get(&self, key: &str) -> Result<Vec<u8>> {
+        let req = minreq::get(format!("{}/objects?key={}", self.url, escape(key)));
+        send(req, self.timeout_s).map(minreq::Response::into_bytes)
+    }
+}
+
+impl HostList for HttpPlatform {
+    fn hosts(&self, since: u64) -> Result<HostListing> {
+        self.get(&format!("/hosts?since={since}"))
+    }
+}
+
+impl Origin for HttpPlatform {
+    fn manifest(&self, model: &str, version: &str) -> Result<Manifest> {
+        let path = format!(
+            "/origin/manifest?model={}&version={}",
+            escape(model),
+            escape(version)
+        );
+        let req = minreq::get(format!("{}{path}", self.origin_url));
+        json(&send(req, self.timeout_s)?)
+    }
+
+    fn chunk(&self, model: &str, version: &str, chunk: u32) -> Result<Vec<u8>> {
+        let path = format!(
+            "/origin/chunk?model={}&version={}&chunk={chunk}",
+            escape(model),
+            escape(version)
+        );
+        let req = minreq::get(format!("{}{path}", self.origin_url));
+        send(req, ORIGIN_TIMEOUT_S).map(minreq::Response::into_bytes)
+    }
+}
--- /dev/null
+++ b/crates/rw-platform/src/lib.rs
@@ -0,0 +1,11 @@
+//! The platform's services as traits, and the adapter that speaks their HTTP
+//! form. Only `http.rs` knows the wire format.
+
+mod http;
+mod types;
+
+pub use http::HttpPlatform;
+pub use types::{
+    Commit, Condition, Error, HostList, ObjectStore, Origin, Put, Result, Row, TableService,
+    Transaction,
+};
--- /dev/null
+++ b/crates/rw-protocol/src/ids.rs
@@ -0,0 +1,60 @@
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{Manifest, Name};
+
+/// Content address of a manifest: BLAKE3 over every field, in hexadecimal.
+///
+/// ```
+/// use rw_protocol::{manifest_id, Manifest};
+/// let a = Manifest { model: "m".into(), version: "1".into(), length: 0, chunk_bytes: 1, chunks: vec![] };
+/// let b = Manifest { version: "2".into(), ..a.clone() };
+/// assert_ne!(manifest_id(&a), manifest_id(&b));
+/// ```
+pub fn manifest_id(manifest: &Manifest) -> Name {
+    let mut hasher = blake3::Hasher::new();
+    for part in [&manifest.model, &manifest.version] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part.as_bytes());
+    }
+    hasher.update(&manifest.length.to_le_bytes());
+    hasher.update(&manifest.chunk_bytes.to_le_bytes());
+    for chunk in &manifest.chunks {
+        hasher.update(chunk.as_bytes());
+    }
+    Name::from(hasher.finalize().to_hex().as_str())
+}
+
+/// BLAKE3 of one chunk in hexadecimal.
+pub fn chunk_hash(data: &[u8]) -> Name {
+    Name::from(blake3::hash(data).to_hex().as_str())
+}
+
+/// Whether `data` is exactly chunk number `chunk` of the manifest.
+pub fn verify_chunk(manifest: &Manifest, chunk: u32, data: &[u8]) -> bool {
+    manifest
+        .chunks
+        .get(chunk as usize)
+        .is_some_and(|hash| **hash == *chunk_hash(data))
+}
+
+/// Digest of an answer's bytes, for the end frame.
+pub fn digest(previous: u64, data: &[u8]) -> u64 {
+    let mut buf = [0; 16];
+    buf[..8].copy_from_slice(&previous.to_le_bytes());
+    buf[8..].copy_from_slice(&xxh3_64(data).to_le_bytes());
+    xxh3_64(&buf)
+}
+
+/// Rendezvous rank of `name` for `key`; the highest rank owns the key.
+///
+/// ```
+/// assert_eq!(rw_protocol::rank("k", "a"), rw_protocol::rank("k", "a"));
+/// assert_ne!(rw_protocol::rank("k", "a"), rw_protocol::rank("k", "b"));
+/// ```
+pub fn rank(key: &str, name: &str) -> u64 {
+    let mut buf = Vec::with_capacity(key.len() + name.len() + 1);
+    buf.extend_from_slice(key.as_bytes());
+    buf.push(0);
+    buf.extend_from_slice(name.as_bytes());
+    xxh3_64(&buf)
+}
--- /dev/null
+++ b/crates/rw-protocol/src/lib.rs
@@ -0,0 +1,15 @@
+//! Messages that all packages share, and their framing.
+
+mod blob;
+mod frame;
+mod generated;
+mod ids;
+mod name;
+
+pub use blob::Blob;
+pub use frame::{
+    decode, encode, Decoder, Error, Result, FRAME_HEAD_BYTES, MAX_FRAME_BYTES, VERSION,
+};
+pub use generated::*;
+pub use ids::{chunk_hash, digest, manifest_id, rank, verify_chunk};
+pub use name::Name;
--- /dev/null
+++ b/crates/rw-routing/src/circuit.rs
@@ -0,0 +1,70 @@
+use std::time::Duration;
+
+const FAILURES_TO_OPEN: u32 = 3;
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
+const LONGEST_PAUSE: Duration = Duration::from_secs(8);
+/// Time over which a host that came back returns to its full share.
+const SLOW_START: Duration = Duration::from_secs(5);
+/// Share of its limit that a host gets first.
+const FIRST_SHARE: f64 = 0.2;
+
+/// Circuit breaker of one host, with slow start.
+#[derive(Clone, Debug, Default)]
+pub struct Circuit {
+    failures: u32,
+    pause: Duration,
+    open_until: Option<Duration>,
+    recovering_since: Option<Duration>,
+}
+
+impl Circuit {
+    /// A call ended well.
+    pub fn on_success(&mut self, now: Duration) {
+        self.failures = 0;
+        if self.open_until.take().is_some() {
+            self.recovering_since = Some(now);
+        }
+        let recovered = self
+            .recovering_since
+            .is_some_and(|since| now >= since + SLOW_START);
+        if recovered {
+            self.recovering_since = None;
+            self.pause = Duration::ZERO;
+        }
+    }
+
+    /// A call failed; says whether the circuit opened just now.
+    pub fn on_failure(&mut self, now: Duration) -> bool {
+        self.failures += 1;
+        let probing = self.open_until.is_some_and(|until| now >= until);
+        let opens = probing || (self.open_until.is_none() && self.failures >= FAILURES_TO_OPEN);
+        if opens {
+            self.pause = (self.pause * 2).clamp(FIRST_PAUSE, LONGEST_PAUSE);
+            self.open_until = Some(now + self.pause);
+            self.recovering_since = None;
+        }
+        opens
+    }
+
+    /// Calls that the host may hold now, out of its limit.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let mut circuit = rw_routing::Circuit::default();
+    /// assert_eq!(circuit.allowed(10, Duration::ZERO), 10);
+    /// for _ in 0..3 { circuit.on_failure(Duration::ZERO); }
+    /// assert_eq!(circuit.allowed(10, Duration::ZERO), 0);
+    /// assert_eq!(circuit.allowed(10, Duration::from_secs(1)), 1);
+    /// ```
+    pub fn allowed(&self, limit: u32, now: Duration) -> u32 {
+        if let Some(until) = self.open_until {
+            return u32::from(now >= until);
+        }
+        let Some(since) = self.recovering_since else {
+            return limit;
+        };
+        let share = now.saturating_sub(since).as_secs_f64() / SLOW_START.as_secs_f64();
+        let share = share.clamp(FIRST_SHARE, 1.0);
+        ((f64::from(limit) * share) as u32).max(1)
+    }
+}
--- /dev/null
+++ b/crates/rw-settings/src/lib.rs
@@ -0,0 +1,12 @@
+//! Deployment settings: one INI file for a whole deployment, checked as a
+//! whole against the schema before anything starts.
+
+mod check;
+mod deployment;
+mod generated;
+mod reference;
+
+pub use check::{Fault, SCHEMA};
+pub use deployment::{load, parse, Deployment, Error, Result};
+pub use generated::*;
+pub use reference::reference;
--- /dev/null
+++ b/crates/rw-standins/examples/demo.rs
@@ -0,0 +1,130 @@
+//! Demonstration: a firm's deployment on stand-ins, an intent, drafts, and a
+//! new version under load.
+
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rw_settings::DaemonRole;
+use rw_standins::caller::{draft, plain, Outcome};
+use rw_standins::cluster::Cluster;
+
+const MODEL_BYTES: u64 = 8 << 20;
+const CHUNK_BYTES: u64 = 128 << 10;
+const CALLERS: usize = 12;
+const TOKENS: u64 = 12;
+const DEADLINE_MS: u64 = 20_000;
+
+#[derive(Default)]
+struct Counts {
+    answered: AtomicU64,
+    refused: AtomicU64,
+    failed: AtomicU64,
+}
+
+impl Counts {
+    fn note(&self, outcome: &Outcome) {
+        let counter = match outcome {
+            Outcome::Answered(_) => &self.answered,
+            Outcome::NotRun(_) => &self.refused,
+            _ => &self.failed,
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+fn call(
+    cluster: &Cluster,
+    counts: &Arc<Counts>,
+    stop: &Arc<AtomicBool>,
+) -> Vec<std::thread::JoinHandle<()>> {
+    let entries: Vec<String> = cluster
+        .names(DaemonRole::Entry)
+        .iter()
+        .map(|name| cluster.entry_url(name))
+        .collect();
+    let start = |at: usize| {
+        let (counts, stop) = (counts.clone(), stop.clone());
+        let entry = entries[at % entries.len()].clone();
+        std::thread::spawn(move || {
+            let mut n = 0;
+            while !stop.load(Ordering::Relaxed) {
+                n += 1;
+                let outcome = if n % 4 == 0 {
+                    plain(
+                        &entry,
+                        "penal",
+                        "charge",
+                        &format!("demo-{at}-{n}"),
+                        &format!("charge {at} {n}"),
+                    )
+                } else {
+                    draft(
+                        &entry,
+                        "arima",
+                        &format!("shop {}|cut list {at} {n}", at % 3),
+                        TOKENS,
+                        DEADLINE_MS,
+                    )
+                };
+                if !matches!(outcome, Outcome::Answered(_) | Outcome::NotRun(_)) {
+                    eprintln!("call {at}/{n}: {outcome:?}");
+                }
+                counts.note(&outcome);
+            }
+        })
+    };
+    (0..CALLERS).map(start).collect()
+}
+
+fn main() -> ExitCode {
+    let start = Instant::now();
+    let settings = Path::new("deploy/sookram/deployment.ini");
+    let cluster = Cluster::start(settings, Path::new("target/demo"));
+    println!(
+        "{} daemons and their stand-ins run",
+        cluster.deployment.daemons.len()
+    );
+    cluster.add_model("cutlist", "v1", MODEL_BYTES, CHUNK_BYTES);
+    cluster.add_model("cutlist", "v2", MODEL_BYTES, CHUNK_BYTES);
+    let operator = cluster.daemon("entry-north").operator_listen.to_string();
+    let client = rw_cli::Client::new(&operator);
+    let limit = Some(Duration::from_secs(60));
+    let spread = |file: &str| -> rw_cli::Result<()> {
+        let plan = rw_cli::commands::plan(&client, Path::new(file), false)?;
+        rw_cli::commands::confirm(&client, &plan.id, limit).map(drop)
+    };
+    if let Err(err) = spread("deploy/sookram/cuts-v1.ini") {
+        eprintln!("demo: {err}");
+        return ExitCode::FAILURE;
+    }
+    let counts = Arc::new(Counts::default());
+    let stop = Arc::new(AtomicBool::new(false));
+    let callers = call(&cluster, &counts, &stop);
+    std::thread::sleep(Duration::from_secs(2));
+    println!("a new version, while {CALLERS} callers go on:");
+    let result = spread("deploy/sookram/cuts-v2.ini");
+    std::thread::sleep(Duration::from_secs(1));
+    stop.store(true, Ordering::Relaxed);
+    for caller in callers {
+        let _ = caller.join();
+    }
+    let get = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+    println!(
+        "{} calls answered and checked, {} not run, {} failed, in {:.1} s",
+        get(&counts.answered),
+        get(&counts.refused),
+        get(&counts.failed),
+        start.elapsed().as_secs_f64()
+    );
+    let status = rw_cli::commands::status(&client, false);
+    match (result, status) {
+        (Ok(()), Ok(())) if get(&counts.failed) == 0 => ExitCode::SUCCESS,
+        (result, status) => {
+            eprintln!("demo: {result:?} {status:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/rw-standins/src/caller.rs
@@ -0,0 +1,124 @@
+//! A caller that checks every answer against its own request.
+
+use serde_json::{json, Value};
+
+use crate::engine::digest;
+
+const TIMEOUT_S: u64 = 40;
+
+/// How a call ended, as its caller sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The whole answer, from this version.
+    Answered(String),
+    /// It did not run; retry after so many milliseconds.
+    NotRun(u64),
+    /// A call with the same key is running.
+    InProgress,
+    /// It may have run.
+    Unknown,
+    /// The request was refused with this status.
+    Refused(i32),
+    /// The stream was cut, or the connection failed.
+    Cut(String),
+    /// The answer is not the one to this request.
+    Wrong(String),
+}
+
+/// A draft request.
+pub fn draft_body(prompt: &str, tokens: u64, stream: bool) -> Value {
+    json!({
+        "model": "assistant", "stream": stream, "max_tokens": tokens,
+        "messages": [{"role": "user", "content": prompt}],
+    })
+}
+
+/// Asks for a streamed draft and checks every token.
+pub fn draft(entry: &str, team: &str, prompt: &str, tokens: u64, deadline_ms: u64) -> Outcome {
+    let req = minreq::post(format!("{entry}/v1/chat/completions"))
+        .with_header("x-team", team)
+        .with_header("x-deadline-ms", deadline_ms.to_string())
+        .with_body(draft_body(prompt, tokens, true).to_string())
+        .with_timeout(TIMEOUT_S);
+    let res = match req.send() {
+        Ok(res) => res,
+        Err(err) => return Outcome::Cut(err.to_string()),
+    };
+    if res.status_code != 200 {
+        return failure(&res);
+    }
+    check_stream(res.as_str().unwrap_or(""), prompt, tokens)
+}
+
+fn check_stream(text: &str, prompt: &str, tokens: u64) -> Outcome {
+    let mut versions: Vec<String> = Vec::new();
+    let mut content = String::new();
+    let mut done = false;
+    for event in text.split("\n\n").filter(|e| !e.is_empty()) {
+        if event.starts_with("event: error") {
+            return Outcome::Cut(event.to_string());
+        }
+        let Some(data) = event.strip_prefix("data: ") else {
+            return Outcome::Wrong(event.to_string());
+        };
+        if data == "[DONE]" {
+            done = true;
+            continue;
+        }
+        let json: Value = serde_json::from_str(data).unwrap_or_default();
+        content.push_str(
+            json["choices"][0]["delta"]["content"]
+                .as_str()
+                .unwrap_or(""),
+        );
+        let version = json["model"].as_str().unwrap_or("").to_string();
+        if !versions.contains(&version) {
+            versions.push(version);
+        }
+    }
+    if !done {
+        return Outcome::Cut("no last event".to_string());
+    }
+    let word = digest(prompt);
+    let expected: String = (0..tokens).map(|n| format!("{word}-{n} ")).collect();
+    if content != expected || versions.len() > 1 {
+        return Outcome::Wrong(format!(
+            "versions {versions:?}, got {content}, expected {expected}"
+        ));
+    }
+    Outcome::Answered(versions.pop().unwrap_or_default())
+}
+
+fn failure(res: &minreq::Response) -> Outcome {
+    let body: Value = serde_json::from_slice(res.as_bytes()).unwrap_or_default();
+    let error = &body["error"];
+    match error["outcome"].as_str() {
+        Some("not_run") => Outcome::NotRun(error["retry_after_ms"].as_u64().unwrap_or(0)),
+        Some("in_progress") => Outcome::InProgress,
+        Some("unknown") => Outcome::Unknown,
+        _ => Outcome::Refused(res.status_code),
+    }
+}
+
+/// Calls a plain service and checks that the answer echoes the body.
+pub fn plain(entry: &str, team: &str, operation: &str, key: &str, body: &str) -> Outcome {
+    let mut req = minreq::post(format!("{entry}/v1/services/checkout/{operation}"))
+        .with_header("x-team", team)
+        .with_body(body)
+        .with_timeout(TIMEOUT_S);
+    if !key.is_empty() {
+        req = req.with_header("idempotency-key", key);
+    }
+    let res = match req.send() {
+        Ok(res) => res,
+        Err(err) => return Outcome::Cut(err.to_string()),
+    };
+    if res.status_code != 200 {
+        return failure(&res);
+    }
+    let json: Value = serde_json::from_slice(res.as_bytes()).unwrap_or_default();
+    if json["echo"].as_str() != Some(body) {
+        return Outcome::Wrong(json.to_string());
+    }
+    Outcome::Answered(String::new())
+}
--- /dev/null
+++ b/crates/rw-standins/src/cluster.rs
@@ -0,0 +1,399 @@
+//! Runs a whole deployment as real processes and stops them again.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use rw_protocol::{HostEntry, HostState, Name, Role, StatusReport};
+use rw_settings::{Daemon, DaemonRole, Deployment, ServiceKind};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+
+use crate::platform::{Faults, Model};
+use crate::proxy::{Fault, Route};
+
+/// Cap of every wait; far beyond what any wait needs.
+pub const WAIT_CAP: Duration = Duration::from_secs(60);
+const POLL: Duration = Duration::from_millis(20);
+const TIMEOUT_S: u64 = 10;
+
+/// A running deployment. Dropping it ends its processes.
+pub struct Cluster {
+    /// Settings of the deployment.
+    pub deployment: Deployment,
+    dir: PathBuf,
+    settings: PathBuf,
+    bin_dir: PathBuf,
+    proxy: Option<String>,
+    children: BTreeMap<String, Child>,
+}
+
+fn host_port(url: &str) -> &str {
+    let addr = url.trim_start_matches("http://");
+    addr.split('/').next().unwrap_or(addr)
+}
+
+// Tests and examples run from a folder below the one with the binaries.
+fn bin_dir() -> PathBuf {
+    let exe = std::env::current_exe().unwrap_or_default();
+    let dir = exe.parent().unwrap_or(Path::new("."));
+    match dir.file_name().and_then(|n| n.to_str()) {
+        Some("deps" | "examples") => dir.parent().unwrap_or(dir).to_path_buf(),
+        _ => dir.to_path_buf(),
+    }
+}
+
+/// Polls until `done` gives a value; panics after [`WAIT_CAP`].
+pub fn wait_for<T>(what: &str, mut done: impl FnMut() -> Option<T>) -> T {
+    let start = Instant::now();
+    loop {
+        if let Some(value) = done() {
+            return value;
+        }
+        assert!(start.elapsed() < WAIT_CAP, "gave up waiting: {what}");
+        std::thread::sleep(POLL);
+    }
+}
+
+/// Posts JSON and returns status and body.
+pub fn post<T: Serialize>(url: &str, value: &T) -> (i32, String) {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    let sent = minreq::post(url)
+        .with_body(body)
+        .with_timeout(TIMEOUT_S)
+        .send();
+    match sent {
+        Ok(res) => (res.status_code, res.as_str().unwrap_or("").to_string()),
+        Err(err) => (0, err.to_string()),
+    }
+}
+
+/// Reads JSON.
+pub fn get<T: DeserializeOwned>(url: &str) -> Option<T> {
+    let res = minreq::get(url).with_timeout(TIMEOUT_S).send().ok()?;
+    serde_json::from_slice(res.as_bytes()).ok()
+}
+
+impl Cluster {
+    /// Starts the stand-ins of a deployment file, but no daemon; logs go to
+    /// `dir`.
+    pub fn stand_ins(settings: &Path, dir: &Path) -> Self {
+        let deployment = rw_settings::load(settings).unwrap_or_else(|err| panic!("{err}"));
+        std::fs::create_dir_all(dir).unwrap_or_else(|err| panic!("{}: {err}", dir.display()));
+        let mut cluster = Cluster {
+            dir: dir.to_path_buf(),
+            settings: settings.to_path_buf(),
+            bin_dir: bin_dir(),
+            proxy: None,
+            children: BTreeMap::new(),
+            deployment,
+        };
+        cluster.start_stand_ins();
+        cluster
+    }
+
+    /// Starts the stand-ins and every daemon of a deployment file.
+    pub fn start(settings: &Path, dir: &Path) -> Self {
+        let mut cluster = Cluster::stand_ins(settings, dir);
+        let names: Vec<Name> = cluster.deployment.daemons.keys().cloned().collect();
+        for name in &names {
+            cluster.start_daemon(name);
+        }
+        cluster.wait_ready(&names);
+        cluster.wait_listed();
+        cluster
+    }
+
+    // Entries plan and route only over hosts that they know of.
+    fn wait_listed(&self) {
+        let all = self.deployment.daemons.len();
+        for name in self.names(DaemonRole::Entry) {
+            let url = format!("{}/hosts", self.operator_url(&name));
+            wait_for("host list", || {
+                let hosts: BTreeMap<String, serde_json::Value> = get(&url)?;
+                (hosts.len() == all).then_some(())
+            });
+        }
+    }
+
+    fn start_stand_ins(&mut self) {
+        let platform = host_port(&self.deployment.platform.url).to_string();
+        self.spawn_stand_in("platform", &platform);
+        let mut backends = BTreeSet::new();
+        for daemon in self
+            .deployment
+            .daemons
+            .values()
+            .filter(|d| d.role == DaemonRole::Host)
+        {
+            let engine =
+                self.deployment.services[daemon.service.as_str()].kind == ServiceKind::Engine;
+            let kind = if engine { "engine" } else { "plain" };
+            backends.insert((kind, host_port(&daemon.backend_url).to_string()));
+        }
+        for (kind, addr) in &backends {
+            self.spawn_stand_in(kind, addr);
+        }
+        let proxied = self
+            .deployment
+            .daemons
+            .values()
+            .any(|d| !d.advertise.is_empty());
+        if proxied {
+            let addr = format!("{}:7999", platform.split(':').next().unwrap_or(""));
+            self.spawn_stand_in("proxy", &addr);
+            self.proxy = Some(addr);
+            let names: Vec<Name> = self.deployment.daemons.keys().cloned().collect();
+            for name in names {
+                self.set_fault(&name, Fault::default());
+            }
+        }
+    }
+
+    fn spawn_stand_in(&mut self, kind: &str, addr: &str) {
+        let exe = self.bin_dir.join("examples").join("standin");
+        let log = self.log(kind);
+        let child = Command::new(&exe)
+            .args([kind, addr])
+            .stdin(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .unwrap_or_else(|err| panic!("{}: {err}; build with --examples first", exe.display()));
+        self.children.insert(format!("{kind}@{addr}"), child);
+        wait_for(kind, || std::net::TcpStream::connect(addr).ok());
+    }
+
+    fn log(&self, name: &str) -> Stdio {
+        let path = self.dir.join(format!("{name}.log"));
+        let file = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&path);
+        file.map_or_else(|_| Stdio::null(), Stdio::from)
+    }
+
+    /// Settings of a daemon.
+    pub fn daemon(&self, name: &str) -> &Daemon {
+        &self.deployment.daemons[name]
+    }
+
+    /// Names of the daemons of a role.
+    pub fn names(&self, role: DaemonRole) -> Vec<Name> {
+        let daemons = self.deployment.daemons.iter();
+        daemons
+            .filter(|(_, d)| d.role == role)
+            .map(|(n, _)| n.clone())
+            .collect()
+    }
+
+    /// Starts a daemon and has the platform list it.
+    pub fn start_daemon(&mut self, name: &str) {
+        let child = self.spawn_daemon(name);
+        self.children.insert(name.to_string(), child);
+        self.list(name, HostState::Live);
+    }
+
+    /// Starts a daemon's process, unlisted, for the caller to keep.
+    pub fn spawn_daemon(&self, name: &str) -> Child {
+        let exe = self.bin_dir.join("ragworttackd");
+        Command::new(&exe)
+            .arg("--settings")
+            .arg(&self.settings)
+            .args(["--name", name])
+            .stdin(Stdio::null())
+            .stderr(self.log(name))
+            .spawn()
+            .unwrap_or_else(|err| panic!("{}: {err}; build the workspace first", exe.display()))
+    }
+
+    /// Has the platform list a daemon.
+    pub fn list(&self, name: &str, state: HostState) {
+        let daemon = self.daemon(name);
+        let advertised = Name::from(daemon.advertise.as_str());
+        let entry = HostEntry {
+            name: Name::from(name),
+            role: match daemon.role {
+                DaemonRole::Entry => Role::Entry,
+                DaemonRole::Host => Role::Host,
+            },
+            region: self.deployment.region_of(&daemon.zone),
+            zone: daemon.zone.clone(),
+            addr: if advertised.is_empty() {
+                daemon.listen.clone()
+            } else {
+                advertised
+            },
+            operator_addr: daemon.operator_listen.clone(),
+            service: Name::from(daemon.service.as_str()),
+            state,
+            changed: 0,
+        };
+        self.control("/control/host", &entry);
+    }
+
+    /// Waits until daemons answer on their operators' port.
+    pub fn wait_ready(&self, names: &[Name]) {
+        for name in names {
+            let url = format!("http://{}/ready", self.daemon(name).operator_listen);
+            wait_for(name, || get::<String>(&url));
+        }
+    }
+
+    fn control<T: Serialize>(&self, path: &str, value: &T) {
+        let url = format!("{}{path}", self.deployment.platform.url);
+        let (status, body) = post(&url, value);
+        assert_eq!(status, 200, "{path}: {body}");
+    }
+
+    /// Switches faults of the platform.
+    pub fn set_platform(&self, faults: &Faults) {
+        self.control("/control/faults", faults);
+    }
+
+    /// Offers a model at the origin.
+    pub fn add_model(&self, model: &str, version: &str, length: u64, chunk_bytes: u64) {
+        let model = Model {
+            model: model.to_string(),
+            version: version.to_string(),
+            length,
+            chunk_bytes,
+            bytes_of: String::new(),
+        };
+        self.offer(&model);
+    }
+
+    /// Offers a model at the origin, as given.
+    pub fn offer(&self, model: &Model) {
+        self.control("/control/model", model);
+    }
+
+    /// Changes the fault of the way to a daemon.
+    pub fn set_fault(&self, name: &str, fault: Fault) {
+        let daemon = self.daemon(name);
+        let Some(proxy) = &self.proxy else { return };
+        if daemon.advertise.is_empty() {
+            return;
+        }
+        let route = Route {
+            listen: daemon.advertise.clone(),
+            target: daemon.listen.to_string(),
+            fault,
+        };
+        let (status, body) = post(&format!("http://{proxy}/route"), &route);
+        assert_eq!(status, 200, "proxy: {body}");
+    }
+
+    /// What a stand-in beside a host recorded.
+    pub fn records<T: DeserializeOwned>(&self, name: &str) -> T {
+        let url = format!("{}/control/records", self.daemon(name).backend_url);
+        wait_for("records", || get(&url))
+    }
+
+    /// Changes how the stand-in beside a host behaves.
+    pub fn behave<T: Serialize>(&self, name: &str, behaviour: &T) {
+        let url = format!("{}/control/behaviour", self.daemon(name).backend_url);
+        let (status, body) = post(&url, behaviour);
+        assert_eq!(status, 200, "{name}: {body}");
+    }
+
+    /// Sends a signal, such as `KILL`, `TERM`, `STOP` or `CONT`, to a process
+    /// of this cluster.
+    pub fn signal(&mut self, name: &str, signal: &str) {
+        if let Some(child) = self.children.get(name) {
+            send_signal(child, signal);
+        }
+    }
+
+    /// Kills a process at once.
+    pub fn kill(&mut self, name: &str) {
+        if let Some(mut child) = self.children.remove(name) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Waits until a process has ended; its exit code.
+    pub fn wait_exit(&mut self, name: &str) -> Option<i32> {
+        let mut child = self.children.remove(name)?;
+        let status = wait_for("exit", || child.try_wait().ok().flatten());
+        status.code()
+    }
+
+    /// Base URL of an entry for callers.
+    pub fn entry_url(&self, name: &str) -> String {
+        format!("http://{}", self.daemon(name).caller_listen)
+    }
+
+    /// Base URL of a daemon for operators.
+    pub fn operator_url(&self, name: &str) -> String {
+        format!("http://{}", self.daemon(name).operator_listen)
+    }
+
+    /// Status as a daemon reports it.
+    pub fn status(&self, name: &str) -> Option<StatusReport> {
+        get(&format!("{}/status", self.operator_url(name)))
+    }
+
+    /// Plans an intent through a daemon; HTTP status and body.
+    pub fn plan(&self, daemon: &str, intent: &str) -> (i32, serde_json::Value) {
+        let url = format!("{}/plan", self.operator_url(daemon));
+        answer(minreq::post(url).with_body(intent))
+    }
+
+    /// Confirms a plan through a daemon; HTTP status and body.
+    pub fn confirm(&self, daemon: &str, plan: &str) -> (i32, serde_json::Value) {
+        let url = format!("{}/confirm?plan={plan}", self.operator_url(daemon));
+        answer(minreq::post(url))
+    }
+
+    /// Plans and confirms an intent; returns its generation.
+    pub fn apply(&self, daemon: &str, intent: &str) -> u64 {
+        wait_for("plan and confirm", || {
+            let (status, plan) = self.plan(daemon, intent);
+            if status != 200 {
+                return None;
+            }
+            let (status, confirmed) = self.confirm(daemon, plan["id"].as_str()?);
+            (status == 200).then(|| confirmed["generation"].as_u64())?
+        })
+    }
+
+    /// Waits until an intent is fulfilled in a version.
+    pub fn wait_fulfilled(&self, daemon: &str, intent: &str, version: &str) {
+        wait_for("intent fulfilled", || {
+            let status = self.status(daemon)?;
+            let found = status.intents.iter().find(|i| *i.intent == *intent)?;
+            (*found.version == *version && found.serving >= found.wanted).then_some(())
+        });
+    }
+}
+
+fn answer(req: minreq::Request) -> (i32, serde_json::Value) {
+    match req.with_timeout(TIMEOUT_S).send() {
+        Ok(res) => (
+            res.status_code,
+            serde_json::from_slice(res.as_bytes()).unwrap_or_default(),
+        ),
+        Err(err) => (0, serde_json::Value::String(err.to_string())),
+    }
+}
+
+/// Sends a signal to a child by its id.
+pub fn send_signal(child: &Child, signal: &str) {
+    let id = child.id().to_string();
+    let _ = Command::new("kill")
+        .args([&format!("-{signal}"), &id])
+        .status();
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        for child in self.children.values_mut() {
+            let _ = child.kill();
+        }
+        for child in self.children.values_mut() {
+            let _ = child.wait();
+        }
+    }
+}
--- /dev/null
+++ b/crates/rw-standins/src/engine.rs
@@ -0,0 +1,349 @@
+//! Stand-in for model engines: continuous batching with token streams, prefix
+//! cache with limited memory, load orders with and without fencing check.
+//!
+//! One process plays many engines: the first part of the path names one.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::io::Write;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+
+use crate::server::{serve, Request};
+
+/// How an engine behaves; tests change it while it runs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Behaviour {
+    /// Calls that run at once; others wait.
+    pub slots: u32,
+    /// Time of one token in milliseconds.
+    pub token_ms: u64,
+    /// Time to take in a prompt whose prefix is not cached, in milliseconds.
+    pub prefill_ms: u64,
+    /// Prefixes that the cache holds.
+    pub cache_prefixes: usize,
+    /// Time of a load in milliseconds.
+    pub load_ms: u64,
+    /// Whether orders with an old fencing number are refused.
+    pub fencing: bool,
+    /// Break off every nth stream in the middle; 0 is never.
+    pub truncate_every: u64,
+    /// Refuse every call.
+    pub down: bool,
+}
+
+impl Default for Behaviour {
+    fn default() -> Self {
+        Behaviour {
+            slots: 8,
+            token_ms: 2,
+            prefill_ms: 10,
+            cache_prefixes: 16,
+            load_ms: 50,
+            fencing: false,
+            truncate_every: 0,
+            down: false,
+        }
+    }
+}
+
+/// One load order that took effect.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Loaded {
+    /// Model loaded.
+    pub model: String,
+    /// Version loaded.
+    pub version: String,
+    /// BLAKE3 of the bytes that were loaded.
+    pub hash: String,
+    /// Fencing number of the order.
+    pub fence: u64,
+}
+
+/// One generation that ran.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Run {
+    /// Request id.
+    pub request_id: String,
+    /// Version at the start.
+    pub version: String,
+    /// Whether all tokens were sent.
+    pub finished: bool,
+    /// Whether it was cancelled.
+    pub cancelled: bool,
+    /// Whether the version changed while it ran.
+    pub mixed: bool,
+    /// Whether the prompt's prefix was cached.
+    pub cache_hit: bool,
+    /// Unix time of the start in milliseconds.
+    pub at_ms: u64,
+}
+
+/// What an engine recorded.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Records {
+    /// Loads in order.
+    pub loads: Vec<Loaded>,
+    /// Runs in order of their start.
+    pub runs: Vec<Run>,
+    /// Orders that were refused for an old fencing number.
+    pub fenced_off: u64,
+}
+
+#[derive(Deserialize)]
+struct Order {
+    model: String,
+    version: String,
+    manifest: String,
+    source: String,
+    fence: u64,
+}
+
+#[derive(Default)]
+struct State {
+    behaviour: Behaviour,
+    model: String,
+    version: String,
+    manifest: String,
+    fence: u64,
+    running: u32,
+    // Waiting calls by priority, then by arrival.
+    waiting: BTreeSet<(std::cmp::Reverse<u32>, u64)>,
+    arrivals: u64,
+    cache: VecDeque<String>,
+    cancelled: BTreeSet<String>,
+    records: Records,
+}
+
+#[derive(Default)]
+struct Engine {
+    state: Mutex<State>,
+    freed: Condvar,
+}
+
+impl Engine {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn handle(&self, path: &str, req: Request) {
+        match path {
+            "/state" => self.report(req),
+            "/orders/load" => self.load(req),
+            "/v1/chat/completions" => self.complete(req),
+            "/control/behaviour" => match req.json::<Behaviour>() {
+                Ok(behaviour) => {
+                    self.state().behaviour = behaviour;
+                    req.reply(200, &"ok");
+                }
+                Err(err) => req.reply(400, &err),
+            },
+            "/control/records" => {
+                let records = self.state().records.clone();
+                req.reply(200, &records);
+            }
+            _ => match path.strip_prefix("/orders/cancel/") {
+                Some(id) => {
+                    self.state().cancelled.insert(id.to_string());
+                    req.reply(200, &"ok");
+                }
+                None => req.reply(404, &"no such path"),
+            },
+        }
+    }
+
+    fn report(&self, req: Request) {
+        let state = self.state();
+        if state.behaviour.down {
+            drop(state);
+            return req.abandon();
+        }
+        let report = json!({
+            "model": state.model, "version": state.version, "manifest": state.manifest,
+            "fence": state.fence, "running": state.running,
+        });
+        drop(state);
+        req.reply(200, &report);
+    }
+
+    fn load(&self, req: Request) {
+        let order: Order = match req.json() {
+            Ok(order) => order,
+            Err(err) => return req.reply(400, &err),
+        };
+        if !self.admit(&order) {
+            return req.reply(409, &"old fencing number");
+        }
+        let load_ms = self.state().behaviour.load_ms;
+        let bytes = match minreq::get(&order.source).send() {
+            Ok(res) if res.status_code == 200 => res.into_bytes(),
+            _ => return req.reply(502, &"weights cannot be read"),
+        };
+        std::thread::sleep(Duration::from_millis(load_ms));
+        if !self.admit(&order) {
+            return req.reply(409, &"old fencing number");
+        }
+        let mut state = self.state();
+        state.records.loads.push(Loaded {
+            model: order.model.clone(),
+            version: order.version.clone(),
+            hash: blake3::hash(&bytes).to_hex().to_string(),
+            fence: order.fence,
+        });
+        state.model = order.model;
+        state.version = order.version;
+        state.manifest = order.manifest;
+        state.cache.clear();
+        drop(state);
+        req.reply(200, &"loaded");
+    }
+
+    fn admit(&self, order: &Order) -> bool {
+        let mut state = self.state();
+        if state.behaviour.fencing && order.fence < state.fence {
+            state.records.fenced_off += 1;
+            return false;
+        }
+        state.fence = state.fence.max(order.fence);
+        true
+    }
+
+    fn complete(&self, req: Request) {
+        let body: Value = match req.json() {
+            Ok(body) => body,
+            Err(err) => return req.reply(400, &err),
+        };
+        let (down, loaded) = {
+            let state = self.state();
+            (state.behaviour.down, !state.version.is_empty())
+        };
+        if down {
+            return req.abandon();
+        }
+        if !loaded {
+            return req.reply(503, &"no model is loaded");
+        }
+        let id = req.header("x-request-id").to_string();
+        let priority = req.header("x-priority").parse().unwrap_or(0);
+        let Ok(out) = req.into_stream() else { return };
+        self.take_slot(priority);
+        self.generate(&id, &body, out);
+        self.state().running -= 1;
+        self.freed.notify_all();
+    }
+
+    fn take_slot(&self, priority: u32) {
+        let mut state = self.state();
+        state.arrivals += 1;
+        let place = (std::cmp::Reverse(priority), state.arrivals);
+        state.waiting.insert(place);
+        while state.running >= state.behaviour.slots || state.waiting.first() != Some(&place) {
+            state = self
+                .freed
+                .wait(state)
+                .unwrap_or_else(PoisonError::into_inner);
+        }
+        state.waiting.remove(&place);
+        state.running += 1;
+        drop(state);
+        self.freed.notify_all();
+    }
+
+    fn generate(&self, id: &str, body: &Value, mut out: Box<dyn Write + Send>) {
+        let prompt = prompt(body);
+        let tokens = body["max_tokens"].as_u64().unwrap_or(8);
+        let (run, hit, behaviour) = self.start(id, &prompt);
+        if !hit {
+            std::thread::sleep(Duration::from_millis(behaviour.prefill_ms));
+        }
+        let start = Instant::now();
+        for n in 0..tokens {
+            let at = Duration::from_millis(behaviour.token_ms * (n + 1));
+            std::thread::sleep(at.saturating_sub(start.elapsed()));
+            let cut = behaviour.truncate_every > 0
+                && (run as u64 + 1).is_multiple_of(behaviour.truncate_every)
+                && n == tokens / 2;
+            let word = format!("{}-{n} ", digest(&prompt));
+            if cut || self.is_cancelled(id, run) || !self.send_token(&mut out, run, &word) {
+                return;
+            }
+        }
+        self.state().records.runs[run].finished = true;
+        let _ = out
+            .write_all(b"data: [DONE]\n\n")
+            .and_then(|()| out.flush());
+    }
+
+    fn start(&self, id: &str, prompt: &str) -> (usize, bool, Behaviour) {
+        let mut state = self.state();
+        let prefix: String = prompt.split('|').next().unwrap_or("").to_string();
+        let hit = state.cache.contains(&prefix);
+        state.cache.retain(|p| *p != prefix);
+        state.cache.push_back(prefix);
+        while state.cache.len() > state.behaviour.cache_prefixes {
+            state.cache.pop_front();
+        }
+        let run = Run {
+            request_id: id.to_string(),
+            version: state.version.clone(),
+            finished: false,
+            cancelled: false,
+            mixed: false,
+            cache_hit: hit,
+            at_ms: crate::plain::unix_ms(),
+        };
+        state.records.runs.push(run);
+        (state.records.runs.len() - 1, hit, state.behaviour.clone())
+    }
+
+    fn is_cancelled(&self, id: &str, run: usize) -> bool {
+        let mut state = self.state();
+        let cancelled = state.cancelled.contains(id);
+        state.records.runs[run].cancelled |= cancelled;
+        cancelled
+    }
+
+    fn send_token(&self, out: &mut Box<dyn Write + Send>, run: usize, word: &str) -> bool {
+        let mut state = self.state();
+        let mixed = state.records.runs[run].version != state.version;
+        state.records.runs[run].mixed |= mixed;
+        let name = format!("{}@{}", state.model, state.version);
+        drop(state);
+        let event = json!({
+            "object": "chat.completion.chunk", "model": name,
+            "choices": [{"index": 0, "delta": {"content": word}}],
+        });
+        write!(out, "data: {event}\n\n")
+            .and_then(|()| out.flush())
+            .is_ok()
+    }
+}
+
+fn prompt(body: &Value) -> String {
+    let messages = body["messages"].as_array().into_iter().flatten();
+    let parts: Vec<&str> = messages.filter_map(|m| m["content"].as_str()).collect();
+    parts.join("|")
+}
+
+/// What every token of the answer to a prompt starts with.
+pub fn digest(prompt: &str) -> String {
+    blake3::hash(prompt.as_bytes()).to_hex()[..12].to_string()
+}
+
+/// Runs engines until the process ends; `http://ADDR/NAME` is the engine NAME.
+pub fn run(addr: &str) -> std::io::Result<()> {
+    let engines: Mutex<BTreeMap<String, Arc<Engine>>> = Mutex::new(BTreeMap::new());
+    serve(addr, move |req| {
+        let path = req.path.clone();
+        let trimmed = path.trim_start_matches('/');
+        let (name, rest) = trimmed.split_once('/').unwrap_or((trimmed, ""));
+        let engine = {
+            let mut engines = engines.lock().unwrap_or_else(PoisonError::into_inner);
+            engines.entry(name.to_string()).or_default().clone()
+        };
+        engine.handle(&format!("/{rest}"), req);
+    })
+}
--- /dev/null
+++ b/crates/rw-standins/src/layout.rs
@@ -0,0 +1,170 @@
+//! Writes deployment files for tests, on loopback addresses of their own.
+
+use std::fmt::Write;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use crate::cluster::Cluster;
+
+/// Shape of a deployment for a test.
+#[derive(Clone, Debug)]
+pub struct Layout {
+    /// Entries, spread over the regions.
+    pub entries: usize,
+    /// Hosts with an engine, spread over the regions.
+    pub engines: usize,
+    /// Hosts with a plain service, spread over the regions.
+    pub plain: usize,
+    /// Regions with one availability zone each.
+    pub regions: usize,
+    /// Whether daemons reach each other through the fault-injecting proxy.
+    pub proxied: bool,
+    /// More settings: lines of sections other than those written here.
+    pub extra: String,
+    /// Calls that one engine runs at once.
+    pub concurrency: u32,
+    /// Teams and their weights.
+    pub teams: Vec<(&'static str, u32)>,
+}
+
+impl Default for Layout {
+    fn default() -> Self {
+        Layout {
+            entries: 2,
+            engines: 4,
+            plain: 1,
+            regions: 1,
+            proxied: false,
+            extra: String::new(),
+            concurrency: 8,
+            teams: vec![("arima", 1), ("penal", 1)],
+        }
+    }
+}
+
+static COUNTER: AtomicU32 = AtomicU32::new(0);
+
+// Processes that run at the same time have different ids, and so different
+// networks; each deployment of a process has one of its own.
+fn network() -> String {
+    let id = std::process::id() * 8 + COUNTER.fetch_add(1, Ordering::Relaxed);
+    format!("127.{}.{}", 10 + (id / 250) % 240, id % 250)
+}
+
+impl Layout {
+    /// Text of the deployment file on a network such as `127.10.0`.
+    pub fn text(&self, net: &str) -> String {
+        let mut out = format!(
+            "[platform]\nurl = http://{net}.1:8000\norigin_url = http://{net}.1:8000\n{}\n",
+            self.extra
+        );
+        for region in 0..self.regions {
+            let home = region == 0;
+            let _ = writeln!(
+                out,
+                "[region:r{region}]\nhome = {home}\n[zone:z{region}]\nregion = r{region}"
+            );
+        }
+        let _ = writeln!(
+            out,
+            "[service:assistant]\nkind = engine\nconcurrency = {}\n[service:checkout]\nkind = plain\nidempotent = stock\nconcurrency = 32\nqueue = 32",
+            self.concurrency
+        );
+        for (team, weight) in &self.teams {
+            let _ = writeln!(out, "[team:{team}]\nweight = {weight}");
+        }
+        let mut number = 0;
+        for at in 0..self.entries {
+            self.daemon(
+                &mut out,
+                net,
+                &mut number,
+                &format!("entry-{at}"),
+                at,
+                "entry",
+                "",
+            );
+        }
+        for at in 0..self.engines {
+            let name = format!("engine-{at}");
+            let backend =
+                format!("service = assistant\nbackend_url = http://{net}.2:9000/{name}\n");
+            self.daemon(&mut out, net, &mut number, &name, at, "host", &backend);
+        }
+        for at in 0..self.plain {
+            let backend =
+                format!("service = checkout\nbackend_url = http://{net}.2:9001/checkout\n");
+            self.daemon(
+                &mut out,
+                net,
+                &mut number,
+                &format!("plain-{at}"),
+                at,
+                "host",
+                &backend,
+            );
+        }
+        out
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn daemon(
+        &self,
+        out: &mut String,
+        net: &str,
+        number: &mut usize,
+        name: &str,
+        at: usize,
+        role: &str,
+        more: &str,
+    ) {
+        let ip = format!("{net}.{}", 4 + *number % 250);
+        let port = 10_000 + 4 * (*number / 250);
+        *number += 1;
+        let _ = write!(
+            out,
+            "[daemon:{name}]\nrole = {role}\nzone = z{}\nlisten = {ip}:{port}\noperator_listen = {ip}:{}\n{more}",
+            at % self.regions,
+            port + 1
+        );
+        if role == "entry" {
+            let _ = writeln!(out, "caller_listen = {ip}:{}", port + 2);
+        }
+        if self.proxied {
+            let _ = writeln!(out, "advertise = {ip}:{}", port + 3);
+        }
+    }
+
+    fn write(&self, name: &str) -> (PathBuf, PathBuf) {
+        let net = network();
+        let dir =
+            std::env::temp_dir().join(format!("ragworttack-{name}-{}", net.replace('.', "-")));
+        let _ = std::fs::remove_dir_all(&dir);
+        std::fs::create_dir_all(&dir).unwrap_or_else(|err| panic!("{}: {err}", dir.display()));
+        let settings = dir.join("deployment.ini");
+        std::fs::write(&settings, self.text(&net))
+            .unwrap_or_else(|err| panic!("{}: {err}", settings.display()));
+        (settings, dir)
+    }
+
+    /// Starts the stand-ins and every daemon; `name` names the log folder.
+    pub fn start(&self, name: &str) -> Cluster {
+        let (settings, dir) = self.write(name);
+        Cluster::start(&settings, Path::new(&dir))
+    }
+
+    /// Starts the stand-ins alone.
+    pub fn stand_ins(&self, name: &str) -> Cluster {
+        let (settings, dir) = self.write(name);
+        Cluster::stand_ins(&settings, Path::new(&dir))
+    }
+}
+
+/// An intent file for the test deployments' assistant.
+pub fn intent(version: &str, hosts: usize, regions: usize) -> String {
+    let regions: Vec<String> = (0..regions).map(|r| format!("r{r}")).collect();
+    format!(
+        "[intent]\nname = cuts\nservice = assistant\nmodel = cutlist\nversion = {version}\nhosts = {hosts}\nregions = {}\nfinish_within_s = 600\n",
+        regions.join(",")
+    )
+}
--- /dev/null
+++ b/crates/rw-standins/src/lib.rs
@@ -0,0 +1,12 @@
+//! Stand-ins for the systems that ragworttack serves, and what tests need to
+//! run whole deployments as real processes. Not published.
+
+pub mod caller;
+pub mod cluster;
+pub mod engine;
+pub mod layout;
+pub mod model;
+pub mod plain;
+pub mod platform;
+pub mod proxy;
+pub mod server;
--- /dev/null
+++ b/crates/rw-standins/src/plain.rs
@@ -0,0 +1,98 @@
+//! Stand-in for plain services, with a record of every call that ran.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::server::{serve, Request};
+
+/// How a service behaves.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Behaviour {
+    /// Time of one call in milliseconds.
+    pub call_ms: u64,
+    /// Drop the connection after every nth call ran; 0 is never.
+    pub lose_every: u64,
+}
+
+/// One call that ran.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ran {
+    /// Operation.
+    pub operation: String,
+    /// Idempotency key, if any.
+    pub key: String,
+    /// Request id.
+    pub request_id: String,
+    /// Body.
+    pub body: String,
+    /// Unix time in milliseconds.
+    pub at_ms: u64,
+}
+
+#[derive(Default)]
+struct State {
+    behaviour: Behaviour,
+    ran: Vec<Ran>,
+}
+
+/// Unix time in milliseconds.
+pub fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(0, |d| d.as_millis() as u64)
+}
+
+fn handle(services: &Mutex<BTreeMap<String, State>>, req: Request) {
+    let path = req.path.clone();
+    let trimmed = path.trim_start_matches('/');
+    let (name, rest) = trimmed.split_once('/').unwrap_or((trimmed, ""));
+    let lock = || services.lock().unwrap_or_else(PoisonError::into_inner);
+    match rest {
+        "state" => req.reply(200, &json!({})),
+        "control/behaviour" => match req.json() {
+            Ok(behaviour) => {
+                lock().entry(name.to_string()).or_default().behaviour = behaviour;
+                req.reply(200, &"ok");
+            }
+            Err(err) => req.reply(400, &err),
+        },
+        "control/records" => {
+            let ran = lock().get(name).map(|s| s.ran.clone()).unwrap_or_default();
+            req.reply(200, &ran);
+        }
+        operation => {
+            let lose = {
+                let mut services = lock();
+                let state = services.entry(name.to_string()).or_default();
+                state.ran.push(Ran {
+                    operation: operation.to_string(),
+                    key: req.header("idempotency-key").to_string(),
+                    request_id: req.header("x-request-id").to_string(),
+                    body: String::from_utf8_lossy(&req.body).into_owned(),
+                    at_ms: unix_ms(),
+                });
+                let nth = state.behaviour.lose_every;
+                let lose = nth > 0 && (state.ran.len() as u64).is_multiple_of(nth);
+                let call_ms = state.behaviour.call_ms;
+                drop(services);
+                std::thread::sleep(Duration::from_millis(call_ms));
+                lose
+            };
+            if lose {
+                return req.abandon();
+            }
+            let echo = String::from_utf8_lossy(&req.body).into_owned();
+            req.reply(200, &json!({"operation": operation, "echo": echo}));
+        }
+    }
+}
+
+/// Runs plain services until the process ends; `http://ADDR/NAME` is NAME.
+pub fn run(addr: &str) -> std::io::Result<()> {
+    let services = Mutex::new(BTreeMap::new());
+    serve(addr, move |req| handle(&services, req))
+}
--- /dev/null
+++ b/crates/rw-standins/src/platform.rs
@@ -0,0 +1,385 @@
+//! Stand-in for the platform: table service, object store, host list, origin.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use rw_protocol::{HostEntry, HostListing};
+use serde::{Deserialize, Serialize};
+
+use crate::model;
+use crate::server::{serve, Request};
+
+/// Faults that tests switch on.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Faults {
+    /// Refuse table calls with 503.
+    pub table_down: bool,
+    /// Delay of each table call in milliseconds.
+    pub table_delay_ms: u64,
+    /// Drop the connection after every nth commit took effect; 0 is never.
+    pub lose_every: u64,
+    /// Refuse object calls with 503.
+    pub objects_down: bool,
+    /// Refuse origin calls with 503.
+    pub origin_down: bool,
+    /// Damage every nth chunk; 0 is never.
+    pub corrupt_every: u64,
+    /// The host list shows changes this late.
+    pub list_lag_ms: u64,
+    /// Bytes a second that the origin sends; 0 is unlimited.
+    pub origin_bytes_per_s: u64,
+}
+
+/// A model that the origin offers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Model {
+    /// Name of the model.
+    pub model: String,
+    /// Version of the model.
+    pub version: String,
+    /// Bytes of the model.
+    pub length: u64,
+    /// Bytes of each chunk.
+    pub chunk_bytes: u64,
+    /// Offer the bytes of another version under this one.
+    #[serde(default)]
+    pub bytes_of: String,
+}
+
+/// What the stand-in counted.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Records {
+    /// Table commits.
+    pub commits: u64,
+    /// Table reads and scans.
+    pub reads: u64,
+    /// Chunk bytes that the origin sent.
+    pub origin_bytes: u64,
+    /// Calls of the host list.
+    pub list_calls: u64,
+}
+
+#[derive(Deserialize)]
+struct Condition {
+    key: String,
+    version: u64,
+}
+
+#[derive(Deserialize)]
+struct Put {
+    key: String,
+    value: String,
+}
+
+#[derive(Deserialize)]
+struct Transaction {
+    conditions: Vec<Condition>,
+    puts: Vec<Put>,
+    deletes: Vec<String>,
+}
+
+#[derive(Serialize)]
+struct Commit {
+    committed: bool,
+    version: u64,
+    conflicts: Vec<String>,
+}
+
+#[derive(Clone, Serialize)]
+struct Row {
+    key: String,
+    value: String,
+    version: u64,
+}
+
+#[derive(Default)]
+struct State {
+    rows: BTreeMap<String, Row>,
+    last_version: u64,
+    objects: BTreeMap<String, Vec<u8>>,
+    hosts: BTreeMap<String, (Instant, HostEntry)>,
+    list_version: u64,
+    models: Vec<Model>,
+    faults: Faults,
+    records: Records,
+    origin_free_at: Option<Instant>,
+    chunks_sent: u64,
+}
+
+struct Platform {
+    state: Mutex<State>,
+}
+
+impl Platform {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn handle(&self, req: Request) {
+        let path = req.path.clone();
+        match path.as_str() {
+            "/control/faults" => self.set_faults(req),
+            "/control/model" => self.add_model(req),
+            "/control/host" => self.set_host(req),
+            "/control/records" => {
+                let records = self.state().records.clone();
+                req.reply(200, &records);
+            }
+            "/objects" => self.object(req),
+            "/hosts" => self.list(req),
+            _ if path.starts_with("/table/") => self.table(req),
+            _ if path.starts_with("/origin/") => self.origin(req),
+            _ => req.reply(404, &"no such path"),
+        }
+    }
+
+    fn set_faults(&self, req: Request) {
+        match req.json::<Faults>() {
+            Ok(faults) => {
+                self.state().faults = faults;
+                req.reply(200, &"ok");
+            }
+            Err(err) => req.reply(400, &err),
+        }
+    }
+
+    fn add_model(&self, req: Request) {
+        match req.json::<Model>() {
+            Ok(model) => {
+                let mut state = self.state();
+                state
+                    .models
+                    .retain(|m| m.model != model.model || m.version != model.version);
+                state.models.push(model);
+                drop(state);
+                req.reply(200, &"ok");
+            }
+            Err(err) => req.reply(400, &err),
+        }
+    }
+
+    fn set_host(&self, req: Request) {
+        let mut host = match req.json::<HostEntry>() {
+            Ok(host) => host,
+            Err(err) => return req.reply(400, &err),
+        };
+        let mut state = self.state();
+        state.list_version += 1;
+        host.changed = state.list_version;
+        let lag = Duration::from_millis(state.faults.list_lag_ms);
+        state
+            .hosts
+            .insert(host.name.to_string(), (Instant::now() + lag, host));
+        drop(state);
+        req.reply(200, &"ok");
+    }
+
+    // A change that is not shown yet holds back the version, so that the
+    // reader asks for it again.
+    fn list(&self, req: Request) {
+        let since: u64 = req.arg("since").parse().unwrap_or(0);
+        let mut state = self.state();
+        state.records.list_calls += 1;
+        let now = Instant::now();
+        let hidden = state.hosts.values().filter(|(at, _)| *at > now);
+        let oldest_hidden = hidden.map(|(_, h)| h.changed).min();
+        let version = oldest_hidden.map_or(state.list_version, |v| v - 1);
+        let shown = state
+            .hosts
+            .values()
+            .filter(|(_, h)| h.changed > since && h.changed <= version);
+        let listing = HostListing {
+            version,
+            hosts: shown.map(|(_, h)| h.clone()).collect(),
+        };
+        drop(state);
+        req.reply(200, &listing);
+    }
+
+    fn object(&self, req: Request) {
+        let mut state = self.state();
+        if state.faults.objects_down {
+            drop(state);
+            return req.reply(503, &"object store is down");
+        }
+        let key = req.arg("key").to_string();
+        if req.method == "PUT" {
+            state.objects.insert(key, req.body.clone());
+            drop(state);
+            return req.reply(200, &"ok");
+        }
+        let body = state.objects.get(&key).cloned();
+        drop(state);
+        match body {
+            Some(body) => req.reply_bytes(200, body),
+            None => req.reply(404, &"no such object"),
+        }
+    }
+
+    fn table(&self, req: Request) {
+        let faults = self.state().faults.clone();
+        std::thread::sleep(Duration::from_millis(faults.table_delay_ms));
+        if faults.table_down {
+            return req.reply(503, &"table service is down");
+        }
+        match req.path.as_str() {
+            "/table/commit" => self.commit(req, &faults),
+            "/table/row" => self.row(req),
+            "/table/scan" => self.scan(req),
+            _ => req.reply(404, &"no such call"),
+        }
+    }
+
+    fn commit(&self, req: Request, faults: &Faults) {
+        let txn = match req.json::<Transaction>() {
+            Ok(txn) => txn,
+            Err(err) => return req.reply(400, &err),
+        };
+        let mut state = self.state();
+        state.records.commits += 1;
+        let lose = faults.lose_every > 0 && state.records.commits.is_multiple_of(faults.lose_every);
+        let commit = apply(&mut state, txn);
+        drop(state);
+        if lose {
+            return req.abandon();
+        }
+        let status = if commit.committed { 200 } else { 409 };
+        req.reply(status, &commit);
+    }
+
+    fn row(&self, req: Request) {
+        let mut state = self.state();
+        state.records.reads += 1;
+        let row = state.rows.get(req.arg("key")).cloned();
+        drop(state);
+        match row {
+            Some(row) => req.reply(200, &row),
+            None => req.reply(404, &"no such row"),
+        }
+    }
+
+    fn scan(&self, req: Request) {
+        let mut state = self.state();
+        state.records.reads += 1;
+        let limit = req.arg("limit").parse().unwrap_or(1);
+        let (prefix, after) = (req.arg("prefix"), req.arg("after"));
+        let rows: Vec<Row> = state
+            .rows
+            .range(prefix.to_string()..)
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .filter(|(key, _)| key.as_str() > after)
+            .take(limit)
+            .map(|(_, row)| row.clone())
+            .collect();
+        drop(state);
+        req.reply(200, &rows);
+    }
+
+    fn origin(&self, req: Request) {
+        let found = {
+            let state = self.state();
+            if state.faults.origin_down {
+                drop(state);
+                return req.reply(503, &"origin is down");
+            }
+            let (model, version) = (req.arg("model"), req.arg("version"));
+            let mut models = state.models.iter();
+            models
+                .find(|m| m.model == model && m.version == version)
+                .cloned()
+        };
+        let Some(found) = found else {
+            return req.reply(404, &"no such model or version");
+        };
+        if req.path == "/origin/manifest" {
+            let manifest = model::manifest(
+                &found.model,
+                &found.version,
+                found.length,
+                found.chunk_bytes,
+            );
+            return req.reply(200, &manifest);
+        }
+        self.chunk(req, &found);
+    }
+
+    fn chunk(&self, req: Request, found: &Model) {
+        let number: u32 = req.arg("chunk").parse().unwrap_or(0);
+        let len = model::chunk_len(found.length, found.chunk_bytes, number);
+        let version = if found.bytes_of.is_empty() {
+            &found.version
+        } else {
+            &found.bytes_of
+        };
+        let mut body = model::chunk(&found.model, version, number, len);
+        let (wait, corrupt) = self.reserve(len as u64);
+        std::thread::sleep(wait);
+        if corrupt && !body.is_empty() {
+            body[0] ^= 1;
+        }
+        req.reply_bytes(200, body);
+    }
+
+    // The origin's link sends one chunk after the other.
+    fn reserve(&self, len: u64) -> (Duration, bool) {
+        let mut state = self.state();
+        state.records.origin_bytes += len;
+        state.chunks_sent += 1;
+        let nth = state.faults.corrupt_every;
+        let corrupt = nth > 0 && state.chunks_sent.is_multiple_of(nth);
+        let rate = state.faults.origin_bytes_per_s;
+        if rate == 0 {
+            return (Duration::ZERO, corrupt);
+        }
+        let now = Instant::now();
+        let start = state.origin_free_at.map_or(now, |at| at.max(now));
+        let end = start + Duration::from_secs_f64(len as f64 / rate as f64);
+        state.origin_free_at = Some(end);
+        (end - now, corrupt)
+    }
+}
+
+fn apply(state: &mut State, txn: Transaction) -> Commit {
+    let version_of = |key: &str| state.rows.get(key).map_or(0, |row| row.version);
+    let failed = txn
+        .conditions
+        .iter()
+        .filter(|c| version_of(&c.key) != c.version);
+    let conflicts: Vec<String> = failed.map(|c| c.key.clone()).collect();
+    if !conflicts.is_empty() {
+        return Commit {
+            committed: false,
+            version: 0,
+            conflicts,
+        };
+    }
+    state.last_version += 1;
+    let version = state.last_version;
+    for Put { key, value } in txn.puts {
+        let row = Row {
+            key: key.clone(),
+            value,
+            version,
+        };
+        state.rows.insert(key, row);
+    }
+    for key in txn.deletes {
+        state.rows.remove(&key);
+    }
+    Commit {
+        committed: true,
+        version,
+        conflicts,
+    }
+}
+
+/// Runs the platform until the process ends.
+pub fn run(addr: &str) -> std::io::Result<()> {
+    let platform = Arc::new(Platform {
+        state: Mutex::new(State::default()),
+    });
+    serve(addr, move |req| platform.handle(req))
+}
--- /dev/null
+++ b/crates/rw-standins/src/proxy.rs
@@ -0,0 +1,175 @@
+//! Fault-injecting TCP proxy. Routes are added and changed over HTTP.
+
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::server::serve;
+
+const BUFFER_BYTES: usize = 16 << 10;
+const STALL_CHECK: Duration = Duration::from_millis(10);
+
+/// What happens to one route's bytes.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Fault {
+    /// Close connections and refuse new ones.
+    pub cut: bool,
+    /// Hold back bytes towards the target.
+    pub stall_up: bool,
+    /// Hold back bytes from the target.
+    pub stall_down: bool,
+    /// Damage one byte in every nth buffer; 0 is never.
+    pub corrupt_every: u64,
+    /// Delay of each buffer in milliseconds.
+    pub delay_ms: u64,
+    /// Bytes a second and direction, shared by the connections of the route's
+    /// link; 0 is unlimited.
+    pub bytes_per_s: u64,
+}
+
+/// One route.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Route {
+    /// IP and port to listen on.
+    pub listen: String,
+    /// IP and port to connect to.
+    pub target: String,
+    /// Its fault.
+    #[serde(default)]
+    pub fault: Fault,
+}
+
+#[derive(Default)]
+struct Link {
+    fault: Mutex<Fault>,
+    buffers: AtomicU64,
+    free_at: [Mutex<Option<Instant>>; 2],
+}
+
+impl Link {
+    fn fault(&self) -> Fault {
+        self.fault
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    // False once the route is cut.
+    fn pass(&self, up: bool, buf: &mut [u8]) -> bool {
+        loop {
+            let fault = self.fault();
+            if fault.cut {
+                return false;
+            }
+            let stalled = if up { fault.stall_up } else { fault.stall_down };
+            if !stalled {
+                self.shape(&fault, up, buf);
+                return true;
+            }
+            std::thread::sleep(STALL_CHECK);
+        }
+    }
+
+    fn shape(&self, fault: &Fault, up: bool, buf: &mut [u8]) {
+        let nth = self.buffers.fetch_add(1, Ordering::Relaxed) + 1;
+        if fault.corrupt_every > 0 && nth.is_multiple_of(fault.corrupt_every) {
+            let at = nth as usize % buf.len();
+            buf[at] ^= 0x55;
+        }
+        std::thread::sleep(Duration::from_millis(fault.delay_ms));
+        if fault.bytes_per_s == 0 {
+            return;
+        }
+        let now = Instant::now();
+        let span = Duration::from_secs_f64(buf.len() as f64 / fault.bytes_per_s as f64);
+        let mut free_at = self.free_at[usize::from(up)]
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let end = free_at.map_or(now, |at| at.max(now)) + span;
+        *free_at = Some(end);
+        drop(free_at);
+        std::thread::sleep(end - now);
+    }
+}
+
+fn pump(mut from: TcpStream, mut to: TcpStream, link: &Link, up: bool) {
+    let mut buf = [0; BUFFER_BYTES];
+    // Wake up now and then, so that a cut also ends idle connections.
+    let _ = from.set_read_timeout(Some(STALL_CHECK * 10));
+    loop {
+        match from.read(&mut buf) {
+            Ok(0) => break,
+            Ok(len) => {
+                if !link.pass(up, &mut buf[..len]) || to.write_all(&buf[..len]).is_err() {
+                    break;
+                }
+            }
+            Err(err)
+                if matches!(
+                    err.kind(),
+                    std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut
+                ) =>
+            {
+                if link.fault().cut {
+                    break;
+                }
+            }
+            Err(_) => break,
+        }
+    }
+    let _ = from.shutdown(Shutdown::Both);
+    let _ = to.shutdown(Shutdown::Both);
+}
+
+fn accept(listener: TcpListener, target: String, link: Arc<Link>) {
+    for conn in listener.incoming() {
+        let Ok(conn) = conn else { continue };
+        if link.fault().cut {
+            let _ = conn.shutdown(Shutdown::Both);
+            continue;
+        }
+        let Ok(out) = TcpStream::connect(&target) else {
+            let _ = conn.shutdown(Shutdown::Both);
+            continue;
+        };
+        let _ = conn.set_nodelay(true);
+        let _ = out.set_nodelay(true);
+        let (Ok(conn2), Ok(out2)) = (conn.try_clone(), out.try_clone()) else {
+            continue;
+        };
+        let (up, down) = (link.clone(), link.clone());
+        std::thread::spawn(move || pump(conn, out, &up, true));
+        std::thread::spawn(move || pump(out2, conn2, &down, false));
+    }
+}
+
+/// Runs the proxy until the process ends; `POST /route` adds or changes one.
+pub fn run(addr: &str) -> std::io::Result<()> {
+    let links: Mutex<BTreeMap<String, Arc<Link>>> = Mutex::new(BTreeMap::new());
+    serve(addr, move |req| {
+        let route: Route = match req.json() {
+            Ok(route) => route,
+            Err(err) => return req.reply(400, &err),
+        };
+        let mut links = links.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(link) = links.get(&route.listen) {
+            *link.fault.lock().unwrap_or_else(PoisonError::into_inner) = route.fault;
+            return req.reply(200, &"changed");
+        }
+        let listener = match TcpListener::bind(&route.listen) {
+            Ok(listener) => listener,
+            Err(err) => return req.reply(400, &err.to_string()),
+        };
+        let link = Arc::new(Link::default());
+        *link.fault.lock().unwrap_or_else(PoisonError::into_inner) = route.fault;
+        links.insert(route.listen, link.clone());
+        std::thread::spawn(move || accept(listener, route.target, link));
+        req.reply(200, &"added");
+    })
+}
--- /dev/null
+++ b/crates/rw-weights/src/layout.rs
@@ -0,0 +1,267 @@
+use std::collections::BTreeSet;
+
+use rw_protocol::{rank, Name};
+
+/// Hosts of a region that take chunks in from outside it.
+const IMPORTERS: usize = 8;
+/// Children of one host in a chunk's tree.
+const FANOUT: usize = 2;
+/// Earlier hosts that are tried when every ancestor failed.
+const SPARE_SOURCES: usize = 3;
+/// Step of the rotation, as a fraction of the list: the golden ratio spreads
+/// the inner places of the trees evenly over the hosts.
+const ROTATION: f64 = 0.618_033_988_749_895;
+
+/// A host that is to hold the model.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Peer {
+    /// Region of the host.
+    pub region: Name,
+    /// Availability zone of the host.
+    pub zone: Name,
+    /// Name of the host.
+    pub name: Name,
+}
+
+/// Where a chunk can come from.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Source {
+    /// The origin of weights.
+    Origin,
+    /// Another host.
+    Peer(Name),
+}
+
+/// How chunks spread; all but `Tree` are baselines for measurements.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Policy {
+    /// One tree per chunk, with the inner places spread over the hosts.
+    Tree {
+        /// Take a second copy from the origin to each remote region's lead.
+        spend_origin: bool,
+    },
+    /// Every host fetches everything from the origin.
+    Origin,
+    /// One fixed chain through all hosts.
+    Chain,
+    /// Each chunk from a random host.
+    Random,
+}
+
+struct Zone {
+    hosts: Vec<Name>,
+}
+
+struct Region {
+    name: Name,
+    zones: Vec<Zone>,
+    importers: Vec<Name>,
+}
+
+/// The trees of one manifest. Every host that knows the same members works
+/// out the same trees, so nothing has to be agreed on.
+pub struct Layout {
+    policy: Policy,
+    regions: Vec<Region>,
+    all: Vec<Peer>,
+}
+
+impl Layout {
+    /// Lays out the trees of `manifest` over `peers`; `home` holds the origin.
+    ///
+    /// ```
+    /// use rw_weights::{Layout, Peer, Policy, Source};
+    /// use std::collections::BTreeSet;
+    /// let peer = Peer { region: "north".into(), zone: "n1".into(), name: "a".into() };
+    /// let layout = Layout::new("m", "north", vec![peer.clone()], Policy::Tree { spend_origin: false });
+    /// assert_eq!(layout.sources(0, &peer, &BTreeSet::new()), [Source::Origin]);
+    /// ```
+    pub fn new(manifest: &str, home: &str, mut peers: Vec<Peer>, policy: Policy) -> Self {
+        peers.sort();
+        peers.dedup();
+        let mut regions: Vec<Region> = Vec::new();
+        for peer in &peers {
+            if regions.last().is_none_or(|r| r.name != peer.region) {
+                regions.push(region(manifest, &peer.region, &peers));
+            }
+        }
+        regions.sort_by_key(|r| (*r.name != *home, std::cmp::Reverse(rank(manifest, &r.name))));
+        Layout {
+            policy,
+            regions,
+            all: peers,
+        }
+    }
+
+    /// Hosts that take part.
+    pub fn peers(&self) -> &[Peer] {
+        &self.all
+    }
+
+    /// Sources of a chunk for `me`, best first, without those in `avoid`.
+    ///
+    /// A source always stands earlier than `me` in the chunk's tree, so no two
+    /// hosts wait for each other.
+    pub fn sources(&self, chunk: u32, me: &Peer, avoid: &BTreeSet<Name>) -> Vec<Source> {
+        let peers = match self.policy {
+            Policy::Tree { .. } => self.tree_sources(chunk, me),
+            Policy::Origin => Vec::new(),
+            Policy::Chain => self.chain_sources(me),
+            Policy::Random => self.random_sources(chunk, me),
+        };
+        let mut out: Vec<Source> = peers
+            .into_iter()
+            .filter(|name| *name != me.name && !avoid.contains(name))
+            .map(Source::Peer)
+            .collect();
+        out.dedup();
+        out.push(Source::Origin);
+        out
+    }
+
+    /// Whether `me` takes this chunk in from outside its region.
+    pub fn imports(&self, chunk: u32, me: &Peer) -> bool {
+        let region = self.regions.iter().find(|r| r.name == me.region);
+        region.and_then(|r| r.root(chunk)) == Some(&me.name)
+    }
+
+    fn tree_sources(&self, chunk: u32, me: &Peer) -> Vec<Name> {
+        let Some(at) = self.regions.iter().position(|r| r.name == me.region) else {
+            return Vec::new();
+        };
+        let region = &self.regions[at];
+        if region.root(chunk) == Some(&me.name) {
+            return self.import_sources(chunk, at);
+        }
+        let mut out = region.ancestors(chunk, &me.name);
+        out.extend(self.import_sources(chunk, at));
+        out
+    }
+
+    // The home region's root asks the origin. Of the remote regions one leads
+    // each chunk and asks the home region; the others ask the leading one, so
+    // that every pair of regions carries a part.
+    fn import_sources(&self, chunk: u32, at: usize) -> Vec<Name> {
+        if at == 0 {
+            return Vec::new();
+        }
+        let spend = matches!(self.policy, Policy::Tree { spend_origin: true });
+        let remote = self.regions.len() - 1;
+        let lead = 1 + chunk as usize % remote;
+        let order = if lead == at || spend {
+            vec![0]
+        } else {
+            vec![lead, 0]
+        };
+        order
+            .into_iter()
+            .filter_map(|r| self.regions[r].root(chunk).cloned())
+            .collect()
+    }
+
+    fn chain_sources(&self, me: &Peer) -> Vec<Name> {
+        let at = self.all.iter().position(|p| p == me).unwrap_or(0);
+        self.all[..at]
+            .iter()
+            .rev()
+            .map(|p| p.name.clone())
+            .collect()
+    }
+
+    // The root alone asks the origin; the rest ask hosts in a random order.
+    fn random_sources(&self, chunk: u32, me: &Peer) -> Vec<Name> {
+        let key = format!("{chunk}/{}", me.name);
+        let root = format!("root/{chunk}");
+        let first = self.all.iter().max_by_key(|p| rank(&root, &p.name));
+        if first == Some(me) {
+            return Vec::new();
+        }
+        let mut names: Vec<Name> = self.all.iter().map(|p| p.name.clone()).collect();
+        names.sort_by_key(|name| rank(&key, name));
+        names
+    }
+}
+
+fn region(manifest: &str, name: &Name, peers: &[Peer]) -> Region {
+    let members: Vec<&Peer> = peers.iter().filter(|p| p.region == *name).collect();
+    let zone_names: BTreeSet<&Name> = members.iter().map(|p| &p.zone).collect();
+    let by_rank = |keep: &dyn Fn(&Peer) -> bool| {
+        let mut hosts: Vec<Name> = members
+            .iter()
+            .filter(|p| keep(p))
+            .map(|p| p.name.clone())
+            .collect();
+        hosts.sort_by_key(|host| std::cmp::Reverse(rank(manifest, host)));
+        hosts
+    };
+    let mut importers = by_rank(&|_| true);
+    importers.truncate(IMPORTERS);
+    let zones = zone_names
+        .into_iter()
+        .map(|zone| Zone {
+            hosts: by_rank(&|p| p.zone == *zone),
+        })
+        .collect();
+    Region {
+        name: name.clone(),
+        zones,
+        importers,
+    }
+}
+
+impl Region {
+    fn root(&self, chunk: u32) -> Option<&Name> {
+        self.importers
+            .get(chunk as usize % self.importers.len().max(1))
+    }
+
+    // Hosts of each zone in the order of the chunk's tree; the root's zone
+    // comes first and the root first in it.
+    fn order(&self, chunk: u32) -> Vec<Vec<&Name>> {
+        let root = self.root(chunk);
+        let mut zones: Vec<Vec<&Name>> = self
+            .zones
+            .iter()
+            .map(|zone| rotated(&zone.hosts, chunk))
+            .collect();
+        let holds_root = |hosts: &Vec<&Name>| hosts.iter().any(|host| Some(*host) == root);
+        if let Some(at) = zones.iter().position(holds_root) {
+            zones.rotate_left(at);
+            zones[0].sort_by_key(|host| Some(*host) != root);
+        }
+        zones
+    }
+
+    fn ancestors(&self, chunk: u32, me: &Name) -> Vec<Name> {
+        let zones = self.order(chunk);
+        let Some(zone) = zones.iter().position(|hosts| hosts.contains(&me)) else {
+            return Vec::new();
+        };
+        let hosts = &zones[zone];
+        let mut at = hosts.iter().position(|host| *host == me).unwrap_or(0);
+        let place = at;
+        let mut out = Vec::new();
+        while at > 0 {
+            at = (at - 1) / FANOUT;
+            out.push(hosts[at].clone());
+        }
+        let mut head = zone;
+        while head > 0 {
+            head = (head - 1) / FANOUT;
+            out.push(zones[head][0].clone());
+        }
+        for spare in (0..place).rev().take(SPARE_SOURCES) {
+            if !out.contains(hosts[spare]) {
+                out.push(hosts[spare].clone());
+            }
+        }
+        out
+    }
+}
+
+fn rotated(hosts: &[Name], chunk: u32) -> Vec<&Name> {
+    let share = (f64::from(chunk) * ROTATION).fract();
+    let offset = (share * hosts.len() as f64) as usize;
+    let (before, after) = hosts.split_at(offset);
+    after.iter().chain(before).collect()
+}
