--- a/crates/rw-daemon/src/host/calls.rs
+++ b/crates/rw-daemon/src/host/calls.rs
@@ -18,8 +18,10 @@
 /// Parts of an answer that wait for a slow entry.
 const BACKLOG: usize = 64;
 const RETRY_BACKEND_MS: u64 = 200;
-const HTTP_TOO_MANY: i32 = 429;
-const HTTP_SERVER_ERROR: i32 = 500;
+/// Time beyond its deadline for which a call keeps its slot.
+const LAST_ANSWER_GRACE: Duration = Duration::from_secs(1);
+const HTTP_TOO_MANY: u16 = 429;
+const HTTP_SERVER_ERROR: u16 = 500;
 
 type Ended = std::result::Result<u32, BackendError>;
 
@@ -102,23 +104,25 @@
             operation: req.operation,
             key: req.key,
             priority: req.priority,
-            body: req.body.0.to_vec(),
-            deadline_ms: until.saturating_duration_since(Instant::now()).as_millis() as u64,
+            body: req.body.0,
         };
         let pinned = pinned_version(&slot);
         let backend = self.parts.backend.clone();
-        // The slot goes with the thread: it is free once the server is done
-        // with the call, whatever became of the caller.
-        tokio::task::spawn_blocking(move || {
-            let ended = backend.stream(&call, |chunk| tx.send(chunk).is_ok());
+        // The slot goes with the server's work: it is free once the server is
+        // done with the call, whatever became of the caller.
+        tokio::spawn(async move {
+            let ended = timeout_at(until + LAST_ANSWER_GRACE, backend.stream(call, tx)).await;
             drop(slot);
+            let ended = ended
+                .unwrap_or_else(|_| Err(BackendError::Broken("no answer in time".to_string())));
+            // The receiver is gone when the call was given up.
             let _ = done_tx.send(ended);
         });
         let forwarded = self.forward(rx, &pinned, until).await;
         match forwarded {
             Ok(Forwarded::Whole) => match done.recv_async().await {
                 Ok(ended) => self.finish(ended).await,
-                Err(_) => self.failed("the call's thread ended").await,
+                Err(_) => self.failed("the call's task ended").await,
             },
             Ok(Forwarded::Stopped(reason)) => {
                 self.cancel();
@@ -134,7 +138,7 @@
     fn cancel(&self) {
         let (backend, id) = (self.parts.backend.clone(), self.request_id.clone());
         // The server also notices the closed connection; this is sooner.
-        tokio::task::spawn_blocking(move || backend.cancel(&id));
+        tokio::spawn(async move { backend.cancel(&id).await });
     }
 
     async fn forward(
@@ -177,7 +181,7 @@
         self.send(frame).await
     }
 
-    async fn data(&mut self, body: Vec<u8>) -> Result<()> {
+    async fn data(&mut self, body: bytes::Bytes) -> Result<()> {
         self.digest = digest(self.digest, &body);
         let frame = CallFrame::Data(Data {
             attempt: self.attempt,
@@ -192,7 +196,7 @@
         match ended {
             Ok(status) => self.end(status).await,
             Err(BackendError::Refused(status, _)) if is_answer(status) && !self.started => {
-                self.end(status as u32).await
+                self.end(u32::from(status)).await
             }
             Err(BackendError::Refused(..)) if !self.started => {
                 self.refused("the backend server refused").await
@@ -234,7 +238,7 @@
 }
 
 // A client error is the server's answer; other refusals may go elsewhere.
-fn is_answer(status: i32) -> bool {
+fn is_answer(status: u16) -> bool {
     status < HTTP_SERVER_ERROR && status != HTTP_TOO_MANY
 }
 
--- a/crates/rw-daemon/src/host/runner.rs
+++ b/crates/rw-daemon/src/host/runner.rs
@@ -105,11 +105,7 @@
     }
 
     async fn state(&self) -> Option<BackendState> {
-        let backend = self.backend.clone();
-        tokio::task::spawn_blocking(move || backend.state())
-            .await
-            .ok()?
-            .ok()
+        self.backend.state().await.ok()
     }
 
     fn announce(&self, serving: Vec<Serving>) {
@@ -245,10 +241,7 @@
         }
         let detail = format!("version={} epoch={}", duty.version, lease.epoch);
         self.cx.recorder.emit(Event::OrderSent, &detail);
-        let backend = self.backend.clone();
-        let sent =
-            tokio::task::spawn_blocking(move || backend.load(&order, left.as_millis() as u64));
-        if let Ok(Err(err)) = sent.await {
+        if let Err(err) = self.backend.load(&order, left).await {
             self.cx
                 .recorder
                 .emit(Event::OrderFailed, &format!("{detail} error={err}"));
--- a/crates/rw-engine/src/http.rs
+++ b/crates/rw-engine/src/http.rs
@@ -1,27 +1,49 @@
-use std::io::ErrorKind;
-
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::handshake;
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper_util::rt::TokioIo;
 use rw_protocol::Name;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 use crate::{Backend, BackendState, Chunk, Error, LoadOrder, Result, StreamCall};
 
-const STATE_TIMEOUT_S: u64 = 2;
-const HTTP_OK: i32 = 200;
-const HTTP_CLIENT_ERROR: i32 = 400;
-const SSE_DONE: &str = "data: [DONE]";
+const STATE_TIMEOUT: Duration = Duration::from_secs(2);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const SSE_DONE: &[u8] = b"data: [DONE]";
 const SSE_DATA: &str = "data: ";
+const SSE_END: &[u8] = b"\n\n";
 /// Bytes of one event that an engine may send.
 const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Bytes of an answer that a plain service may send.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
 
 /// A backend server over HTTP: engines speak the chat completions protocol
-/// with server-sent events, plain services any JSON.
+/// with server-sent events, plain services any content.
 #[derive(Clone, Debug)]
 pub struct HttpBackend {
     url: String,
     is_engine: bool,
 }
 
+fn unreachable(err: impl std::fmt::Display) -> Error {
+    Error::Unreachable(err.to_string())
+}
+
+fn broken(err: impl std::fmt::Display) -> Error {
+    Error::Broken(err.to_string())
+}
+
 impl HttpBackend {
     /// A backend server at a base URL.
+    ///
+    /// ```
+    /// let backend = rw_engine::HttpBackend::new("http://127.0.0.1:9000/engine-1", true);
+    /// ```
     pub fn new(url: &str, is_engine: bool) -> Self {
         HttpBackend {
             url: url.trim_end_matches('/').to_string(),
@@ -29,142 +51,178 @@
         }
     }
 
-    fn path(&self, call: &StreamCall) -> String {
-        if self.is_engine {
-            format!("{}/v1/chat/completions", self.url)
-        } else {
-            format!("{}/{}", self.url, call.operation)
+    // One connection for each request: when it is dropped, the server sees
+    // that nobody waits for the answer any more.
+    async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+    ) -> Result<Response<Incoming>> {
+        let uri: Uri = format!("{}{path}", self.url).parse().map_err(unreachable)?;
+        let host = uri.authority().map(|a| a.to_string()).unwrap_or_default();
+        let target = uri.path_and_query().map_or("/", |path| path.as_str());
+        let mut req = Request::builder()
+            .method(method)
+            .uri(target)
+            .header("host", &host)
+            .header("connection", "close")
+            .header("content-type", "application/json");
+        for (name, value) in headers {
+            req = req.header(*name, *value);
         }
+        let req = req.body(Full::new(body)).map_err(unreachable)?;
+        let conn = timeout(CONNECT_TIMEOUT, TcpStream::connect(&host)).await;
+        let conn = conn.map_err(unreachable)?.map_err(unreachable)?;
+        let (mut sender, conn) = handshake(TokioIo::new(conn)).await.map_err(unreachable)?;
+        tokio::spawn(conn);
+        // From here on the server may have got the request.
+        sender.send_request(req).await.map_err(broken)
     }
-}
 
-fn transport(err: minreq::Error) -> Error {
-    match &err {
-        minreq::Error::IoError(io) if io.kind() == ErrorKind::ConnectionRefused => {
-            Error::Unreachable(err.to_string())
-        }
-        _ => Error::Broken(err.to_string()),
+    async fn order(&self, path: &str, body: Vec<u8>, limit: Duration) -> Result<Bytes> {
+        let method = if body.is_empty() {
+            Method::GET
+        } else {
+            Method::POST
+        };
+        let exchange = async {
+            let res = self.send(method, path, &[], Bytes::from(body)).await?;
+            let status = res.status();
+            let body = read(res).await?;
+            match status {
+                StatusCode::OK => Ok(body),
+                _ => Err(refused(status, &body)),
+            }
+        };
+        timeout(limit, exchange).await.map_err(broken)?
     }
-}
 
-fn check(res: minreq::Response) -> Result<minreq::Response> {
-    if res.status_code == HTTP_OK {
-        return Ok(res);
+    async fn events(&self, res: Response<Incoming>, sink: &flume::Sender<Chunk>) -> Result<u32> {
+        let status = u32::from(res.status().as_u16());
+        let mut body = res.into_body();
+        let mut buf = BytesMut::new();
+        let mut named: Option<Name> = None;
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(broken)?;
+            buf.extend_from_slice(frame.data_ref().map_or(&[], |data| data));
+            while let Some(event) = next_event(&mut buf)? {
+                // The entry writes the last event, once it has checked the answer.
+                if event.starts_with(SSE_DONE) {
+                    return Ok(status);
+                }
+                // Every event is checked: an engine may be switched under a stream.
+                let same = |name: &Name| contains(&event, name.as_bytes());
+                if !named.as_ref().is_some_and(same) {
+                    let version = version(&event);
+                    named = Some(version.clone());
+                    deliver(sink, Chunk::Version(version)).await?;
+                }
+                deliver(sink, Chunk::Body(event)).await?;
+            }
+        }
+        Err(broken("stream ended without its last event"))
     }
-    let msg = res.as_str().unwrap_or("").to_string();
-    Err(Error::Refused(res.status_code, msg))
 }
 
-impl Backend for HttpBackend {
-    fn state(&self) -> Result<BackendState> {
-        let req = minreq::get(format!("{}/state", self.url)).with_timeout(STATE_TIMEOUT_S);
-        let res = check(req.send().map_err(transport)?)?;
-        serde_json::from_slice(res.as_bytes()).map_err(|err| Error::Broken(err.to_string()))
-    }
-
-    fn load(&self, order: &LoadOrder, timeout_ms: u64) -> Result<()> {
-        let body = serde_json::to_vec(order).map_err(|err| Error::Broken(err.to_string()))?;
-        let req = minreq::post(format!("{}/orders/load", self.url))
-            .with_body(body)
-            .with_timeout(timeout_ms.div_ceil(1000).max(1));
-        check(req.send().map_err(transport)?).map(drop)
-    }
+async fn deliver(sink: &flume::Sender<Chunk>, chunk: Chunk) -> Result<()> {
+    sink.send_async(chunk)
+        .await
+        .map_err(|_| broken("the receiver is gone"))
+}
 
-    fn stream<F: FnMut(Chunk) -> bool>(&self, call: &StreamCall, sink: F) -> Result<u32> {
-        let mut req = minreq::post(self.path(call))
-            .with_body(call.body.clone())
-            .with_header("content-type", "application/json")
-            .with_header("x-request-id", &*call.request_id)
-            .with_header("x-priority", call.priority.to_string())
-            .with_timeout(call.deadline_ms.div_ceil(1000).max(1));
-        if !call.key.is_empty() {
-            req = req.with_header("idempotency-key", &*call.key);
-        }
-        if self.is_engine {
-            events(req.send_lazy().map_err(transport)?, sink)
-        } else {
-            whole(req.send().map_err(transport)?, sink)
-        }
-    }
+// The library fails on an answer shorter than its length or last chunk says.
+async fn read(res: Response<Incoming>) -> Result<Bytes> {
+    let body = Limited::new(res.into_body(), MAX_ANSWER_BYTES)
+        .collect()
+        .await;
+    Ok(body.map_err(broken)?.to_bytes())
+}
 
-    fn cancel(&self, request_id: &str) -> Result<()> {
-        let req = minreq::post(format!("{}/orders/cancel/{request_id}", self.url));
-        check(
-            req.with_timeout(STATE_TIMEOUT_S)
-                .send()
-                .map_err(transport)?,
-        )
-        .map(drop)
-    }
+fn refused(status: StatusCode, body: &[u8]) -> Error {
+    Error::Refused(status.as_u16(), String::from_utf8_lossy(body).into_owned())
 }
 
-// The answer of a plain service is passed on in one piece. A library-checked
-// content length makes a cut answer an error.
-fn whole(res: minreq::Response, mut sink: impl FnMut(Chunk) -> bool) -> Result<u32> {
-    let status = res.status_code;
-    if let Some(len) = res.headers.get("content-length") {
-        if len.parse() != Ok(res.as_bytes().len()) {
-            return Err(Error::Broken("answer is cut short".to_string()));
-        }
-    }
-    if matches!(status, 429 | 503) {
-        return Err(Error::Refused(
-            status,
-            res.as_str().unwrap_or("").to_string(),
-        ));
-    }
-    sink(Chunk::Version(Name::default()));
-    sink(Chunk::Body(res.into_bytes()));
-    Ok(status as u32)
+// An answer that ends with its connection cannot be told from a cut one.
+fn is_delimited(res: &Response<Incoming>) -> bool {
+    let headers = res.headers();
+    headers.contains_key("content-length") || headers.contains_key("transfer-encoding")
 }
 
-fn events(res: minreq::ResponseLazy, mut sink: impl FnMut(Chunk) -> bool) -> Result<u32> {
-    let status = res.status_code;
-    if status >= HTTP_CLIENT_ERROR {
-        return Err(Error::Refused(status, String::new()));
-    }
-    let mut event = Vec::new();
-    let mut named: Option<Name> = None;
-    for byte in res {
-        let (byte, _) = byte.map_err(|err| Error::Broken(err.to_string()))?;
-        event.push(byte);
-        if event.len() > MAX_EVENT_BYTES {
-            return Err(Error::Broken("event is too long".to_string()));
-        }
-        if !event.ends_with(b"\n\n") {
-            continue;
-        }
-        let done = event.starts_with(SSE_DONE.as_bytes());
-        // Every event is checked: an engine may be switched under a stream.
-        let same = |name: &Name| contains(&event, name.as_bytes());
-        if !done && !named.as_ref().is_some_and(same) {
-            let version = version(&event);
-            named = Some(version.clone());
-            if !sink(Chunk::Version(version)) {
-                return Err(Error::Broken("dropped by the receiver".to_string()));
-            }
-        }
-        // The entry writes the last event, once it has checked the answer.
-        if done {
-            return Ok(status as u32);
-        }
-        if !sink(Chunk::Body(std::mem::take(&mut event))) {
-            return Err(Error::Broken("dropped by the receiver".to_string()));
-        }
+fn next_event(buf: &mut BytesMut) -> Result<Option<Bytes>> {
+    let end = buf.windows(SSE_END.len()).position(|w| w == SSE_END);
+    match end {
+        Some(at) => Ok(Some(buf.split_to(at + SSE_END.len()).freeze())),
+        None if buf.len() > MAX_EVENT_BYTES => Err(broken("event is too long")),
+        None => Ok(None),
     }
-    Err(Error::Broken(
-        "stream ended without its last event".to_string(),
-    ))
 }
 
 fn contains(event: &[u8], name: &[u8]) -> bool {
     !name.is_empty() && event.windows(name.len()).any(|part| part == name)
 }
 
-// Engines name what they answer from as `MODEL@VERSION` in each event.
+// Engines name what they answer from as `MODEL@VERSION`.
 fn version(event: &[u8]) -> Name {
     let text = std::str::from_utf8(event).unwrap_or("").trim();
     let json = text.strip_prefix(SSE_DATA).unwrap_or("");
     let event: serde_json::Value = serde_json::from_str(json).unwrap_or_default();
     Name::from(event["model"].as_str().unwrap_or(""))
 }
+
+impl Backend for HttpBackend {
+    async fn state(&self) -> Result<BackendState> {
+        let body = self.order("/state", Vec::new(), STATE_TIMEOUT).await?;
+        serde_json::from_slice(&body).map_err(broken)
+    }
+
+    async fn load(&self, order: &LoadOrder, limit: Duration) -> Result<()> {
+        let body = serde_json::to_vec(order).map_err(unreachable)?;
+        self.order("/orders/load", body, limit).await.map(drop)
+    }
+
+    async fn stream(&self, call: StreamCall, sink: flume::Sender<Chunk>) -> Result<u32> {
+        let priority = call.priority.to_string();
+        let mut headers = vec![
+            ("x-request-id", &*call.request_id),
+            ("x-priority", &priority),
+        ];
+        if !call.key.is_empty() {
+            headers.push(("idempotency-key", &call.key));
+        }
+        let path = match self.is_engine {
+            true => "/v1/chat/completions".to_string(),
+            false => format!("/{}", call.operation),
+        };
+        let res = self
+            .send(Method::POST, &path, &headers, call.body.clone())
+            .await?;
+        let status = res.status();
+        let busy = matches!(
+            status,
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
+        );
+        if busy || (self.is_engine && !status.is_success()) {
+            let body = read(res).await?;
+            return Err(refused(status, &body));
+        }
+        if self.is_engine {
+            return self.events(res, &sink).await;
+        }
+        if !is_delimited(&res) {
+            return Err(broken("answer has neither a length nor chunks"));
+        }
+        let body = read(res).await?;
+        deliver(&sink, Chunk::Version(Name::default())).await?;
+        deliver(&sink, Chunk::Body(body)).await?;
+        Ok(u32::from(status.as_u16()))
+    }
+
+    async fn cancel(&self, request_id: &str) -> Result<()> {
+        let path = format!("/orders/cancel/{request_id}");
+        self.order(&path, b"{}".to_vec(), STATE_TIMEOUT)
+            .await
+            .map(drop)
+    }
+}
--- a/crates/rw-engine/src/types.rs
+++ b/crates/rw-engine/src/types.rs
@@ -1,3 +1,7 @@
+use std::future::Future;
+use std::time::Duration;
+
+use bytes::Bytes;
 use quick_error::quick_error;
 use rw_protocol::Name;
 use serde::{Deserialize, Serialize};
@@ -11,7 +15,7 @@
             display("backend server cannot be reached: {msg}")
         }
         /// The server refused; the call did not run.
-        Refused(status: i32, msg: String) {
+        Refused(status: u16, msg: String) {
             display("backend server refused with status {status}: {msg}")
         }
         /// The call may have run.
@@ -67,9 +71,7 @@
     /// Higher goes first.
     pub priority: u32,
     /// Body as the caller sent it.
-    pub body: Vec<u8>,
-    /// Time left in milliseconds.
-    pub deadline_ms: u64,
+    pub body: Bytes,
 }
 
 /// Part of an answer.
@@ -78,18 +80,22 @@
     /// Version that the server says it answers from; empty for plain services.
     Version(Name),
     /// Bytes for the caller.
-    Body(Vec<u8>),
+    Body(Bytes),
 }
 
 /// A backend server.
 pub trait Backend: Clone + Send + Sync + 'static {
     /// Reads what the server has loaded.
-    fn state(&self) -> Result<BackendState>;
+    fn state(&self) -> impl Future<Output = Result<BackendState>> + Send;
     /// Orders the server to load a model; returns when it is loaded.
-    fn load(&self, order: &LoadOrder, timeout_ms: u64) -> Result<()>;
-    /// Runs a call and hands its answer to `sink` as it comes; a false from
-    /// `sink` ends the call. Returns the status once the answer is whole.
-    fn stream<F: FnMut(Chunk) -> bool>(&self, call: &StreamCall, sink: F) -> Result<u32>;
+    fn load(&self, order: &LoadOrder, limit: Duration) -> impl Future<Output = Result<()>> + Send;
+    /// Runs a call and hands its answer to `sink` as it comes; a closed `sink`
+    /// ends the call. Returns the status once the answer is whole.
+    fn stream(
+        &self,
+        call: StreamCall,
+        sink: flume::Sender<Chunk>,
+    ) -> impl Future<Output = Result<u32>> + Send;
     /// Asks the server to stop a call.
-    fn cancel(&self, request_id: &str) -> Result<()>;
+    fn cancel(&self, request_id: &str) -> impl Future<Output = Result<()>> + Send;
 }
--- a/crates/rw-ledger/src/ledger.rs
+++ b/crates/rw-ledger/src/ledger.rs
@@ -1,6 +1,6 @@
 use rw_coord::{unix_ms, GroupCommit, Index, Outcome, WriteItem};
 use rw_platform::{ObjectStore, Put, TableService};
-use rw_protocol::{Claim, ClaimState, Name};
+use rw_protocol::{chunk_hash, Claim, ClaimState, Name};
 
 use crate::{Error, Result};
 
@@ -139,7 +139,7 @@
 
     fn recorded(&self, claim: Claim) -> Result<Begin> {
         let body = match claim.body.strip_prefix(IN_OBJECT) {
-            Some(key) => self.platform.get(key)?,
+            Some(reference) => self.read_object(reference)?,
             None => claim.body.into_bytes(),
         };
         Ok(Begin::Answered(claim.status, body))
@@ -193,7 +193,18 @@
     fn store_object(&self, claim: &Claim, body: &[u8]) -> Result<String> {
         let key = format!("answer/{:016x}", claim.attempt);
         self.platform.put(&key, body)?;
-        Ok(format!("{IN_OBJECT}{key}"))
+        Ok(format!("{IN_OBJECT}{key}#{}", chunk_hash(body)))
+    }
+
+    // The reference carries a hash, so that a cut answer is never taken for
+    // the recorded one.
+    fn read_object(&self, reference: &str) -> Result<Vec<u8>> {
+        let (key, hash) = reference.split_once('#').unwrap_or((reference, ""));
+        let body = self.platform.get(key)?;
+        match *chunk_hash(&body) == *hash {
+            true => Ok(body),
+            false => Err(Error::Unavailable(format!("object {key} is damaged"))),
+        }
     }
 
     fn write(&self, claim: &Claim, version: u64, index: Index) -> Result<Outcome> {
--- a/crates/rw-platform/src/http.rs
+++ b/crates/rw-platform/src/http.rs
@@ -3,6 +3,8 @@
 
 use crate::{Commit, Error, HostList, ObjectStore, Origin, Result, Row, TableService, Transaction};
 
+/// What the library says when a connection ended before any answer.
+const NO_STATUS_LINE: &str = "Server did not provide a status line";
 const HTTP_OK: i32 = 200;
 const HTTP_NOT_FOUND: i32 = 404;
 const HTTP_CONFLICT: i32 = 409;
@@ -42,7 +44,15 @@
 }
 
 fn send(req: minreq::Request, timeout_s: u64) -> Result<minreq::Response> {
-    let res = req.with_timeout(timeout_s).send().map_err(transport)?;
+    let req = req
+        .with_header("connection", "close")
+        .with_timeout(timeout_s);
+    let res = req.send().map_err(transport)?;
+    if res.reason_phrase == NO_STATUS_LINE || !is_whole(&res) {
+        return Err(Error::Unknown(
+            "the connection ended before the answer".to_string(),
+        ));
+    }
     match res.status_code {
         HTTP_TOO_MANY | HTTP_UNAVAILABLE => Err(Error::Refused(format!(
             "status {}: {}",
@@ -65,6 +75,12 @@
     }
 }
 
+// The library does not compare a body with its length.
+fn is_whole(res: &minreq::Response) -> bool {
+    let len = res.headers.get("content-length");
+    len.is_some_and(|len| len.parse() == Ok(res.as_bytes().len()))
+}
+
 fn json<T: DeserializeOwned>(res: &minreq::Response) -> Result<T> {
     if res.status_code != HTTP_OK && res.status_code != HTTP_CONFLICT {
         return Err(Error::Malformed(format!("status {}", res.status_code)));
@@ -89,7 +105,9 @@
     fn commit(&self, txn: &Transaction) -> Result<Commit> {
         let body = serde_json::to_vec(txn).map_err(|err| Error::Malformed(err.to_string()))?;
         let req = minreq::post(format!("{}/table/commit", self.url)).with_body(body);
-        json(&send(req, self.timeout_s)?)
+        let res = send(req, self.timeout_s)?;
+        // Whatever the answer is, the write may have taken effect.
+        json(&res).map_err(|err| Error::Unknown(err.to_string()))
     }
 
     fn read(&self, key: &str) -> Result<Option<Row>> {
--- a/crates/rw-standins/src/caller.rs
+++ b/crates/rw-standins/src/caller.rs
@@ -90,6 +90,10 @@
 }
 
 fn failure(res: &minreq::Response) -> Outcome {
+    // What the library says when a connection ended before any answer.
+    if res.reason_phrase.starts_with("Server did not provide") {
+        return Outcome::Cut("no answer".to_string());
+    }
     let body: Value = serde_json::from_slice(res.as_bytes()).unwrap_or_default();
     let error = &body["error"];
     match error["outcome"].as_str() {
--- a/crates/rw-standins/src/cluster.rs
+++ b/crates/rw-standins/src/cluster.rs
@@ -14,7 +14,7 @@
 use crate::proxy::{Fault, Route};
 
 /// Cap of every wait; far beyond what any wait needs.
-pub const WAIT_CAP: Duration = Duration::from_secs(60);
+pub const WAIT_CAP: Duration = Duration::from_secs(30);
 const POLL: Duration = Duration::from_millis(20);
 const TIMEOUT_S: u64 = 10;
 
--- /dev/null
+++ b/tests/at_most_once.rs
@@ -0,0 +1,366 @@
+//! A call that may not be repeated runs at most once, whatever fails.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rstest::rstest;
+use rw_standins::caller::{plain, Outcome};
+use rw_standins::cluster::{wait_for, Cluster};
+use rw_standins::layout::Layout;
+use rw_standins::plain::{Behaviour, Ran};
+use rw_standins::platform::Faults;
+use rw_standins::proxy::Fault;
+
+fn layout() -> Layout {
+    Layout {
+        entries: 3,
+        engines: 0,
+        plain: 2,
+        proxied: true,
+        ..Layout::default()
+    }
+}
+
+fn start(name: &str) -> Cluster {
+    let cluster = layout().start(name);
+    wait_for("checkout answers", || {
+        let answer = plain(&cluster.entry_url("entry-0"), "arima", "stock", "", "hello");
+        matches!(answer, Outcome::Answered(_)).then_some(())
+    });
+    cluster
+}
+
+fn runs(cluster: &Cluster, key: &str) -> usize {
+    let ran: Vec<Ran> = cluster.records("plain-0");
+    ran.iter().filter(|r| r.key == key).count()
+}
+
+fn most_runs(cluster: &Cluster) -> usize {
+    let ran: Vec<Ran> = cluster.records("plain-0");
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    for call in ran.iter().filter(|r| !r.key.is_empty()) {
+        *counts.entry(&call.key).or_default() += 1;
+    }
+    counts.values().copied().max().unwrap_or(0)
+}
+
+fn charge(cluster: &Cluster, entry: usize, key: &str) -> Outcome {
+    let url = cluster.entry_url(&format!("entry-{entry}"));
+    plain(&url, "penal", "charge", key, &format!("curry duck {key}"))
+}
+
+#[test]
+fn a_repeat_through_another_entry_gets_the_recorded_answer() {
+    let cluster = start("repeat");
+    let answers = [0, 1, 2, 0].map(|entry| charge(&cluster, entry, "order-1"));
+    assert!(
+        answers
+            .iter()
+            .all(|a| *a == Outcome::Answered(String::new())),
+        "{answers:?}"
+    );
+    assert_eq!(runs(&cluster, "order-1"), 1);
+}
+
+#[test]
+fn a_large_answer_is_recorded_whole() {
+    let cluster = start("large");
+    let body = "goat ".repeat(20_000);
+    for entry in 0..3 {
+        let url = cluster.entry_url(&format!("entry-{entry}"));
+        let answer = plain(&url, "penal", "charge", "large", &body);
+        assert_eq!(answer, Outcome::Answered(String::new()));
+    }
+    assert_eq!(runs(&cluster, "large"), 1);
+}
+
+#[test]
+fn a_key_used_with_another_body_is_refused() {
+    let cluster = start("mismatch");
+    assert_eq!(
+        charge(&cluster, 0, "order-1"),
+        Outcome::Answered(String::new())
+    );
+    let url = cluster.entry_url("entry-1");
+    let answer = plain(&url, "penal", "charge", "order-1", "something else");
+    assert_eq!(answer, Outcome::Refused(422));
+    assert_eq!(runs(&cluster, "order-1"), 1);
+}
+
+#[test]
+fn repeats_at_the_same_time_run_once() {
+    let cluster = start("race");
+    cluster.behave(
+        "plain-0",
+        &Behaviour {
+            call_ms: 200,
+            lose_every: 0,
+        },
+    );
+    let answers: Vec<Outcome> = std::thread::scope(|scope| {
+        let call = |n: usize| {
+            let cluster = &cluster;
+            scope.spawn(move || charge(cluster, n % 3, "order-1"))
+        };
+        let threads: Vec<_> = (0..9).map(call).collect();
+        threads
+            .into_iter()
+            .map(|t| t.join().expect("no panic"))
+            .collect()
+    });
+    let fine = |o: &Outcome| matches!(o, Outcome::Answered(_) | Outcome::InProgress);
+    assert!(answers.iter().all(fine), "{answers:?}");
+    assert_eq!(runs(&cluster, "order-1"), 1);
+}
+
+#[test]
+fn an_entry_killed_during_a_call_does_not_lead_to_a_second_run() {
+    let mut cluster = start("entry-killed");
+    cluster.behave(
+        "plain-0",
+        &Behaviour {
+            call_ms: 500,
+            lose_every: 0,
+        },
+    );
+    let url = cluster.entry_url("entry-0");
+    let caller =
+        std::thread::spawn(move || plain(&url, "penal", "charge", "order-1", "curry duck order-1"));
+    wait_for("the call runs", || {
+        (runs(&cluster, "order-1") == 1).then_some(())
+    });
+    cluster.kill("entry-0");
+    assert!(matches!(caller.join().expect("no panic"), Outcome::Cut(_)));
+    for _ in 0..5 {
+        let answer = charge(&cluster, 1, "order-1");
+        assert!(
+            matches!(answer, Outcome::InProgress | Outcome::Unknown),
+            "{answer:?}"
+        );
+    }
+    assert_eq!(runs(&cluster, "order-1"), 1);
+    // The operator sees that its end is not known.
+    let client = rw_cli::Client::new(&cluster.daemon("entry-1").operator_listen);
+    let claims: Vec<rw_protocol::Claim> = client
+        .get("/unresolved?older_ms=0")
+        .expect("entry-1 answers");
+    assert_eq!(claims.len(), 1);
+    assert_eq!(&*claims[0].key, "order-1");
+}
+
+// Faults on the way between an entry and the host while the call runs.
+#[rstest]
+#[case::host_killed("kill")]
+#[case::host_frozen("freeze")]
+#[case::cut("cut")]
+#[case::answer_held_back("one-way")]
+fn a_call_whose_host_fails_is_unknown_and_never_runs_again(#[case] fault: &str) {
+    let mut cluster = start(&format!("host-{fault}"));
+    cluster.behave(
+        "plain-0",
+        &Behaviour {
+            call_ms: 1500,
+            lose_every: 0,
+        },
+    );
+    let url = cluster.entry_url("entry-0");
+    let caller =
+        std::thread::spawn(move || plain(&url, "penal", "charge", "order-1", "curry duck order-1"));
+    wait_for("the call runs", || {
+        (runs(&cluster, "order-1") == 1).then_some(())
+    });
+    for host in ["plain-0", "plain-1"] {
+        match fault {
+            "kill" => cluster.kill(host),
+            "freeze" => cluster.signal(host, "STOP"),
+            "cut" => cluster.set_fault(
+                host,
+                Fault {
+                    cut: true,
+                    ..Fault::default()
+                },
+            ),
+            _ => cluster.set_fault(
+                host,
+                Fault {
+                    stall_down: true,
+                    ..Fault::default()
+                },
+            ),
+        }
+    }
+    let answer = caller.join().expect("no panic");
+    assert_eq!(answer, Outcome::Unknown);
+    for host in ["plain-0", "plain-1"] {
+        match fault {
+            "kill" => cluster.start_daemon(host),
+            "freeze" => cluster.signal(host, "CONT"),
+            _ => cluster.set_fault(host, Fault::default()),
+        }
+    }
+    cluster.behave("plain-0", &Behaviour::default());
+    for entry in 0..3 {
+        let answer = charge(&cluster, entry, "order-1");
+        assert!(
+            matches!(answer, Outcome::InProgress | Outcome::Unknown),
+            "{answer:?}"
+        );
+    }
+    wait_for("other calls are answered again", || {
+        matches!(charge(&cluster, 0, "order-2"), Outcome::Answered(_)).then_some(())
+    });
+    assert_eq!(runs(&cluster, "order-1"), 1);
+    assert_eq!(most_runs(&cluster), 1);
+}
+
+#[test]
+fn a_backend_server_that_loses_its_answer_is_not_asked_again() {
+    let cluster = start("answer-lost");
+    cluster.behave(
+        "plain-0",
+        &Behaviour {
+            call_ms: 0,
+            lose_every: 1,
+        },
+    );
+    assert_eq!(charge(&cluster, 0, "order-1"), Outcome::Unknown);
+    cluster.behave("plain-0", &Behaviour::default());
+    let answer = charge(&cluster, 1, "order-1");
+    assert!(
+        matches!(answer, Outcome::InProgress | Outcome::Unknown),
+        "{answer:?}"
+    );
+    assert_eq!(runs(&cluster, "order-1"), 1);
+    // Without a key nothing may be repeated either.
+    cluster.behave(
+        "plain-0",
+        &Behaviour {
+            call_ms: 0,
+            lose_every: 1,
+        },
+    );
+    let url = cluster.entry_url("entry-0");
+    assert_eq!(
+        plain(&url, "penal", "charge", "", "keyless"),
+        Outcome::Unknown
+    );
+    let ran: Vec<Ran> = cluster.records("plain-0");
+    assert_eq!(ran.iter().filter(|r| r.body == "keyless").count(), 1);
+}
+
+#[test]
+fn with_the_table_down_nothing_runs_and_nothing_is_lost() {
+    let cluster = start("table-down");
+    cluster.set_platform(&Faults {
+        table_down: true,
+        ..Faults::default()
+    });
+    let answer = charge(&cluster, 0, "order-1");
+    assert!(
+        matches!(answer, Outcome::NotRun(after) if after > 0),
+        "{answer:?}"
+    );
+    assert_eq!(runs(&cluster, "order-1"), 0);
+    // Idempotent calls need no table.
+    let url = cluster.entry_url("entry-0");
+    assert_eq!(
+        plain(&url, "penal", "stock", "", "goat"),
+        Outcome::Answered(String::new())
+    );
+    cluster.set_platform(&Faults::default());
+    assert_eq!(
+        charge(&cluster, 1, "order-1"),
+        Outcome::Answered(String::new())
+    );
+    assert_eq!(runs(&cluster, "order-1"), 1);
+}
+
+#[test]
+fn a_table_that_goes_down_during_a_call_gets_its_answer_later() {
+    let cluster = start("table-down-during");
+    cluster.behave(
+        "plain-0",
+        &Behaviour {
+            call_ms: 500,
+            lose_every: 0,
+        },
+    );
+    let url = cluster.entry_url("entry-0");
+    let caller =
+        std::thread::spawn(move || plain(&url, "penal", "charge", "order-1", "curry duck order-1"));
+    wait_for("the call runs", || {
+        (runs(&cluster, "order-1") == 1).then_some(())
+    });
+    cluster.set_platform(&Faults {
+        table_down: true,
+        ..Faults::default()
+    });
+    // The caller has its answer at once, the record follows.
+    assert_eq!(
+        caller.join().expect("no panic"),
+        Outcome::Answered(String::new())
+    );
+    cluster.set_platform(&Faults::default());
+    wait_for("the answer is recorded", || {
+        (charge(&cluster, 1, "order-1") == Outcome::Answered(String::new())).then_some(())
+    });
+    assert_eq!(runs(&cluster, "order-1"), 1);
+}
+
+// Every second or third answer of the table service is lost after the write.
+#[rstest]
+#[case(2)]
+#[case(3)]
+fn lost_answers_of_the_table_never_lead_to_a_second_run(#[case] lose_every: u64) {
+    let cluster = start(&format!("lost-{lose_every}"));
+    cluster.set_platform(&Faults {
+        lose_every,
+        ..Faults::default()
+    });
+    for n in 0..20 {
+        let key = format!("order-{n}");
+        wait_for("an answer", || {
+            let answer = charge(&cluster, n % 3, &key);
+            matches!(answer, Outcome::Answered(_)).then_some(())
+        });
+        assert_eq!(
+            charge(&cluster, (n + 1) % 3, &key),
+            Outcome::Answered(String::new())
+        );
+    }
+    assert_eq!(most_runs(&cluster), 1);
+}
+
+#[test]
+fn a_slow_table_and_a_killed_entry_together_run_nothing_twice() {
+    let mut cluster = start("slow-and-killed");
+    cluster.set_platform(&Faults {
+        table_delay_ms: 300,
+        lose_every: 3,
+        ..Faults::default()
+    });
+    let url = cluster.entry_url("entry-0");
+    let callers: Vec<_> = (0..8)
+        .map(|n| {
+            let url = url.clone();
+            std::thread::spawn(move || {
+                let key = format!("order-{n}");
+                plain(&url, "penal", "charge", &key, &format!("curry duck {key}"))
+            })
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(500));
+    cluster.kill("entry-0");
+    for caller in callers {
+        caller.join().expect("no panic");
+    }
+    cluster.set_platform(&Faults::default());
+    for n in 0..8 {
+        let answer = charge(&cluster, 1, &format!("order-{n}"));
+        assert!(
+            !matches!(answer, Outcome::Wrong(_) | Outcome::Cut(_)),
+            "{answer:?}"
+        );
+    }
+    assert!(most_runs(&cluster) <= 1);
+}
