--- a/crates/rw-daemon/src/control/poll.rs
+++ b/crates/rw-daemon/src/control/poll.rs
@@ -17,7 +17,8 @@
         .subscribe(Duration::from_millis(cx.deployment.control.poll_ms));
     let mut first = true;
     while ticks.recv_async().await.is_ok() {
-        if first || is_poller(&cx) {
+        // A daemon that saw the table down goes on until it sees it up.
+        if first || !cx.is_table_reachable() || is_poller(&cx) {
             first = false;
             once(&cx).await;
         }
--- a/crates/rw-daemon/src/control/watch.rs
+++ b/crates/rw-daemon/src/control/watch.rs
@@ -27,10 +27,7 @@
 /// Asks every daemon that is present for its status.
 pub async fn gather(cx: &Arc<Context>) -> Observed {
     let hosts: Vec<HostEntry> = cx.shared.read().present().cloned().collect();
-    let mut seen = Observed {
-        table_reachable: cx.is_table_reachable(),
-        ..Observed::default()
-    };
+    let mut seen = Observed::default();
     let mut asking = JoinSet::new();
     for host in hosts {
         if asking.len() >= GATHER_AT_ONCE {
@@ -46,9 +43,9 @@
     let count = tokio::task::spawn_blocking(move || {
         rw_ledger::unresolved(&counter.platform, UNRESOLVED_AFTER_MS)
     });
-    match count.await {
-        Ok(Ok(claims)) => seen.unresolved = claims.len() as u64,
-        _ => seen.table_reachable = false,
+    if let Ok(Ok(claims)) = count.await {
+        seen.table_reachable = true;
+        seen.unresolved = claims.len() as u64;
     }
     seen
 }
--- a/crates/rw-daemon/src/entry/call.rs
+++ b/crates/rw-daemon/src/entry/call.rs
@@ -26,6 +26,8 @@
     fn part(&mut self, body: Blob) -> impl std::future::Future<Output = bool> + Send;
     /// Whether any part has reached the caller.
     fn has_sent(&self) -> bool;
+    /// Forgets the parts of a dispatch that failed.
+    fn restart(&mut self);
 }
 
 /// Collects the answer, so that the caller gets all of it or none.
@@ -41,6 +43,10 @@
     fn has_sent(&self) -> bool {
         false
     }
+
+    fn restart(&mut self) {
+        self.0.clear();
+    }
 }
 
 // How one dispatch ended.
@@ -78,6 +84,7 @@
                 if !call.idempotent || sink.has_sent() || cx.now() >= until {
                     return Outcome::Unknown(reason);
                 }
+                sink.restart();
                 is_retry = true;
             }
         }
--- a/crates/rw-daemon/src/entry/callers.rs
+++ b/crates/rw-daemon/src/entry/callers.rs
@@ -187,6 +187,9 @@
     fn has_sent(&self) -> bool {
         self.started.is_none()
     }
+
+    // Whatever was sent is with the caller, and ends the call.
+    fn restart(&mut self) {}
 }
 
 // The response's head waits for the first part, so that a call that did not
--- a/crates/rw-engine/src/http.rs
+++ b/crates/rw-engine/src/http.rs
@@ -51,6 +51,16 @@
         }
     }
 
+    fn uri(&self, path: &str) -> Result<Uri> {
+        format!("{}{path}", self.url).parse().map_err(unreachable)
+    }
+
+    async fn connect(&self, uri: &Uri) -> Result<TcpStream> {
+        let host = uri.authority().map(|a| a.as_str()).unwrap_or_default();
+        let conn = timeout(CONNECT_TIMEOUT, TcpStream::connect(host)).await;
+        conn.map_err(unreachable)?.map_err(unreachable)
+    }
+
     // One connection for each request: when it is dropped, the server sees
     // that nobody waits for the answer any more.
     async fn send(
@@ -60,7 +70,7 @@
         headers: &[(&str, &str)],
         body: Bytes,
     ) -> Result<Response<Incoming>> {
-        let uri: Uri = format!("{}{path}", self.url).parse().map_err(unreachable)?;
+        let uri = self.uri(path)?;
         let host = uri.authority().map(|a| a.to_string()).unwrap_or_default();
         let target = uri.path_and_query().map_or("/", |path| path.as_str());
         let mut req = Request::builder()
@@ -73,8 +83,7 @@
             req = req.header(*name, *value);
         }
         let req = req.body(Full::new(body)).map_err(unreachable)?;
-        let conn = timeout(CONNECT_TIMEOUT, TcpStream::connect(&host)).await;
-        let conn = conn.map_err(unreachable)?.map_err(unreachable)?;
+        let conn = self.connect(&uri).await?;
         let (mut sender, conn) = handshake(TokioIo::new(conn)).await.map_err(unreachable)?;
         tokio::spawn(conn);
         // From here on the server may have got the request.
@@ -172,7 +181,13 @@
 }
 
 impl Backend for HttpBackend {
+    // A plain service promises no path for its state: that it accepts
+    // connections has to do.
     async fn state(&self) -> Result<BackendState> {
+        if !self.is_engine {
+            self.connect(&self.uri("/")?).await?;
+            return Ok(BackendState::default());
+        }
         let body = self.order("/state", Vec::new(), STATE_TIMEOUT).await?;
         serde_json::from_slice(&body).map_err(broken)
     }
@@ -219,7 +234,11 @@
         Ok(u32::from(status.as_u16()))
     }
 
+    // A plain service takes no orders; a call that has begun there goes on.
     async fn cancel(&self, request_id: &str) -> Result<()> {
+        if !self.is_engine {
+            return Ok(());
+        }
         let path = format!("/orders/cancel/{request_id}");
         self.order(&path, b"{}".to_vec(), STATE_TIMEOUT)
             .await
--- /dev/null
+++ b/tests/answers.rs
@@ -0,0 +1,404 @@
+//! The whole answer reaches its own caller, and 'not run' is true.
+
+use std::collections::BTreeSet;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use rw_standins::caller::{draft, plain, Outcome};
+use rw_standins::cluster::{wait_for, Cluster};
+use rw_standins::engine::{Behaviour, Records};
+use rw_standins::layout::Layout;
+use rw_standins::plain::Ran;
+use rw_standins::proxy::Fault;
+use rw_tests::{serve_v1, Load, TOKENS};
+
+const ENGINES: usize = 4;
+
+fn layout() -> Layout {
+    Layout {
+        entries: 2,
+        engines: ENGINES,
+        plain: 2,
+        proxied: true,
+        extra: "[control]\nsuspect_ms = 1000".into(),
+        ..Layout::default()
+    }
+}
+
+fn start(name: &str) -> Cluster {
+    let cluster = layout().start(name);
+    serve_v1(&cluster, ENGINES, 1);
+    cluster
+}
+
+fn engines() -> impl Iterator<Item = String> {
+    (0..ENGINES).map(|at| format!("engine-{at}"))
+}
+
+fn all_runs(cluster: &Cluster) -> Vec<rw_standins::engine::Run> {
+    engines()
+        .filter(|name| cluster.deployment.daemons.contains_key(name.as_str()))
+        .flat_map(|name| cluster.records::<Records>(&name).runs)
+        .collect()
+}
+
+// No caller may ever take a wrong, mixed or cut answer for a whole one, and a
+// call that was reported as not run may stand in no record.
+fn check(cluster: &Cluster, outcomes: &[(String, Outcome)]) {
+    let wrong: Vec<_> = outcomes
+        .iter()
+        .filter(|(_, o)| matches!(o, Outcome::Wrong(_)))
+        .collect();
+    assert!(wrong.is_empty(), "{wrong:?}");
+    let ran: Vec<Ran> = cluster.records("plain-0");
+    let mut keys: BTreeSet<&str> = BTreeSet::new();
+    for call in &ran {
+        assert_eq!(call.operation, "charge", "nobody asked for {call:?}");
+        assert_eq!(call.key, call.body, "key and body belong together");
+        assert!(keys.insert(&call.key), "{} ran twice", call.key);
+    }
+    for (id, outcome) in outcomes {
+        if matches!(outcome, Outcome::NotRun(_)) {
+            assert!(!keys.contains(id.as_str()), "{id} was reported as not run");
+        }
+    }
+}
+
+#[rstest]
+#[case::corrupt(Fault { corrupt_every: 50, ..Fault::default() })]
+#[case::slow(Fault { bytes_per_s: 100_000, ..Fault::default() })]
+#[case::late(Fault { delay_ms: 30, ..Fault::default() })]
+#[case::corrupt_and_late(Fault { corrupt_every: 80, delay_ms: 10, ..Fault::default() })]
+fn faulty_links_never_change_an_answer(#[case] fault: Fault) {
+    let cluster = start("faulty-links");
+    for name in engines().chain(["plain-0".into(), "plain-1".into()]) {
+        cluster.set_fault(&name, fault.clone());
+    }
+    let load = Load::start(&cluster, 8);
+    wait_for("calls", || (load.count() > 200).then_some(()));
+    check(&cluster, &load.stop());
+}
+
+#[rstest]
+#[case::kill("KILL")]
+#[case::freeze("STOP")]
+#[case::cut("cut")]
+#[case::answers_held_back("one-way")]
+fn hosts_that_fail_under_load_make_no_answer_wrong(#[case] fault: &str) {
+    let mut cluster = start(&format!("fail-{fault}"));
+    let load = Load::start(&cluster, 8);
+    wait_for("calls", || (load.count() > 100).then_some(()));
+    for name in ["engine-1", "plain-1"] {
+        match fault {
+            "KILL" => cluster.kill(name),
+            "STOP" => cluster.signal(name, "STOP"),
+            "cut" => cluster.set_fault(
+                name,
+                Fault {
+                    cut: true,
+                    ..Fault::default()
+                },
+            ),
+            _ => cluster.set_fault(
+                name,
+                Fault {
+                    stall_down: true,
+                    ..Fault::default()
+                },
+            ),
+        }
+    }
+    let before = load.count();
+    wait_for("calls go on", || {
+        (load.count() > before + 200).then_some(())
+    });
+    match fault {
+        "KILL" => ["engine-1", "plain-1"]
+            .iter()
+            .for_each(|n| cluster.start_daemon(n)),
+        "STOP" => ["engine-1", "plain-1"]
+            .iter()
+            .for_each(|n| cluster.signal(n, "CONT")),
+        _ => ["engine-1", "plain-1"]
+            .iter()
+            .for_each(|n| cluster.set_fault(n, Fault::default())),
+    }
+    let before = load.count();
+    wait_for("calls go on", || {
+        (load.count() > before + 100).then_some(())
+    });
+    check(&cluster, &load.stop());
+}
+
+#[test]
+fn a_stream_that_the_engine_breaks_off_is_told_as_cut_or_repeated_whole() {
+    let cluster = start("truncated");
+    for name in engines() {
+        cluster.behave(
+            &name,
+            &Behaviour {
+                truncate_every: 3,
+                ..Behaviour::default()
+            },
+        );
+    }
+    let url = cluster.entry_url("entry-0");
+    let outcomes: Vec<Outcome> = (0..40)
+        .map(|n| draft(&url, "arima", &format!("shop|{n}"), TOKENS, 5_000))
+        .collect();
+    let cut = outcomes
+        .iter()
+        .filter(|o| matches!(o, Outcome::Cut(_)))
+        .count();
+    let answered = outcomes
+        .iter()
+        .filter(|o| matches!(o, Outcome::Answered(_)))
+        .count();
+    assert_eq!(cut + answered, outcomes.len(), "{outcomes:?}");
+    assert!(cut > 0 && answered > 0, "{outcomes:?}");
+}
+
+#[test]
+fn without_streaming_a_broken_draft_is_repeated_until_it_is_whole() {
+    let cluster = start("collected");
+    for name in engines() {
+        cluster.behave(
+            &name,
+            &Behaviour {
+                truncate_every: 4,
+                ..Behaviour::default()
+            },
+        );
+    }
+    for n in 0..20 {
+        let body = rw_standins::caller::draft_body(&format!("shop|{n}"), TOKENS, false);
+        let res = minreq::post(format!(
+            "{}/v1/chat/completions",
+            cluster.entry_url("entry-0")
+        ))
+        .with_header("x-team", "arima")
+        .with_body(body.to_string())
+        .with_timeout(20)
+        .send()
+        .expect("the entry answers");
+        let json: serde_json::Value = serde_json::from_slice(res.as_bytes()).expect("JSON");
+        if res.status_code == 200 {
+            let content = json["choices"][0]["message"]["content"]
+                .as_str()
+                .unwrap_or("");
+            assert_eq!(content.split_whitespace().count() as u64, TOKENS);
+        } else {
+            // The retry budget may be used up; then it says so.
+            assert!(json["error"]["outcome"].is_string(), "{json}");
+        }
+    }
+}
+
+#[test]
+fn overload_is_refused_early_and_what_is_refused_did_not_run() {
+    let cluster = Layout {
+        engines: 1,
+        concurrency: 2,
+        extra: "[limits]\nqueue_per_team = 4".into(),
+        ..layout()
+    }
+    .start("overload");
+    serve_v1(&cluster, 1, 1);
+    cluster.behave(
+        "engine-0",
+        &Behaviour {
+            token_ms: 30,
+            ..Behaviour::default()
+        },
+    );
+    let urls: Vec<String> = ["entry-0", "entry-1"]
+        .iter()
+        .map(|e| cluster.entry_url(e))
+        .collect();
+    let outcomes: Vec<(String, Outcome)> = std::thread::scope(|scope| {
+        let call = |n: usize| {
+            let url = &urls[n % 2];
+            scope.spawn(move || {
+                let id = format!("prompt-{n}");
+                let outcome = draft(url, "arima", &id, 4, 20_000);
+                (id, outcome)
+            })
+        };
+        let threads: Vec<_> = (0..60).map(call).collect();
+        threads
+            .into_iter()
+            .map(|t| t.join().expect("no panic"))
+            .collect()
+    });
+    let refused = outcomes
+        .iter()
+        .filter(|(_, o)| matches!(o, Outcome::NotRun(after) if *after > 0))
+        .count();
+    let answered = outcomes
+        .iter()
+        .filter(|(_, o)| matches!(o, Outcome::Answered(_)))
+        .count();
+    assert_eq!(refused + answered, outcomes.len(), "{outcomes:?}");
+    assert!(refused > 0);
+    assert_eq!(all_runs(&cluster).len(), answered);
+}
+
+#[test]
+fn a_call_past_its_deadline_in_the_queue_is_out_before_it_is_answered() {
+    let cluster = Layout {
+        engines: 1,
+        concurrency: 1,
+        entries: 1,
+        ..layout()
+    }
+    .start("deadline");
+    serve_v1(&cluster, 1, 1);
+    cluster.behave(
+        "engine-0",
+        &Behaviour {
+            token_ms: 300,
+            ..Behaviour::default()
+        },
+    );
+    let url = cluster.entry_url("entry-0");
+    let long = std::thread::spawn({
+        let url = url.clone();
+        move || draft(&url, "arima", "long", 10, 20_000)
+    });
+    wait_for("the long call runs", || {
+        (all_runs(&cluster).len() == 1).then_some(())
+    });
+    let start = Instant::now();
+    let answer = draft(&url, "penal", "short", 2, 400);
+    assert!(matches!(answer, Outcome::NotRun(_)), "{answer:?}");
+    assert!(
+        start.elapsed() < Duration::from_secs(10),
+        "the long call was not waited for"
+    );
+    assert!(matches!(
+        long.join().expect("no panic"),
+        Outcome::Answered(_)
+    ));
+    assert_eq!(all_runs(&cluster).len(), 1);
+}
+
+#[test]
+fn a_caller_that_leaves_ends_its_draft() {
+    let cluster = start("leaves");
+    for name in engines() {
+        cluster.behave(
+            &name,
+            &Behaviour {
+                token_ms: 50,
+                ..Behaviour::default()
+            },
+        );
+    }
+    let addr = cluster.daemon("entry-0").caller_listen.clone();
+    let mut conn = TcpStream::connect(addr).expect("the entry listens");
+    let body = rw_standins::caller::draft_body("shop|leaves", 400, true).to_string();
+    let head = "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nx-team: arima\r\nx-request-id: leaver\r\n";
+    write!(conn, "{head}content-length: {}\r\n\r\n{body}", body.len()).expect("sent");
+    let mut buf = [0; 64];
+    assert!(conn.read(&mut buf).expect("an answer begins") > 0);
+    drop(conn);
+    wait_for("the engine stopped", || {
+        let runs = all_runs(&cluster);
+        let run = runs.iter().find(|r| r.request_id == "leaver")?;
+        run.cancelled.then_some(())
+    });
+}
+
+#[rstest]
+#[case::not_json("POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nx-team: arima\r\ncontent-length: 3\r\n\r\n{x}", "400")]
+#[case::no_team(
+    "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\n{}",
+    "400"
+)]
+#[case::other_method("GET /v1/chat/completions HTTP/1.1\r\nhost: x\r\n\r\n", "405")]
+#[case::no_service(
+    "POST /v1/services/nothing/x HTTP/1.1\r\nhost: x\r\nx-team: arima\r\ncontent-length: 0\r\n\r\n",
+    "404"
+)]
+#[case::no_model("POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nx-team: arima\r\ncontent-length: 15\r\n\r\n{\"model\": \"no\"}", "404")]
+#[case::bad_deadline("POST /v1/services/checkout/stock HTTP/1.1\r\nhost: x\r\nx-team: arima\r\nx-deadline-ms: soon\r\ncontent-length: 0\r\n\r\n", "400")]
+#[case::not_http("\x16\x03\x01 hello\r\n\r\n", "400")]
+fn bad_input_gets_a_clear_error(#[case] request: &str, #[case] status: &str) {
+    let cluster = Layout {
+        engines: 0,
+        entries: 1,
+        ..layout()
+    }
+    .start("bad-input");
+    let addr = cluster.daemon("entry-0").caller_listen.clone();
+    let mut conn = TcpStream::connect(&addr).expect("the entry listens");
+    conn.set_read_timeout(Some(Duration::from_secs(20)))
+        .expect("a timeout can be set");
+    conn.write_all(request.as_bytes()).expect("sent");
+    let mut buf = [0; 4096];
+    let len = conn.read(&mut buf).expect("an answer");
+    let text = String::from_utf8_lossy(&buf[..len]).into_owned();
+    assert!(text.starts_with(&format!("HTTP/1.1 {status}")), "{text}");
+    // The process lives.
+    wait_for("a good call", || {
+        let answer = plain(&cluster.entry_url("entry-0"), "arima", "stock", "", "goat");
+        matches!(answer, Outcome::Answered(_)).then_some(())
+    });
+}
+
+#[test]
+fn an_oversize_body_or_head_is_refused() {
+    let cluster = Layout {
+        engines: 0,
+        entries: 1,
+        ..layout()
+    }
+    .start("oversize");
+    let url = cluster.entry_url("entry-0");
+    let body = "x".repeat(2 << 20);
+    let answer = plain(&url, "arima", "stock", "", &body);
+    assert!(
+        matches!(answer, Outcome::Refused(413) | Outcome::Cut(_)),
+        "{answer:?}"
+    );
+    let mut conn =
+        TcpStream::connect(cluster.daemon("entry-0").caller_listen.as_str()).expect("connected");
+    let head = format!(
+        "POST / HTTP/1.1\r\nx-long: {}\r\n\r\n",
+        "x".repeat(64 << 10)
+    );
+    // The entry may close before all is sent.
+    let _ = conn.write_all(head.as_bytes());
+    let mut text = String::new();
+    let _ = conn.read_to_string(&mut text);
+    assert!(text.is_empty() || text.starts_with("HTTP/1.1 4"), "{text}");
+    wait_for("a good call", || {
+        let answer = plain(&url, "arima", "stock", "", "goat");
+        matches!(answer, Outcome::Answered(_)).then_some(())
+    });
+}
+
+// Bytes on the peer port that are no messages end their stream and no more.
+#[rstest]
+#[case::garbage(b"garbage\r\n\r\n".to_vec())]
+#[case::empty(Vec::new())]
+#[case::http1(b"GET / HTTP/1.1\r\n\r\n".to_vec())]
+fn garbage_on_the_peer_port_harms_nobody(#[case] bytes: Vec<u8>) {
+    let cluster = Layout {
+        engines: 0,
+        entries: 1,
+        ..layout()
+    }
+    .start("peer-garbage");
+    for _ in 0..20 {
+        let mut conn =
+            TcpStream::connect(&*cluster.daemon("plain-0").listen).expect("the host listens");
+        let _ = conn.write_all(&bytes);
+    }
+    wait_for("a good call", || {
+        let answer = plain(&cluster.entry_url("entry-0"), "arima", "stock", "", "goat");
+        matches!(answer, Outcome::Answered(_)).then_some(())
+    });
+}
