--- /dev/null
+++ b/crates/rw-platform/tests/contract.rs
@@ -0,0 +1,211 @@
+//! What each platform interface promises, over HTTP.
+//!
+//! With `RAGWORTTACK_PLATFORM_URL` the same tests run against another
+//! implementation, but for those that switch faults.
+
+use rstest::rstest;
+use rw_platform::{
+    Commit, Condition, Error, HostList, HttpPlatform, ObjectStore, Origin, Put, TableService,
+    Transaction,
+};
+use rw_protocol::{manifest_id, verify_chunk};
+use rw_standins::cluster::Cluster;
+use rw_standins::layout::Layout;
+use rw_standins::platform::Faults;
+
+struct Bench {
+    platform: HttpPlatform,
+    cluster: Option<Cluster>,
+}
+
+fn bench() -> Bench {
+    if let Ok(url) = std::env::var("RAGWORTTACK_PLATFORM_URL") {
+        return Bench {
+            platform: HttpPlatform::new(&url, &url, 2000),
+            cluster: None,
+        };
+    }
+    let layout = Layout {
+        entries: 1,
+        engines: 0,
+        plain: 0,
+        ..Layout::default()
+    };
+    let cluster = layout.stand_ins("contract");
+    let url = cluster.deployment.platform.url.to_string();
+    Bench {
+        platform: HttpPlatform::new(&url, &url, 1000),
+        cluster: Some(cluster),
+    }
+}
+
+fn write(key: &str, version: u64, value: &str) -> Transaction {
+    Transaction {
+        conditions: vec![Condition {
+            key: key.into(),
+            version,
+        }],
+        puts: vec![Put {
+            key: key.into(),
+            value: value.into(),
+        }],
+        deletes: Vec::new(),
+    }
+}
+
+#[test]
+fn a_conditional_write_takes_effect_once() {
+    let bench = bench();
+    let platform = &bench.platform;
+    let first = platform
+        .commit(&write("contract/a b&c", 0, "1"))
+        .expect("commits");
+    assert!(first.committed);
+    let row = platform
+        .read("contract/a b&c")
+        .expect("reads")
+        .expect("exists");
+    assert_eq!((row.value.as_str(), row.version), ("1", first.version));
+    let again = platform
+        .commit(&write("contract/a b&c", 0, "2"))
+        .expect("answers");
+    assert_eq!(
+        again,
+        Commit {
+            committed: false,
+            version: 0,
+            conflicts: vec!["contract/a b&c".into()]
+        }
+    );
+    let next = platform
+        .commit(&write("contract/a b&c", first.version, "2"))
+        .expect("commits");
+    assert!(next.committed && next.version > first.version);
+}
+
+#[test]
+fn a_transaction_takes_effect_whole_or_not_at_all() {
+    let bench = bench();
+    let platform = &bench.platform;
+    platform
+        .commit(&write("contract/x", 0, "1"))
+        .expect("commits");
+    let mut both = write("contract/y", 0, "1");
+    both.conditions.push(Condition {
+        key: "contract/x".into(),
+        version: 0,
+    });
+    both.deletes.push("contract/x".into());
+    let refused = platform.commit(&both).expect("answers");
+    assert_eq!(
+        (refused.committed, refused.conflicts),
+        (false, vec!["contract/x".to_string()])
+    );
+    assert_eq!(platform.read("contract/y"), Ok(None));
+    assert!(platform.read("contract/x").expect("reads").is_some());
+}
+
+#[test]
+fn a_scan_is_sorted_bounded_and_goes_on_where_it_ended() {
+    let bench = bench();
+    let platform = &bench.platform;
+    for n in [3, 1, 2, 5, 4] {
+        platform
+            .commit(&write(&format!("contract/scan/{n}"), 0, "v"))
+            .expect("commits");
+    }
+    let first = platform.scan("contract/scan/", "", 3).expect("scans");
+    let keys: Vec<&str> = first.iter().map(|r| &r.key[r.key.len() - 1..]).collect();
+    assert_eq!(keys, ["1", "2", "3"]);
+    let rest = platform
+        .scan("contract/scan/", &first[2].key, 3)
+        .expect("scans");
+    assert_eq!(rest.len(), 2);
+}
+
+#[test]
+fn objects_are_kept_whole() {
+    let bench = bench();
+    let platform = &bench.platform;
+    let body: Vec<u8> = (0..100_000u32).map(|n| n as u8).collect();
+    ObjectStore::put(platform, "contract/object", &body).expect("written");
+    assert_eq!(ObjectStore::get(platform, "contract/object"), Ok(body));
+    assert!(matches!(
+        ObjectStore::get(platform, "contract/none"),
+        Err(Error::NotFound(_))
+    ));
+}
+
+#[test]
+fn the_origin_offers_chunks_that_match_their_manifest() {
+    let Bench { platform, cluster } = bench();
+    let Some(cluster) = cluster else { return };
+    cluster.add_model("m", "1", 100_000, 30_000);
+    let manifest = platform.manifest("m", "1").expect("offered");
+    assert_eq!((manifest.chunks.len(), manifest.length), (4, 100_000));
+    assert_eq!(
+        manifest_id(&manifest),
+        manifest_id(&platform.manifest("m", "1").expect("offered"))
+    );
+    for chunk in 0..4 {
+        let body = platform.chunk("m", "1", chunk).expect("offered");
+        assert!(verify_chunk(&manifest, chunk, &body));
+    }
+    assert!(matches!(
+        platform.manifest("m", "2"),
+        Err(Error::NotFound(_))
+    ));
+}
+
+#[test]
+fn the_host_list_tells_what_changed_and_lags() {
+    let Bench { platform, cluster } = bench();
+    let Some(cluster) = cluster else { return };
+    cluster.list("entry-0", rw_protocol::HostState::Live);
+    let first = platform.hosts(0).expect("listed");
+    assert_eq!(first.hosts.len(), 1);
+    assert!(platform
+        .hosts(first.version)
+        .expect("listed")
+        .hosts
+        .is_empty());
+    cluster.set_platform(&Faults {
+        list_lag_ms: 60_000,
+        ..Faults::default()
+    });
+    cluster.list("entry-0", rw_protocol::HostState::Leaving);
+    let lagging = platform.hosts(first.version).expect("listed");
+    assert!(lagging.hosts.is_empty());
+    assert_eq!(lagging.version, first.version);
+}
+
+// What a caller may conclude from each fault of the table service.
+#[rstest]
+#[case::down(Faults { table_down: true, ..Faults::default() }, true, false)]
+#[case::answer_lost(Faults { lose_every: 1, ..Faults::default() }, false, true)]
+#[case::too_slow(Faults { table_delay_ms: 1500, ..Faults::default() }, false, true)]
+fn faults_are_told_apart(#[case] faults: Faults, #[case] refused: bool, #[case] took_effect: bool) {
+    let Bench { platform, cluster } = bench();
+    let Some(cluster) = cluster else { return };
+    cluster.set_platform(&faults);
+    let err = platform
+        .commit(&write("contract/fault", 0, "1"))
+        .expect_err("fails");
+    assert_eq!(matches!(err, Error::Refused(_)), refused, "{err}");
+    assert_eq!(matches!(err, Error::Unknown(_)), !refused, "{err}");
+    cluster.set_platform(&Faults::default());
+    let row = rw_standins::cluster::wait_for("settled", || {
+        let row = platform.read("contract/fault").ok()?;
+        (row.is_some() == took_effect).then_some(row)
+    });
+    assert_eq!(row.is_some(), took_effect);
+}
+
+#[test]
+fn a_platform_that_does_not_listen_refuses() {
+    let platform = HttpPlatform::new("http://127.0.0.1:1", "http://127.0.0.1:1", 1000);
+    assert!(matches!(
+        platform.commit(&write("k", 0, "v")),
+        Err(Error::Refused(_))
+    ));
+}
--- a/crates/rw-protocol/src/generated.rs
+++ b/crates/rw-protocol/src/generated.rs
@@ -7,12 +7,18 @@
     pub struct ConversionError(::std::borrow::Cow<'static, str>);
     impl ::std::error::Error for ConversionError {}
     impl ::std::fmt::Display for ConversionError {
-        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
             ::std::fmt::Display::fmt(&self.0, f)
         }
     }
     impl ::std::fmt::Debug for ConversionError {
-        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
             ::std::fmt::Debug::fmt(&self.0, f)
         }
     }
@@ -29,14 +35,16 @@
 }
 ///Accepted.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Ack {
     pub head: u64,
 }
 ///One host's part in an intent.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Assignment {
     pub host: crate::Name,
@@ -45,7 +53,8 @@
 }
 ///One frame of an answer.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 pub enum CallFrame {
     Started(Started),
     Data(Data),
@@ -80,7 +89,8 @@
 }
 ///One dispatch of a caller's request.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct CallRequest {
     ///Random id of this dispatch.
@@ -98,7 +108,8 @@
 }
 ///One change of configuration.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 pub enum Change {
     Put(PutIntent),
     Remove(RemoveIntent),
@@ -121,7 +132,8 @@
 }
 ///One chunk of a model.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Chunk {
     pub body: crate::Blob,
@@ -129,7 +141,8 @@
 }
 ///Asks for one chunk.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ChunkRequest {
     pub chunk: u32,
@@ -139,7 +152,8 @@
 }
 ///Record that a call may run at most once.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Claim {
     pub at_ms: u64,
@@ -164,7 +178,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd,
+    PartialOrd
 )]
 pub enum ClaimState {
     #[serde(rename = "started")]
@@ -185,7 +199,9 @@
 }
 impl ::std::str::FromStr for ClaimState {
     type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "started" => Ok(Self::Started),
             "answered" => Ok(Self::Answered),
@@ -196,7 +212,9 @@
 }
 impl ::std::convert::TryFrom<&str> for ClaimState {
     type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -218,7 +236,8 @@
 }
 ///Part of an answer.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Data {
     pub attempt: u64,
@@ -227,7 +246,8 @@
 }
 ///Closes a whole answer.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct End {
     pub attempt: u64,
@@ -238,7 +258,8 @@
 }
 ///One event of the time line.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct EventRecord {
     pub daemon: crate::Name,
@@ -250,7 +271,8 @@
 }
 ///The call may have run.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Failed {
     pub attempt: u64,
@@ -259,7 +281,8 @@
 }
 ///One confirmed step of the append-only configuration.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Generation {
     ///Unix time in milliseconds.
@@ -270,7 +293,8 @@
 }
 ///One host of the platform's list.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct HostEntry {
     pub addr: crate::Name,
@@ -286,7 +310,8 @@
 }
 ///Part of the host list that changed after a known version.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct HostListing {
     pub hosts: ::std::vec::Vec<HostEntry>,
@@ -304,7 +329,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd,
+    PartialOrd
 )]
 pub enum HostState {
     #[serde(rename = "live")]
@@ -325,7 +350,9 @@
 }
 impl ::std::str::FromStr for HostState {
     type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "live" => Ok(Self::Live),
             "leaving" => Ok(Self::Leaving),
@@ -336,7 +363,9 @@
 }
 impl ::std::convert::TryFrom<&str> for HostState {
     type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -358,7 +387,8 @@
 }
 ///State that a host streams to entries.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct HostStatus {
     pub head: u64,
@@ -371,7 +401,8 @@
 }
 ///What an operator wants served.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Intent {
     ///Deadline, Unix time in milliseconds.
@@ -388,7 +419,8 @@
 }
 ///Outcome of one intent.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct IntentReport {
     pub intent: crate::Name,
@@ -400,7 +432,8 @@
 }
 ///Bytes that a plan sends over one region's inbound links.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct LinkBytes {
     pub bytes: u64,
@@ -408,7 +441,8 @@
 }
 ///Work that a backend server holds.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Load {
     ///Calls the host takes at once.
@@ -418,7 +452,8 @@
 }
 ///Immutable description of one version of a model.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Manifest {
     ///Bytes of each chunk but the last.
@@ -432,21 +467,24 @@
 }
 ///Asks for a manifest by id.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ManifestRequest {
     pub manifest: crate::Name,
 }
 ///The peer does not hold what was asked for.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Missing {
     pub retry_after_ms: u64,
 }
 ///The call did not run and will not.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct NotRun {
     pub attempt: u64,
@@ -456,7 +494,8 @@
 }
 ///Frames that answer a peer request.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 pub enum PeerReply {
     Call(CallFrame),
     Sync(SyncReply),
@@ -503,7 +542,8 @@
 }
 ///First frame of a stream between daemons.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 pub enum PeerRequest {
     Call(CallRequest),
     Sync(SyncRequest),
@@ -544,7 +584,8 @@
 }
 ///What a confirmation would change.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Plan {
     ///Generation the plan was made from.
@@ -562,7 +603,8 @@
 }
 ///Carries news down a zone's tree.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct PushRequest {
     pub generations: ::std::vec::Vec<Generation>,
@@ -572,7 +614,8 @@
 }
 ///Creates or replaces an intent.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct PutIntent {
     pub assignments: ::std::vec::Vec<Assignment>,
@@ -583,7 +626,8 @@
 }
 ///`RagworttackMessages`
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(transparent)]
 pub struct RagworttackMessages(pub ::serde_json::Value);
 impl ::std::ops::Deref for RagworttackMessages {
@@ -604,14 +648,16 @@
 }
 ///Ends an intent.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct RemoveIntent {
     pub name: crate::Name,
 }
 ///Moves assignments from failed hosts to spare ones.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ReplaceHosts {
     pub added: ::std::vec::Vec<Assignment>,
@@ -632,7 +678,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd,
+    PartialOrd
 )]
 pub enum Role {
     #[serde(rename = "entry")]
@@ -650,7 +696,9 @@
 }
 impl ::std::str::FromStr for Role {
     type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "entry" => Ok(Self::Entry),
             "host" => Ok(Self::Host),
@@ -660,7 +708,9 @@
 }
 impl ::std::convert::TryFrom<&str> for Role {
     type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -682,7 +732,8 @@
 }
 ///What a host serves now.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Serving {
     pub intent: crate::Name,
@@ -693,7 +744,8 @@
 }
 ///The call began to run.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Started {
     pub attempt: u64,
@@ -702,7 +754,8 @@
 }
 ///What an operator sees.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct StatusReport {
     pub head: u64,
@@ -717,7 +770,8 @@
 }
 ///What a peer knows beyond the request.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct SyncReply {
     pub generations: ::std::vec::Vec<Generation>,
@@ -726,7 +780,8 @@
 }
 ///Asks a peer for what is newer.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct SyncRequest {
     pub head: u64,
@@ -735,7 +790,8 @@
 }
 ///Subscribes to a host's status.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct WatchRequest {
     pub name: crate::Name,
--- a/crates/rw-protocol/src/lib.rs
+++ b/crates/rw-protocol/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod blob;
 mod frame;
+#[rustfmt::skip]
 mod generated;
 mod ids;
 mod name;
--- /dev/null
+++ b/crates/rw-protocol/tests/frames.rs
@@ -0,0 +1,283 @@
+//! Frames: round trips, limits, and whatever the network may send.
+
+use bytes::Bytes;
+use proptest::prelude::*;
+use rw_protocol::*;
+
+fn load() -> Load {
+    Load {
+        running: 1,
+        queued: 2,
+        limit: 3,
+    }
+}
+
+fn intent() -> Intent {
+    Intent {
+        name: "cuts".into(),
+        service: "assistant".into(),
+        model: "cutlist".into(),
+        version: "v1".into(),
+        teams: vec!["arima".into()],
+        hosts: 2,
+        regions: vec!["north".into(), "south".into()],
+        finish_by_ms: u64::MAX,
+    }
+}
+
+fn host() -> HostEntry {
+    HostEntry {
+        name: "host-1".into(),
+        role: Role::Host,
+        region: "north".into(),
+        zone: "north-1".into(),
+        addr: "127.0.0.1:1".into(),
+        operator_addr: "127.0.0.1:2".into(),
+        service: "assistant".into(),
+        state: HostState::Leaving,
+        changed: 9,
+    }
+}
+
+fn manifest() -> Manifest {
+    Manifest {
+        model: "cutlist".into(),
+        version: "v1".into(),
+        length: 3,
+        chunk_bytes: 2,
+        chunks: vec![chunk_hash(b"ab"), chunk_hash(b"c")],
+    }
+}
+
+fn generations() -> Vec<Generation> {
+    let assignment = Assignment {
+        host: "host-1".into(),
+        wave: 3,
+    };
+    let changes = [
+        Change::Put(PutIntent {
+            intent: intent(),
+            manifest: manifest_id(&manifest()),
+            length: 3,
+            assignments: vec![assignment.clone()],
+        }),
+        Change::Remove(RemoveIntent {
+            name: "cuts".into(),
+        }),
+        Change::Replace(ReplaceHosts {
+            intent: "cuts".into(),
+            gone: vec!["host-2".into()],
+            added: vec![assignment],
+            epoch: 4,
+        }),
+    ];
+    let number = |(at, change): (usize, Change)| Generation {
+        number: at as u64 + 1,
+        plan_id: "p".into(),
+        at_ms: 5,
+        change,
+    };
+    changes.into_iter().enumerate().map(number).collect()
+}
+
+fn listing() -> HostListing {
+    HostListing {
+        version: 9,
+        hosts: vec![host()],
+    }
+}
+
+fn requests() -> Vec<PeerRequest> {
+    vec![
+        PeerRequest::Call(CallRequest {
+            attempt: u64::MAX,
+            request_id: "r".into(),
+            team: "arima".into(),
+            service: "checkout".into(),
+            operation: "charge".into(),
+            manifest: Name::default(),
+            deadline_ms: 1,
+            priority: 2,
+            key: "k".into(),
+            body: vec![0, 255, 1].into(),
+        }),
+        PeerRequest::Sync(SyncRequest {
+            name: "a".into(),
+            head: 1,
+            list_version: 2,
+        }),
+        PeerRequest::Push(PushRequest {
+            generations: generations(),
+            listing: listing(),
+            relay: vec!["b".into()],
+        }),
+        PeerRequest::Chunk(ChunkRequest {
+            manifest: "m".into(),
+            chunk: 7,
+            wait_ms: 8,
+        }),
+        PeerRequest::Manifest(ManifestRequest {
+            manifest: "m".into(),
+        }),
+        PeerRequest::Watch(WatchRequest { name: "a".into() }),
+    ]
+}
+
+fn replies() -> Vec<PeerReply> {
+    let frames = [
+        CallFrame::Started(Started {
+            attempt: 1,
+            version: "m@v".into(),
+            load: load(),
+        }),
+        CallFrame::Data(Data {
+            attempt: 1,
+            seq: 0,
+            body: vec![1, 2].into(),
+        }),
+        CallFrame::End(End {
+            attempt: 1,
+            frames: 1,
+            digest: 2,
+            status: 200,
+            load: load(),
+        }),
+        CallFrame::NotRun(NotRun {
+            attempt: 1,
+            reason: "busy".into(),
+            retry_after_ms: 3,
+            load: load(),
+        }),
+        CallFrame::Failed(Failed {
+            attempt: 1,
+            reason: "broke".into(),
+            load: load(),
+        }),
+    ];
+    let mut out: Vec<PeerReply> = frames.into_iter().map(PeerReply::Call).collect();
+    out.push(PeerReply::Sync(SyncReply {
+        head: 3,
+        generations: generations(),
+        listing: listing(),
+    }));
+    out.push(PeerReply::Ack(Ack { head: 3 }));
+    out.push(PeerReply::Chunk(Chunk {
+        chunk: 1,
+        body: vec![9; 70_000].into(),
+    }));
+    out.push(PeerReply::Missing(Missing { retry_after_ms: 1 }));
+    out.push(PeerReply::Manifest(manifest()));
+    out.push(PeerReply::Status(HostStatus {
+        host: "a".into(),
+        load: load(),
+        serving: vec![Serving {
+            service: "assistant".into(),
+            model: "cutlist".into(),
+            version: "v1".into(),
+            manifest: "m".into(),
+            intent: "cuts".into(),
+        }],
+        leaving: true,
+        head: 3,
+        problem: "none".into(),
+    }));
+    out
+}
+
+#[test]
+fn every_message_survives_its_frame() {
+    for msg in requests() {
+        assert_eq!(
+            decode::<PeerRequest>(encode(&msg).expect("encodes")).expect("decodes"),
+            msg
+        );
+    }
+    for msg in replies() {
+        assert_eq!(
+            decode::<PeerReply>(encode(&msg).expect("encodes")).expect("decodes"),
+            msg
+        );
+    }
+}
+
+#[test]
+fn generated_code_is_what_the_schema_gives() {
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    for target in rw_schema::TARGETS {
+        let expected = rw_schema::generate(&root, target).expect("generates");
+        let committed = std::fs::read_to_string(root.join(target.output)).expect("is committed");
+        assert!(
+            committed == expected,
+            "run cargo run -p rw-schema: {} differs",
+            target.output
+        );
+    }
+}
+
+#[test]
+fn a_frame_of_another_version_is_named() {
+    let mut frame = encode(&Ack { head: 1 }).expect("encodes").to_vec();
+    frame[0] = VERSION + 1;
+    let err = decode::<Ack>(Bytes::from(frame)).expect_err("refused");
+    assert!(
+        matches!(err, Error::Version(v) if v == VERSION + 1),
+        "{err}"
+    );
+}
+
+#[test]
+fn a_frame_that_claims_to_be_huge_is_refused_before_its_bytes_come() {
+    let mut decoder = Decoder::default();
+    decoder.extend(&[VERSION, 0xff, 0xff, 0xff, 0xff, 0, 0, 0, 0]);
+    assert!(matches!(decoder.next::<Ack>(), Err(Error::TooLong(_))));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 512, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    #[test]
+    fn arbitrary_bytes_never_panic(bytes: Vec<u8>) {
+        let mut decoder = Decoder::default();
+        decoder.extend(&bytes);
+        let _ = decoder.next::<PeerRequest>();
+    }
+
+    // Bytes with a good head and checksum, so that they reach the codec.
+    #[test]
+    fn arbitrary_payloads_never_panic(body: Vec<u8>) {
+        let mut frame = vec![VERSION];
+        frame.extend((body.len() as u32).to_be_bytes());
+        frame.extend(crc32fast::hash(&body).to_be_bytes());
+        frame.extend(&body);
+        let _ = decode::<PeerRequest>(Bytes::from(frame.clone()));
+        let _ = decode::<PeerReply>(Bytes::from(frame));
+    }
+
+    #[test]
+    fn a_damaged_byte_is_always_noticed(at: prop::sample::Index, flip in 1u8..) {
+        let msg = &replies()[1];
+        let mut frame = encode(msg).expect("encodes").to_vec();
+        let at = at.index(frame.len());
+        frame[at] ^= flip;
+        let got = decode::<PeerReply>(Bytes::from(frame)).ok();
+        prop_assert_ne!(got.as_ref(), Some(msg));
+    }
+
+    #[test]
+    fn messages_come_out_however_the_bytes_are_cut(cuts in prop::collection::vec(1usize..40, 1..60)) {
+        let all: Vec<u8> = requests().iter().flat_map(|m| encode(m).expect("encodes").to_vec()).collect();
+        let mut decoder = Decoder::default();
+        let mut got = Vec::new();
+        let mut rest = &all[..];
+        let mut cuts = cuts.iter().cycle();
+        while !rest.is_empty() {
+            let len = (*cuts.next().expect("cycles")).min(rest.len());
+            decoder.extend(&rest[..len]);
+            rest = &rest[len..];
+            while let Some(msg) = decoder.next::<PeerRequest>().expect("good frames") {
+                got.push(msg);
+            }
+        }
+        prop_assert_eq!(got, requests());
+    }
+}
--- /dev/null
+++ b/crates/rw-routing/tests/decisions.rs
@@ -0,0 +1,217 @@
+//! Who gets a call, who waits and who is refused.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rstest::rstest;
+use rw_protocol::{HostStatus, Load, Name, Serving};
+use rw_routing::{Affinity, Circuit, FairQueue, LeastLoaded, Policy, Router, Waiting, Want};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn status(host: &str, manifest: &str, running: u32) -> HostStatus {
+    HostStatus {
+        host: host.into(),
+        load: Load {
+            running,
+            queued: 0,
+            limit: 4,
+        },
+        serving: vec![Serving {
+            service: "assistant".into(),
+            model: "m".into(),
+            version: "v".into(),
+            manifest: manifest.into(),
+            intent: "i".into(),
+        }],
+        leaving: false,
+        head: 1,
+        problem: String::new(),
+    }
+}
+
+fn want(manifests: &[&str], prefix: &str) -> Want {
+    Want {
+        service: "assistant".into(),
+        manifests: manifests.iter().map(|m| Name::from(*m)).collect(),
+        prefix: prefix.into(),
+        exclude: Vec::new(),
+    }
+}
+
+fn router<P: Policy>(policy: P, hosts: usize) -> Router<P> {
+    let mut router = Router::new(policy);
+    for at in 0..hosts {
+        router.on_status(status(&format!("h{at}"), "a", 0), true);
+    }
+    router
+}
+
+#[test]
+fn a_call_goes_only_to_a_host_with_its_manifest_the_newest_first() {
+    let mut router = Router::new(LeastLoaded);
+    router.on_status(status("old", "a", 0), true);
+    assert_eq!(router.pick(&want(&["b"], ""), SECOND), None);
+    let pick = router
+        .pick(&want(&["b", "a"], ""), SECOND)
+        .expect("the old one serves");
+    assert_eq!((&*pick.host, &*pick.manifest), ("old", "a"));
+    assert!(!router.is_served(&Want {
+        service: "other".into(),
+        ..want(&["a"], "")
+    }));
+}
+
+#[test]
+fn leaving_lost_full_and_excluded_hosts_get_nothing() {
+    let mut router = router(LeastLoaded, 4);
+    router.on_leaving("h0");
+    router.on_lost("h1");
+    router.on_status(status("h2", "a", 4), true);
+    let mut call = want(&["a"], "");
+    assert_eq!(
+        router.pick(&call, SECOND).map(|p| p.host),
+        Some("h3".into())
+    );
+    call.exclude.push("h3".into());
+    assert_eq!(router.pick(&call, SECOND), None);
+}
+
+#[test]
+fn own_calls_count_at_once_and_reports_correct_them() {
+    let mut router = router(LeastLoaded, 1);
+    for _ in 0..4 {
+        assert!(router.pick(&want(&["a"], ""), SECOND).is_some());
+        router.on_start("h0");
+    }
+    assert!(!router.has_room(&want(&["a"], ""), SECOND));
+    // The answer says that the host holds three, all of them ours.
+    router.on_end("h0", Some(3));
+    assert!(router.has_room(&want(&["a"], ""), SECOND));
+}
+
+#[test]
+fn equal_prefixes_meet_at_one_host_until_it_is_loaded() {
+    let mut router = router(Affinity, 8);
+    let first = router
+        .pick(&want(&["a"], "shop 1"), SECOND)
+        .expect("free")
+        .host;
+    assert_eq!(
+        router.pick(&want(&["a"], "shop 1"), SECOND).map(|p| p.host),
+        Some(first.clone())
+    );
+    for _ in 0..2 {
+        router.on_start(&first);
+    }
+    let next = router
+        .pick(&want(&["a"], "shop 1"), SECOND)
+        .expect("free")
+        .host;
+    assert_ne!(next, first);
+}
+
+#[test]
+fn calls_spill_to_other_zones_only_when_the_own_one_is_full() {
+    let mut router = Router::new(LeastLoaded);
+    router.on_status(status("near", "a", 3), true);
+    router.on_status(status("far", "a", 0), false);
+    assert_eq!(
+        router.pick(&want(&["a"], ""), SECOND).map(|p| p.host),
+        Some("near".into())
+    );
+    router.on_status(status("near", "a", 4), true);
+    assert_eq!(
+        router.pick(&want(&["a"], ""), SECOND).map(|p| p.host),
+        Some("far".into())
+    );
+}
+
+#[test]
+fn a_circuit_opens_probes_and_recovers_slowly() {
+    let mut circuit = Circuit::default();
+    assert!(!circuit.on_failure(SECOND));
+    assert!(!circuit.on_failure(SECOND));
+    assert!(circuit.on_failure(SECOND));
+    assert_eq!(circuit.allowed(10, SECOND), 0);
+    let probe = SECOND * 2;
+    assert_eq!(circuit.allowed(10, probe), 1);
+    // A failed probe opens it for longer.
+    assert!(circuit.on_failure(probe));
+    assert_eq!(circuit.allowed(10, probe + Duration::from_millis(600)), 0);
+    let back = probe + SECOND;
+    circuit.on_success(back);
+    assert_eq!(circuit.allowed(10, back), 2);
+    assert_eq!(circuit.allowed(10, back + SECOND * 5), 10);
+}
+
+fn call(team: &str, item: usize, priority: u32, deadline: Duration) -> Waiting<usize> {
+    Waiting {
+        item,
+        team: team.into(),
+        priority,
+        deadline,
+    }
+}
+
+#[rstest]
+#[case(1, 1)]
+#[case(3, 1)]
+#[case(4, 2)]
+fn teams_are_served_by_weight_whoever_asks_more(#[case] a: u32, #[case] b: u32) {
+    let mut queue = FairQueue::new(10_000);
+    queue.set_team(&"a".into(), a, u32::MAX);
+    queue.set_team(&"b".into(), b, u32::MAX);
+    for n in 0..1000 {
+        queue
+            .push(call("a", n, 0, SECOND), 4, Duration::ZERO)
+            .expect("room");
+        // Team b asks ten times as much.
+        for _ in 0..4 {
+            queue
+                .push(call("b", n, 0, SECOND), 4, Duration::ZERO)
+                .expect("room");
+        }
+    }
+    let mut served: BTreeMap<Name, u32> = BTreeMap::new();
+    for _ in 0..600 {
+        let next = queue.pop(|_| true).expect("calls wait");
+        *served.entry(next.team).or_default() += 1;
+    }
+    let share = f64::from(served[&Name::from("a")]) / 600.0;
+    let fair = f64::from(a) / f64::from(a + b);
+    assert!((share - fair).abs() < 0.02, "{share} instead of {fair}");
+}
+
+#[test]
+fn higher_priority_goes_first_within_a_team_and_a_limit_holds() {
+    let mut queue = FairQueue::new(10);
+    queue.set_team(&"a".into(), 1, 2);
+    for (item, priority) in [(1, 0), (2, 5), (3, 5)] {
+        queue
+            .push(call("a", item, priority, SECOND), 4, Duration::ZERO)
+            .expect("room");
+    }
+    assert_eq!(queue.pop(|_| true).map(|w| w.item), Some(2));
+    assert_eq!(queue.pop(|_| true).map(|w| w.item), Some(3));
+    assert_eq!(queue.pop(|_| true), None);
+    queue.on_end(&"a".into(), Some(SECOND));
+    assert_eq!(queue.pop(|_| true).map(|w| w.item), Some(1));
+}
+
+#[test]
+fn a_call_that_cannot_make_its_deadline_is_refused_with_when_to_come_back() {
+    let mut queue = FairQueue::new(100);
+    queue.on_end(&"a".into(), Some(SECOND));
+    for n in 0..10 {
+        queue
+            .push(call("a", n, 0, SECOND * 60), 2, Duration::ZERO)
+            .expect("room");
+    }
+    let (_, refusal) = queue
+        .push(call("a", 11, 0, SECOND), 2, Duration::ZERO)
+        .expect_err("too late");
+    assert_eq!(refusal.retry_after, SECOND * 5);
+    assert_eq!(queue.expire(SECOND * 61).len(), 10);
+    assert!(queue.is_empty());
+}
--- a/crates/rw-settings/src/generated.rs
+++ b/crates/rw-settings/src/generated.rs
@@ -7,12 +7,18 @@
     pub struct ConversionError(::std::borrow::Cow<'static, str>);
     impl ::std::error::Error for ConversionError {}
     impl ::std::fmt::Display for ConversionError {
-        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
             ::std::fmt::Display::fmt(&self.0, f)
         }
     }
     impl ::std::fmt::Debug for ConversionError {
-        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
             ::std::fmt::Debug::fmt(&self.0, f)
         }
     }
@@ -29,7 +35,8 @@
 }
 ///Membership and configuration.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Control {
     ///Life of a lease, milliseconds
@@ -61,7 +68,8 @@
 }
 ///One process of the system.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Daemon {
     ///IP and port that other daemons use; listen when empty
@@ -94,7 +102,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd,
+    PartialOrd
 )]
 pub enum DaemonRole {
     #[serde(rename = "entry")]
@@ -112,7 +120,9 @@
 }
 impl ::std::str::FromStr for DaemonRole {
     type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "entry" => Ok(Self::Entry),
             "host" => Ok(Self::Host),
@@ -122,7 +132,9 @@
 }
 impl ::std::convert::TryFrom<&str> for DaemonRole {
     type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -144,7 +156,8 @@
 }
 ///Bounds on requests.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Limits {
     ///Deadline of a call that names none, milliseconds
@@ -202,7 +215,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd,
+    PartialOrd
 )]
 pub enum LimitsRouting {
     #[serde(rename = "affinity")]
@@ -226,7 +239,9 @@
 }
 impl ::std::str::FromStr for LimitsRouting {
     type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "affinity" => Ok(Self::Affinity),
             "least_loaded" => Ok(Self::LeastLoaded),
@@ -238,7 +253,9 @@
 }
 impl ::std::convert::TryFrom<&str> for LimitsRouting {
     type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -265,7 +282,8 @@
 }
 ///Where and how to log.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Log {
     ///key=value lines or JSON lines
@@ -295,7 +313,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd,
+    PartialOrd
 )]
 pub enum LogFormat {
     #[serde(rename = "text")]
@@ -313,7 +331,9 @@
 }
 impl ::std::str::FromStr for LogFormat {
     type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "text" => Ok(Self::Text),
             "json" => Ok(Self::Json),
@@ -323,7 +343,9 @@
 }
 impl ::std::convert::TryFrom<&str> for LogFormat {
     type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -360,7 +382,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd,
+    PartialOrd
 )]
 pub enum LogLevel {
     #[serde(rename = "error")]
@@ -384,7 +406,9 @@
 }
 impl ::std::str::FromStr for LogLevel {
     type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "error" => Ok(Self::Error),
             "warn" => Ok(Self::Warn),
@@ -396,7 +420,9 @@
 }
 impl ::std::convert::TryFrom<&str> for LogLevel {
     type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -423,7 +449,8 @@
 }
 ///How to reach the platform.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Platform {
     pub origin_url: rw_protocol::Name,
@@ -434,7 +461,8 @@
 }
 ///`RagworttackSettings`
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(transparent)]
 pub struct RagworttackSettings(pub ::serde_json::Value);
 impl ::std::ops::Deref for RagworttackSettings {
@@ -455,7 +483,8 @@
 }
 ///One region.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Region {
     ///Whether the origin and the platform's store are here
@@ -475,7 +504,8 @@
 }
 ///One service that callers reach.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
     ///Calls that one backend server runs at once
@@ -505,7 +535,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd,
+    PartialOrd
 )]
 pub enum ServiceKind {
     #[serde(rename = "engine")]
@@ -523,7 +553,9 @@
 }
 impl ::std::str::FromStr for ServiceKind {
     type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "engine" => Ok(Self::Engine),
             "plain" => Ok(Self::Plain),
@@ -533,7 +565,9 @@
 }
 impl ::std::convert::TryFrom<&str> for ServiceKind {
     type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -555,7 +589,8 @@
 }
 ///One team of callers.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Team {
     ///Calls of the team in progress at one entry
@@ -575,7 +610,8 @@
 }
 ///How weights spread.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Weights {
     ///Time after which a chunk is asked for elsewhere, milliseconds
@@ -621,7 +657,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd,
+    PartialOrd
 )]
 pub enum WeightsGoal {
     #[serde(rename = "time")]
@@ -639,7 +675,9 @@
 }
 impl ::std::str::FromStr for WeightsGoal {
     type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "time" => Ok(Self::Time),
             "origin" => Ok(Self::Origin),
@@ -649,7 +687,9 @@
 }
 impl ::std::convert::TryFrom<&str> for WeightsGoal {
     type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -686,7 +726,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd,
+    PartialOrd
 )]
 pub enum WeightsPolicy {
     #[serde(rename = "tree")]
@@ -710,7 +750,9 @@
 }
 impl ::std::str::FromStr for WeightsPolicy {
     type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "tree" => Ok(Self::Tree),
             "origin" => Ok(Self::Origin),
@@ -722,7 +764,9 @@
 }
 impl ::std::convert::TryFrom<&str> for WeightsPolicy {
     type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -749,7 +793,8 @@
 }
 ///One availability zone.
 ///
-#[derive(Clone, Debug, PartialEq, ::serde::Deserialize, ::serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Zone {
     pub region: rw_protocol::Name,
--- a/crates/rw-settings/src/lib.rs
+++ b/crates/rw-settings/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod check;
 mod deployment;
+#[rustfmt::skip]
 mod generated;
 mod reference;
 
