Keep the host list whole when a change is pushed to a daemon that knows little

Cause: a push carries the last changes of the host list and the list's version. A daemon that had just restarted took that version over, asked only for what came after it, and never learned of the other hosts.

Ruled out: the platform's lag fault (the entry's list stayed short after it ended), and a lost sync (it answered, with nothing new).

Change: a listing says from which version on it is complete; the known version rises only when nothing before can be missing.

Conclusion: deltas need their base.

--- a/crates/rw-daemon/src/control/poll.rs
+++ b/crates/rw-daemon/src/control/poll.rs
@@ -71,8 +71,10 @@
 }
 
 fn unchanged(cx: &Context) -> HostListing {
+    let version = cx.shared.read().list_version;
     HostListing {
-        version: cx.shared.read().list_version,
+        since: version,
+        version,
         hosts: Vec::new(),
     }
 }
--- a/crates/rw-daemon/src/control/shared.rs
+++ b/crates/rw-daemon/src/control/shared.rs
@@ -30,6 +30,7 @@
     pub fn listing_since(&self, version: u64) -> HostListing {
         let changed = self.hosts.values().filter(|h| h.changed > version);
         HostListing {
+            since: version,
             version: self.list_version,
             hosts: changed.cloned().collect(),
         }
@@ -112,9 +113,11 @@
         new
     }
 
-    /// Takes changes of the host list in; returns those that were new.
+    /// Takes changes of the host list in; returns those that were new. The
+    /// list's version rises only when no change before them can be missing.
     pub fn apply_listing(&self, listing: HostListing) -> HostListing {
         let mut new = HostListing {
+            since: listing.since,
             version: listing.version,
             hosts: Vec::new(),
         };
@@ -127,7 +130,9 @@
                     view.hosts.insert(host.name.clone(), host);
                 }
             }
-            view.list_version = view.list_version.max(listing.version);
+            if listing.since <= view.list_version {
+                view.list_version = view.list_version.max(listing.version);
+            }
         }
         if !new.hosts.is_empty() {
             self.notify();
--- /dev/null
+++ b/crates/rw-daemon/tests/shared.rs
@@ -0,0 +1,70 @@
+//! What a daemon takes in of configuration and host list.
+
+use rw_daemon::control::Shared;
+use rw_protocol::{
+    Change, Generation, HostEntry, HostListing, HostState, Name, RemoveIntent, Role,
+};
+
+fn host(name: &str, changed: u64, state: HostState) -> HostEntry {
+    HostEntry {
+        name: Name::from(name),
+        role: Role::Host,
+        region: "r".into(),
+        zone: "z".into(),
+        addr: Name::default(),
+        operator_addr: Name::default(),
+        service: Name::default(),
+        state,
+        changed,
+    }
+}
+
+fn listing(since: u64, version: u64, hosts: Vec<HostEntry>) -> HostListing {
+    HostListing {
+        since,
+        version,
+        hosts,
+    }
+}
+
+// A daemon that had just started got the last change pushed, took over the
+// list's version with it, and never learned of the other hosts.
+#[test]
+fn a_pushed_change_does_not_hide_the_ones_before_it() {
+    let shared = Shared::default();
+    shared.apply_listing(listing(6, 7, vec![host("h7", 7, HostState::Live)]));
+    assert_eq!(shared.read().list_version, 0);
+    assert_eq!(shared.read().present().count(), 1);
+    let all = (1..=7).map(|n| host(&format!("h{n}"), n, HostState::Live));
+    let new = shared.apply_listing(listing(0, 7, all.collect()));
+    assert_eq!(new.hosts.len(), 6);
+    assert_eq!(shared.read().list_version, 7);
+}
+
+#[test]
+fn an_older_entry_never_replaces_a_newer_one() {
+    let shared = Shared::default();
+    shared.apply_listing(listing(0, 5, vec![host("h", 5, HostState::Leaving)]));
+    let new = shared.apply_listing(listing(0, 3, vec![host("h", 3, HostState::Live)]));
+    assert!(new.hosts.is_empty());
+    assert_eq!(shared.read().hosts["h"].state, HostState::Leaving);
+    assert_eq!(shared.read().list_version, 5);
+}
+
+#[test]
+fn generations_come_in_order_once_and_signal_their_coming() {
+    let shared = Shared::default();
+    let gen = |number| Generation {
+        number,
+        plan_id: "p".into(),
+        at_ms: 0,
+        change: Change::Remove(RemoveIntent { name: "x".into() }),
+    };
+    let changed = shared.subscribe();
+    assert!(shared.apply(vec![gen(2)]).is_empty());
+    assert!(changed.try_recv().is_err());
+    assert_eq!(shared.apply(vec![gen(1), gen(2), gen(4)]).len(), 2);
+    assert!(changed.try_recv().is_ok());
+    assert!(shared.apply(vec![gen(1)]).is_empty());
+    assert_eq!(shared.read().cfg.head(), 2);
+}
--- a/crates/rw-protocol/src/generated.rs
+++ b/crates/rw-protocol/src/generated.rs
@@ -315,6 +315,8 @@
 #[serde(deny_unknown_fields)]
 pub struct HostListing {
     pub hosts: ::std::vec::Vec<HostEntry>,
+    ///List version from which on every change is in here.
+    pub since: u64,
     pub version: u64,
 }
 ///Lifecycle of a host as the platform lists it.
--- a/crates/rw-protocol/tests/frames.rs
+++ b/crates/rw-protocol/tests/frames.rs
@@ -82,6 +82,7 @@
 
 fn listing() -> HostListing {
     HostListing {
+        since: 8,
         version: 9,
         hosts: vec![host()],
     }
--- a/crates/rw-standins/src/cluster.rs
+++ b/crates/rw-standins/src/cluster.rs
@@ -349,14 +349,21 @@
 
     /// Plans and confirms an intent; returns its generation.
     pub fn apply(&self, daemon: &str, intent: &str) -> u64 {
-        wait_for("plan and confirm", || {
-            let (status, plan) = self.plan(daemon, intent);
-            if status != 200 {
-                return None;
+        let start = Instant::now();
+        loop {
+            match self.plan_and_confirm(daemon, intent) {
+                Ok(generation) => return generation,
+                Err(answer) => assert!(start.elapsed() < WAIT_CAP, "gave up planning: {answer}"),
             }
-            let (status, confirmed) = self.confirm(daemon, plan["id"].as_str()?);
-            (status == 200).then(|| confirmed["generation"].as_u64())?
-        })
+            std::thread::sleep(POLL);
+        }
+    }
+
+    fn plan_and_confirm(&self, daemon: &str, intent: &str) -> Result<u64, serde_json::Value> {
+        let (status, plan) = self.plan(daemon, intent);
+        let id = plan["id"].as_str().filter(|_| status == 200);
+        let (_, confirmed) = self.confirm(daemon, id.ok_or(plan.clone())?);
+        confirmed["generation"].as_u64().ok_or(confirmed)
     }
 
     /// Waits until an intent is fulfilled in a version.
--- a/crates/rw-standins/src/platform.rs
+++ b/crates/rw-standins/src/platform.rs
@@ -192,6 +192,7 @@
             .values()
             .filter(|(_, h)| h.changed > since && h.changed <= version);
         let listing = HostListing {
+            since,
             version,
             hosts: shown.map(|(_, h)| h.clone()).collect(),
         };
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -1,5 +1,8 @@
 //! End-to-end tests with real processes. What they share is here.
 
+#[path = "chaos_run.rs"]
+pub mod chaos;
+
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
