Spread the taking-in of chunks over all hosts, clocked by what they hold

Ruled out: tree depth (7 levels of 62 ms at 250 hosts), the origin (one copy, 4 s of the 8 s), processor (29 of 64 ready threads only during start-up).

Change: every host is root of its share of chunks; it takes a chunk in once it holds all but 64 of the chunks before it, so the origin still sends few at a time and in order; a source counts as stuck only when it delivers nothing.

Links between regions were counted, not shaped.

--- a/crates/rw-daemon/src/host/transfer.rs
+++ b/crates/rw-daemon/src/host/transfer.rs
@@ -185,7 +185,7 @@
                     .insert(&self.duty.manifest, fetch.chunk, body)
                     .is_ok()
                 {
-                    return transfer.on_chunk(fetch.chunk);
+                    return transfer.on_chunk(fetch.chunk, self.cx.now());
                 }
                 transfer.on_failed(fetch.chunk, self.cx.now());
                 recorder.emit(Event::ChunkCorrupt, &detail);
@@ -218,13 +218,16 @@
     }
 
     fn spawn(&self, fetch: Fetch, tx: flume::Sender<(Fetch, Got)>) {
-        let (cx, duty) = (self.cx.clone(), self.duty.clone());
+        let (cx, duty, weights) = (self.cx.clone(), self.duty.clone(), self.weights.clone());
         let wait = self.limits().chunk_timeout;
         tokio::spawn(async move {
             let got = match &fetch.source {
                 Source::Origin => from_origin(&cx, &duty, fetch.chunk).await,
                 Source::Peer(name) => from_peer(&cx, &duty, name, fetch.chunk, wait).await,
             };
+            if let Got::Chunk(body) = &got {
+                weights.pace_download(&cx, body.as_ref().len() as u64).await;
+            }
             // The collector is gone once its manifest is superseded.
             let _ = tx.send((fetch, got));
         });
--- a/crates/rw-daemon/src/host/weights.rs
+++ b/crates/rw-daemon/src/host/weights.rs
@@ -21,17 +21,23 @@
     store: Mutex<ChunkStore>,
     arrived: Notify,
     uplink: Mutex<TokenBucket>,
+    downlink: Mutex<TokenBucket>,
     sending: std::sync::atomic::AtomicU32,
 }
 
 impl Weights {
-    /// An empty store that sends at most `rate` bytes a second; 0 is unlimited.
-    pub fn new(rate: u64) -> Arc<Self> {
-        let burst = (rate as f64 * BURST.as_secs_f64()) as u64;
+    /// An empty store that sends and takes at most so many bytes a second; 0
+    /// is unlimited.
+    pub fn new(uplink: u64, downlink: u64) -> Arc<Self> {
+        let bucket = |rate: u64| {
+            let burst = (rate as f64 * BURST.as_secs_f64()) as u64;
+            Mutex::new(TokenBucket::new(rate, burst))
+        };
         Arc::new(Weights {
             store: Mutex::default(),
             arrived: Notify::new(),
-            uplink: Mutex::new(TokenBucket::new(rate, burst)),
+            uplink: bucket(uplink),
+            downlink: bucket(downlink),
             sending: Default::default(),
         })
     }
@@ -97,6 +103,16 @@
         uplink.take(cost, cx.now())
     }
 
+    /// Waits until the download limit allows a received chunk. Its place in
+    /// the window stays taken meanwhile, which slows the next request down.
+    pub async fn pace_download(&self, cx: &Context, len: u64) {
+        let wait = {
+            let mut downlink = self.downlink.lock().unwrap_or_else(PoisonError::into_inner);
+            downlink.take(len, cx.now())
+        };
+        tokio::time::sleep(wait).await;
+    }
+
     /// Answers a peer that asks for a manifest.
     pub async fn serve_manifest(&self, req: &ManifestRequest) -> PeerReply {
         let find = || {
--- a/crates/rw-daemon/src/start.rs
+++ b/crates/rw-daemon/src/start.rs
@@ -124,7 +124,8 @@
     });
     let backend = HttpBackend::new(&cx.daemon.backend_url, is_engine);
     let admission = Admission::new(concurrency, queue);
-    let weights = Weights::new(cx.deployment.weights.uplink_bytes_per_s);
+    let links = &cx.deployment.weights;
+    let weights = Weights::new(links.uplink_bytes_per_s, links.downlink_bytes_per_s);
     let board = StatusBoard::new(cx.clone(), Some(admission.clone()));
     let handler = HostHandler::host(
         cx.clone(),
--- a/crates/rw-settings/src/generated.rs
+++ b/crates/rw-settings/src/generated.rs
@@ -617,6 +617,9 @@
     ///Time after which a chunk is asked for elsewhere, milliseconds
     #[serde(default = "defaults::default_u64::<u64, 4000>")]
     pub chunk_timeout_ms: u64,
+    ///Download limit of a host, bytes a second; 0 is unlimited
+    #[serde(default)]
+    pub downlink_bytes_per_s: u64,
     ///Favour time to N replicas, or origin and inter-region bytes
     #[serde(default = "defaults::weights_goal")]
     pub goal: WeightsGoal,
@@ -637,6 +640,7 @@
     fn default() -> Self {
         Self {
             chunk_timeout_ms: defaults::default_u64::<u64, 4000>(),
+            downlink_bytes_per_s: Default::default(),
             goal: defaults::weights_goal(),
             policy: defaults::weights_policy(),
             uplink_bytes_per_s: Default::default(),
--- /dev/null
+++ b/crates/rw-standins/examples/bench_weights.rs
@@ -0,0 +1,192 @@
+//! Measures how weights spread: `bench_weights SIZES POLICIES [FAULT]`, such
+//! as `bench_weights 16,64,250 tree,chain,random,origin`.
+//!
+//! Writes CSV to standard output and a plot to `out/weights.svg`.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use rw_protocol::EventRecord;
+use rw_standins::cluster::{get, wait_for, Cluster};
+use rw_standins::layout::{intent, Layout};
+use rw_standins::measure::{quantile, svg, Series};
+use rw_standins::platform::{Faults, Records};
+
+const MODEL_BYTES: u64 = 16 << 20;
+const CHUNK_BYTES: u64 = 64 << 10;
+/// Bytes a second of each host's link, each way.
+const HOST_RATE: u64 = 2 << 20;
+/// The origin carries four copies in the time in which a host carries two.
+const ORIGIN_RATE: u64 = 2 * HOST_RATE;
+const REGIONS: usize = 3;
+/// One in so many hosts is killed halfway.
+const KILLED_SHARE: usize = 10;
+const CORRUPT_EVERY: u64 = 50;
+
+struct Figures {
+    time_s: f64,
+    median_s: f64,
+    origin_copies: f64,
+    region_copies: Vec<f64>,
+    most_sent: f64,
+    mean_sent: f64,
+}
+
+fn start(count: usize, policy: &str) -> Cluster {
+    let (policy, goal) = match policy {
+        "tree-time" => ("tree", "time"),
+        "tree-origin" => ("tree", "origin"),
+        other => (other, "origin"),
+    };
+    let layout = Layout {
+        entries: 1,
+        engines: count,
+        plain: 0,
+        regions: REGIONS,
+        extra: format!(
+            "[weights]\npolicy = {policy}\ngoal = {goal}\nuplink_bytes_per_s = {HOST_RATE}\ndownlink_bytes_per_s = {HOST_RATE}\nwindow = 64\n[log]\nlevel = warn"
+        ),
+        ..Layout::default()
+    };
+    let cluster = layout.start(&format!("bench-{policy}-{goal}-{count}"));
+    cluster.add_model("cutlist", "v1", MODEL_BYTES, CHUNK_BYTES);
+    cluster.set_platform(&Faults {
+        origin_bytes_per_s: ORIGIN_RATE,
+        ..Faults::default()
+    });
+    cluster
+}
+
+fn complete(cluster: &Cluster, name: &str) -> Option<u64> {
+    let url = format!("{}/events", cluster.operator_url(name));
+    let events: Vec<EventRecord> = get(&url)?;
+    let done = events.iter().find(|e| &*e.event == "TransferComplete")?;
+    Some(done.stamp >> 16)
+}
+
+fn measure(count: usize, policy: &str, fault: &str) -> Figures {
+    let mut cluster = start(count, policy);
+    if fault == "corrupt" {
+        cluster.set_platform(&Faults {
+            origin_bytes_per_s: ORIGIN_RATE,
+            corrupt_every: CORRUPT_EVERY,
+            ..Faults::default()
+        });
+    }
+    let names: Vec<String> = (0..count).map(|at| format!("engine-{at}")).collect();
+    let begin = rw_standins::plain::unix_ms();
+    let started = Instant::now();
+    cluster.apply("entry-0", &intent("v1", count, REGIONS));
+    let mut alive = names.clone();
+    if fault == "kill" {
+        let half = MODEL_BYTES as f64 / HOST_RATE as f64 / 2.0;
+        while started.elapsed().as_secs_f64() < half {
+            std::thread::sleep(std::time::Duration::from_millis(50));
+        }
+        for name in names.iter().step_by(KILLED_SHARE) {
+            cluster.kill(name);
+            alive.retain(|n| n != name);
+        }
+    }
+    let mut done: BTreeMap<String, f64> = BTreeMap::new();
+    for name in &alive {
+        // A slow baseline takes longer than one wait is capped at.
+        let at = loop {
+            if let Some(at) = complete(&cluster, name) {
+                break at;
+            }
+            std::thread::sleep(std::time::Duration::from_millis(200));
+            assert!(started.elapsed().as_secs() < 300, "{name} is not complete");
+        };
+        done.insert(name.clone(), (at.saturating_sub(begin)) as f64 / 1000.0);
+    }
+    figures(&cluster, &alive, done)
+}
+
+fn figures(cluster: &Cluster, alive: &[String], done: BTreeMap<String, f64>) -> Figures {
+    let records: Records = wait_for("records", || {
+        get(&format!(
+            "{}/control/records",
+            cluster.deployment.platform.url
+        ))
+    });
+    let copies = |bytes: f64| bytes / MODEL_BYTES as f64;
+    let flow = |name: &str, flow: &str| {
+        cluster.metric(
+            name,
+            &format!("ragworttack_weight_bytes_total{{flow=\"{flow}\"}}"),
+        )
+    };
+    let mut region_copies = vec![0.0; REGIONS];
+    let mut most_sent = 0.0f64;
+    let mut all_sent = 0.0;
+    for name in alive {
+        let region = cluster.deployment.region_of(&cluster.daemon(name).zone);
+        let at: usize = region[1..].parse().unwrap_or(0);
+        region_copies[at] += copies(flow(name, "from_other_region"));
+        let sent = copies(flow(name, "sent"));
+        most_sent = most_sent.max(sent);
+        all_sent += sent;
+    }
+    let mut times: Vec<f64> = done.into_values().collect();
+    Figures {
+        median_s: quantile(&mut times, 0.5),
+        time_s: quantile(&mut times, 1.0),
+        origin_copies: copies(records.origin_bytes as f64),
+        region_copies,
+        most_sent,
+        mean_sent: all_sent / alive.len() as f64,
+    }
+}
+
+fn main() {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let list = |at: usize, default: &str| -> Vec<String> {
+        let text = args.get(at).map_or(default, String::as_str);
+        text.split(',').map(str::to_string).collect()
+    };
+    let sizes: Vec<usize> = list(0, "16")
+        .iter()
+        .filter_map(|s| s.parse().ok())
+        .collect();
+    let policies = list(1, "tree-origin");
+    let fault = args.get(2).map_or("none", String::as_str);
+    let limit = MODEL_BYTES as f64 / HOST_RATE as f64;
+    println!("policy,hosts,fault,time_s,median_s,over_limit,origin_copies,copies_into_remote_regions,most_sent_copies,mean_sent_copies");
+    let mut series = Vec::new();
+    for policy in &policies {
+        let mut points = Vec::new();
+        for &count in &sizes {
+            let f = measure(count, policy, fault);
+            let into: Vec<String> = f.region_copies[1..]
+                .iter()
+                .map(|c| format!("{c:.2}"))
+                .collect();
+            println!(
+                "{policy},{count},{fault},{:.2},{:.2},{:.2},{:.2},{},{:.2},{:.2}",
+                f.time_s,
+                f.median_s,
+                f.time_s / limit,
+                f.origin_copies,
+                into.join(" "),
+                f.most_sent,
+                f.mean_sent
+            );
+            points.push((count as f64, f.time_s / limit));
+        }
+        series.push(Series {
+            name: policy.clone(),
+            points,
+        });
+    }
+    let plot = svg(
+        "Time to N complete replicas over size / host link",
+        "hosts",
+        "ratio",
+        &series,
+    );
+    let _ = std::fs::create_dir_all("out");
+    if let Err(err) = std::fs::write("out/weights.svg", plot) {
+        eprintln!("out/weights.svg: {err}");
+    }
+}
--- a/crates/rw-standins/src/cluster.rs
+++ b/crates/rw-standins/src/cluster.rs
@@ -297,6 +297,26 @@
         assert_eq!(status, 200, "{name}: {body}");
     }
 
+    /// Process id of a daemon or stand-in.
+    pub fn pid(&self, name: &str) -> u32 {
+        self.children.get(name).map_or(0, Child::id)
+    }
+
+    /// A figure of a daemon's metrics, 0 when absent; `line` is its name with
+    /// labels.
+    pub fn metric(&self, name: &str, line: &str) -> f64 {
+        let url = format!("{}/metrics", self.operator_url(name));
+        let res = minreq::get(url).with_timeout(TIMEOUT_S).send().ok();
+        let text = res.as_ref().and_then(|r| r.as_str().ok()).unwrap_or("");
+        let found = text.lines().find(|l| {
+            l.strip_prefix(line)
+                .is_some_and(|rest| rest.starts_with(' '))
+        });
+        found
+            .and_then(|l| l.rsplit(' ').next()?.parse().ok())
+            .unwrap_or(0.0)
+    }
+
     /// Sends a signal, such as `KILL`, `TERM`, `STOP` or `CONT`, to a process
     /// of this cluster.
     pub fn signal(&mut self, name: &str, signal: &str) {
--- a/crates/rw-standins/src/lib.rs
+++ b/crates/rw-standins/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod cluster;
 pub mod engine;
 pub mod layout;
+pub mod measure;
 pub mod model;
 pub mod plain;
 pub mod platform;
--- /dev/null
+++ b/crates/rw-standins/src/measure.rs
@@ -0,0 +1,165 @@
+//! What measurements share: figures of processes, CSV and SVG.
+
+use std::fmt::Write;
+
+/// Clock ticks a second in `/proc`.
+const TICKS_PER_S: f64 = 100.0;
+const KIB: u64 = 1024;
+
+/// Processor time and memory of a process.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Usage {
+    /// Processor time in seconds.
+    pub cpu_s: f64,
+    /// Resident memory in bytes.
+    pub rss: u64,
+    /// Threads.
+    pub threads: u64,
+}
+
+/// Reads the usage of a process.
+pub fn usage(pid: u32) -> Usage {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    // The name in parentheses may hold spaces.
+    let fields: Vec<&str> = stat
+        .rsplit(')')
+        .next()
+        .unwrap_or("")
+        .split_whitespace()
+        .collect();
+    let ticks = |at: usize| {
+        fields
+            .get(at)
+            .and_then(|f| f.parse::<f64>().ok())
+            .unwrap_or(0.0)
+    };
+    Usage {
+        cpu_s: (ticks(11) + ticks(12)) / TICKS_PER_S,
+        rss: status(pid, "VmRSS:") * KIB,
+        threads: status(pid, "Threads:"),
+    }
+}
+
+fn status(pid: u32, key: &str) -> u64 {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = text.lines().find(|l| l.starts_with(key)).unwrap_or("");
+    line.split_whitespace()
+        .nth(1)
+        .and_then(|n| n.parse().ok())
+        .unwrap_or(0)
+}
+
+/// The value at a fraction of the sorted samples; 0 when there are none.
+///
+/// ```
+/// assert_eq!(rw_standins::measure::quantile(&mut [3.0, 1.0, 2.0], 0.5), 2.0);
+/// ```
+pub fn quantile(samples: &mut [f64], fraction: f64) -> f64 {
+    samples.sort_by(f64::total_cmp);
+    let at = (samples.len() as f64 * fraction) as usize;
+    samples
+        .get(at.min(samples.len().saturating_sub(1)))
+        .copied()
+        .unwrap_or(0.0)
+}
+
+/// Slope and intercept of the least-squares line through points.
+///
+/// ```
+/// let (slope, start) = rw_standins::measure::slope(&[(0.0, 1.0), (2.0, 5.0)]);
+/// assert_eq!((slope, start), (2.0, 1.0));
+/// ```
+pub fn slope(points: &[(f64, f64)]) -> (f64, f64) {
+    let n = points.len() as f64;
+    let (sx, sy) = points
+        .iter()
+        .fold((0.0, 0.0), |(sx, sy), (x, y)| (sx + x, sy + y));
+    let (mx, my) = (sx / n, sy / n);
+    let over: f64 = points.iter().map(|(x, y)| (x - mx) * (y - my)).sum();
+    let under: f64 = points.iter().map(|(x, _)| (x - mx).powi(2)).sum();
+    let slope = if under > 0.0 { over / under } else { 0.0 };
+    (slope, my - slope * mx)
+}
+
+/// One line of a plot.
+pub struct Series {
+    /// Name in the legend.
+    pub name: String,
+    /// Points.
+    pub points: Vec<(f64, f64)>,
+}
+
+const WIDTH: f64 = 640.0;
+const HEIGHT: f64 = 400.0;
+const MARGIN: f64 = 60.0;
+const COLOURS: [&str; 6] = [
+    "#1b6ca8", "#c0392b", "#27854a", "#8e44ad", "#b9770e", "#555555",
+];
+
+/// A line plot as SVG.
+pub fn svg(title: &str, x_label: &str, y_label: &str, series: &[Series]) -> String {
+    let all = || series.iter().flat_map(|s| &s.points);
+    let max_x = all().map(|p| p.0).fold(1e-9, f64::max);
+    let max_y = all().map(|p| p.1).fold(1e-9, f64::max);
+    let place = |(x, y): (f64, f64)| {
+        let px = MARGIN + x / max_x * (WIDTH - 2.0 * MARGIN);
+        let py = HEIGHT - MARGIN - y / max_y * (HEIGHT - 2.0 * MARGIN);
+        (px, py)
+    };
+    let mut out = format!("<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"{WIDTH}\" height=\"{HEIGHT}\" font-family=\"sans-serif\" font-size=\"12\">\n<rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n");
+    let _ = writeln!(
+        out,
+        "<text x=\"{MARGIN}\" y=\"24\" font-size=\"15\">{title}</text>"
+    );
+    let _ = writeln!(
+        out,
+        "<text x=\"{}\" y=\"{}\">{x_label}</text>",
+        WIDTH / 2.0,
+        HEIGHT - 16.0
+    );
+    let _ = writeln!(out, "<text x=\"8\" y=\"44\">{y_label}</text>");
+    for step in 0..=4 {
+        let share = f64::from(step) / 4.0;
+        let (left, y) = place((0.0, share * max_y));
+        let (x, bottom) = place((share * max_x, 0.0));
+        let _ = writeln!(
+            out,
+            "<line x1=\"{left}\" y1=\"{y:.1}\" x2=\"{}\" y2=\"{y:.1}\" stroke=\"#dddddd\"/>",
+            WIDTH - MARGIN
+        );
+        let _ = writeln!(
+            out,
+            "<text x=\"8\" y=\"{y:.1}\">{:.4}</text>",
+            share * max_y
+        );
+        let _ = writeln!(
+            out,
+            "<text x=\"{x:.1}\" y=\"{}\">{:.0}</text>",
+            bottom + 16.0,
+            share * max_x
+        );
+    }
+    for (at, line) in series.iter().enumerate() {
+        let colour = COLOURS[at % COLOURS.len()];
+        let points: Vec<String> = line
+            .points
+            .iter()
+            .map(|p| place(*p))
+            .map(|(x, y)| format!("{x:.1},{y:.1}"))
+            .collect();
+        let _ = writeln!(
+            out,
+            "<polyline fill=\"none\" stroke=\"{colour}\" stroke-width=\"2\" points=\"{}\"/>",
+            points.join(" ")
+        );
+        let y = 60.0 + 16.0 * at as f64;
+        let _ = writeln!(
+            out,
+            "<text x=\"{}\" y=\"{y}\" fill=\"{colour}\">{}</text>",
+            WIDTH - MARGIN - 140.0,
+            line.name
+        );
+    }
+    out.push_str("</svg>\n");
+    out
+}
--- a/crates/rw-weights/src/layout.rs
+++ b/crates/rw-weights/src/layout.rs
@@ -2,8 +2,6 @@
 
 use rw_protocol::{rank, Name};
 
-/// Hosts of a region that take chunks in from outside it.
-const IMPORTERS: usize = 8;
 /// Children of one host in a chunk's tree.
 const FANOUT: usize = 2;
 /// Earlier hosts that are tried when every ancestor failed.
@@ -55,6 +53,7 @@
 struct Region {
     name: Name,
     zones: Vec<Zone>,
+    // Hosts in the order in which they take chunks in from outside the region.
     importers: Vec<Name>,
 }
 
@@ -194,8 +193,7 @@
         hosts.sort_by_key(|host| std::cmp::Reverse(rank(manifest, host)));
         hosts
     };
-    let mut importers = by_rank(&|_| true);
-    importers.truncate(IMPORTERS);
+    let importers = by_rank(&|_| true);
     let zones = zone_names
         .into_iter()
         .map(|zone| Zone {
--- a/crates/rw-weights/src/transfer.rs
+++ b/crates/rw-weights/src/transfer.rs
@@ -7,6 +7,9 @@
 
 /// Chunks that one host asks the origin for at once.
 const ORIGIN_WINDOW: usize = 2;
+/// A host takes a chunk in for its region once it holds all but so many of the
+/// chunks before it, so that the origin sends few at a time and in order.
+const IMPORT_AHEAD: usize = 64;
 
 /// Bounds of one transfer.
 #[derive(Clone, Copy, Debug)]
@@ -37,12 +40,16 @@
 pub struct Transfer {
     me: Peer,
     limits: Limits,
+    chunks: usize,
     wanted: BTreeSet<u32>,
     pending: BTreeMap<u32, Pending>,
     // How many sources of a chunk said that they do not hold it yet.
     misses: BTreeMap<u32, usize>,
     avoid: BTreeMap<Name, Duration>,
     origin_free_at: Duration,
+    // When each source, and any source, last delivered.
+    delivered: BTreeMap<Source, Duration>,
+    last_delivery: Duration,
 }
 
 impl Transfer {
@@ -57,18 +64,21 @@
     /// let mut transfer = Transfer::new(me, 1, limits);
     /// let fetch = transfer.next(&layout, Duration::ZERO);
     /// assert_eq!(fetch[0].source, Source::Origin);
-    /// transfer.on_chunk(0);
+    /// transfer.on_chunk(0, Duration::ZERO);
     /// assert!(transfer.is_complete());
     /// ```
     pub fn new(me: Peer, chunks: u32, limits: Limits) -> Self {
         Transfer {
             me,
             limits,
+            chunks: chunks as usize,
             wanted: (0..chunks).collect(),
             pending: BTreeMap::new(),
             misses: BTreeMap::new(),
             avoid: BTreeMap::new(),
             origin_free_at: Duration::ZERO,
+            delivered: BTreeMap::new(),
+            last_delivery: Duration::ZERO,
         }
     }
 
@@ -93,6 +103,8 @@
             .iter()
             .filter(|chunk| !self.pending.contains_key(chunk))
             .partition(|chunk| layout.imports(**chunk, &self.me));
+        let own = own.into_iter().filter(|chunk| self.may_import(*chunk, now));
+        let own: Vec<u32> = own.collect();
         for chunk in own.into_iter().chain(other) {
             if self.pending.len() >= self.limits.window {
                 break;
@@ -127,13 +139,25 @@
         free.then_some(Source::Origin)
     }
 
-    // A request without an answer for twice the timeout counts as failed.
+    // Without any delivery for a while the order no longer matters.
+    fn may_import(&self, chunk: u32, now: Duration) -> bool {
+        let held = self.chunks - self.wanted.len();
+        let stalled = now > self.last_delivery + self.limits.chunk_timeout;
+        stalled || chunk as usize <= held + IMPORT_AHEAD
+    }
+
+    // A request counts as failed when its source has delivered nothing for
+    // twice the timeout; a source with a long queue goes on delivering.
     fn drop_stuck(&mut self, now: Duration) {
         let limit = self.limits.chunk_timeout * 2;
+        let since = |p: &Pending| {
+            let delivered = self.delivered.get(&p.source).copied();
+            delivered.unwrap_or_default().max(p.since)
+        };
         let stuck: Vec<u32> = self
             .pending
             .iter()
-            .filter(|(_, p)| p.source != Source::Origin && now > p.since + limit)
+            .filter(|(_, p)| p.source != Source::Origin && now > since(p) + limit)
             .map(|(chunk, _)| *chunk)
             .collect();
         for chunk in stuck {
@@ -142,10 +166,13 @@
     }
 
     /// A verified chunk arrived.
-    pub fn on_chunk(&mut self, chunk: u32) {
+    pub fn on_chunk(&mut self, chunk: u32, now: Duration) {
         self.wanted.remove(&chunk);
-        self.pending.remove(&chunk);
         self.misses.remove(&chunk);
+        self.last_delivery = now;
+        if let Some(pending) = self.pending.remove(&chunk) {
+            self.delivered.insert(pending.source, now);
+        }
     }
 
     /// The source does not hold the chunk yet; the next ancestor is asked.
--- a/crates/rw-weights/tests/layout.rs
+++ b/crates/rw-weights/tests/layout.rs
@@ -204,7 +204,7 @@
     let layout = Layout::new("m", "r0", all.clone(), TREE);
     let mut transfer = Transfer::new(all[3].clone(), 100, limits());
     assert_eq!(transfer.next(&layout, Duration::ZERO).len(), 4);
-    transfer.on_chunk(0);
+    transfer.on_chunk(0, Duration::ZERO);
     let more: Vec<Fetch> = transfer.next(&layout, Duration::ZERO);
     assert!(more.len() <= 1);
     assert_eq!(transfer.missing(), 99);
