--- a/crates/rw-daemon/src/control/mod.rs
+++ b/crates/rw-daemon/src/control/mod.rs
@@ -3,11 +3,12 @@
 mod poll;
 mod push;
 mod shared;
+mod snapshot;
 mod sync;
 mod watch;
 
 pub use poll::poll;
-pub use push::push;
+pub use push::{announce, push};
 pub use shared::{Shared, View};
 pub use sync::{answer_sync, receive_push, sync};
 pub use watch::{gather, status_of, watch};
--- a/crates/rw-daemon/src/control/poll.rs
+++ b/crates/rw-daemon/src/control/poll.rs
@@ -7,6 +7,7 @@
 use rw_protocol::{Generation, HostListing};
 
 use super::push;
+use super::snapshot::{self, SNAPSHOT_EVERY};
 use crate::Context;
 
 /// Reads the table service and the host list while that is this daemon's duty,
@@ -59,10 +60,15 @@
 
 fn read_log(cx: &Context, head: u64) -> Result<Vec<Generation>> {
     let log = AppendLog::new(cx.platform.clone(), "config");
-    if log.head()? <= head {
+    let newest = log.head()?;
+    if newest <= head {
         return Ok(Vec::new());
     }
-    let entries = log.since(head)?;
+    let from = match newest - head > SNAPSHOT_EVERY {
+        true => start_from_snapshot(cx)?.max(head),
+        false => head,
+    };
+    let entries = log.since(from)?;
     let parse = |(number, text): (u64, String)| {
         serde_json::from_str(&text)
             .map_err(|err| rw_coord::Error::Corrupt(number.to_string(), err.to_string()))
@@ -70,6 +76,14 @@
     entries.into_iter().map(parse).collect()
 }
 
+// A daemon far behind takes the newest snapshot and what came after it.
+fn start_from_snapshot(cx: &Context) -> Result<u64> {
+    if let Some(snapshot) = snapshot::read(&cx.platform)? {
+        cx.shared.restore(snapshot);
+    }
+    Ok(cx.shared.read().cfg.head())
+}
+
 fn unchanged(cx: &Context) -> HostListing {
     let version = cx.shared.read().list_version;
     HostListing {
--- a/crates/rw-daemon/src/control/push.rs
+++ b/crates/rw-daemon/src/control/push.rs
@@ -1,7 +1,9 @@
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use rw_protocol::{Generation, HostListing, Name, PeerRequest, PushRequest};
 
+use super::poll::note_applied;
 use crate::Context;
 
 /// Daemons that one daemon passes news on to.
@@ -19,6 +21,29 @@
     relay_to(cx, gens, listing, relay);
 }
 
+/// Takes a generation that was confirmed here into force and pushes it to every
+/// availability zone, so that nobody waits for the pollers.
+pub async fn announce(cx: &Arc<Context>, gen: Generation) {
+    let new = cx.shared.apply(vec![gen]);
+    note_applied(cx, &new);
+    let (zones, version) = {
+        let view = cx.shared.read();
+        let mut zones: BTreeMap<Name, Vec<Name>> = BTreeMap::new();
+        for host in view.present().filter(|h| h.name != cx.name) {
+            zones.entry(host.zone.clone()).or_default().push(host.name.clone());
+        }
+        (zones, view.list_version)
+    };
+    let listing = HostListing {
+        since: version,
+        version,
+        hosts: Vec::new(),
+    };
+    for relay in zones.into_values() {
+        relay_to(cx, new.clone(), listing.clone(), relay);
+    }
+}
+
 /// Passes news on to the first daemon of each part of `relay`, which passes
 /// them on to the rest of its part. What is lost on the way is made up for by
 /// `sync`.
--- a/crates/rw-daemon/src/control/shared.rs
+++ b/crates/rw-daemon/src/control/shared.rs
@@ -2,7 +2,7 @@
 use std::sync::{Mutex, PoisonError, RwLock, RwLockReadGuard};
 
 use rw_intent::Configuration;
-use rw_protocol::{rank, Generation, HostEntry, HostListing, HostState, Name, Role};
+use rw_protocol::{rank, Generation, HostEntry, HostListing, HostState, Name, Role, Snapshot};
 
 /// Configuration and hosts as known here.
 #[derive(Default)]
@@ -113,6 +113,18 @@
         new
     }
 
+    /// Takes a snapshot into force if it is newer; says whether it was.
+    pub fn restore(&self, snapshot: Snapshot) -> bool {
+        let newer = {
+            let mut view = self.view.write().unwrap_or_else(PoisonError::into_inner);
+            view.cfg.restore(snapshot)
+        };
+        if newer {
+            self.notify();
+        }
+        newer
+    }
+
     /// Takes changes of the host list in; returns those that were new. The
     /// list's version rises only when no change before them can be missing.
     pub fn apply_listing(&self, listing: HostListing) -> HostListing {
--- /dev/null
+++ b/crates/rw-daemon/src/control/snapshot.rs
@@ -0,0 +1,74 @@
+//! Snapshots of the configuration in the object store, so that neither the
+//! table's log nor a starting daemon's work grows for ever.
+
+use rw_platform::{Condition, HttpPlatform, ObjectStore, Put, TableService, Transaction};
+use rw_protocol::Snapshot;
+
+use crate::Context;
+
+/// Generations between two snapshots.
+pub const SNAPSHOT_EVERY: u64 = 64;
+/// Generations that the table keeps before a snapshot.
+const KEEP_BEFORE: u64 = 512;
+/// Rows that one snapshot deletes at most.
+const MAX_DELETES: usize = 256;
+const POINTER_KEY: &str = "config/snapshot";
+
+/// The newest snapshot that the platform holds.
+pub fn read(platform: &HttpPlatform) -> rw_platform::Result<Option<Snapshot>> {
+    let Some(row) = platform.read(POINTER_KEY)? else {
+        return Ok(None);
+    };
+    let body = platform.get(&object_key(&row.value))?;
+    let parsed = serde_json::from_slice(&body);
+    parsed
+        .map(Some)
+        .map_err(|err| rw_platform::Error::Malformed(err.to_string()))
+}
+
+/// Writes a snapshot when the last one is far enough behind, and deletes log
+/// entries that nobody needs beside it. Daemons that do so at the same time
+/// write equal objects, and one of them moves the pointer.
+pub fn write_if_due(cx: &Context) -> rw_platform::Result<()> {
+    let head = cx.shared.read().cfg.head();
+    let pointer = cx.platform.read(POINTER_KEY)?;
+    let last: u64 = pointer
+        .as_ref()
+        .and_then(|row| row.value.parse().ok())
+        .unwrap_or(0);
+    if head < last + SNAPSHOT_EVERY {
+        return Ok(());
+    }
+    let snapshot = cx.shared.read().cfg.snapshot();
+    let number = snapshot.head.to_string();
+    let body = serde_json::to_vec(&snapshot)
+        .map_err(|err| rw_platform::Error::Malformed(err.to_string()))?;
+    cx.platform.put(&object_key(&number), &body)?;
+    let old = old_entries(cx, snapshot.head)?;
+    let txn = Transaction {
+        conditions: vec![Condition {
+            key: POINTER_KEY.to_string(),
+            version: pointer.map_or(0, |row| row.version),
+        }],
+        puts: vec![Put {
+            key: POINTER_KEY.to_string(),
+            value: number,
+        }],
+        deletes: old,
+    };
+    cx.platform.commit(&txn).map(drop)
+}
+
+fn object_key(number: &str) -> String {
+    format!("snapshot/{number}")
+}
+
+fn old_entries(cx: &Context, head: u64) -> rw_platform::Result<Vec<String>> {
+    let before = format!("config/entry/{:016}", head.saturating_sub(KEEP_BEFORE));
+    let rows = cx.platform.scan("config/entry/", "", MAX_DELETES)?;
+    let old = rows
+        .into_iter()
+        .map(|row| row.key)
+        .filter(|key| *key < before);
+    Ok(old.collect())
+}
--- a/crates/rw-daemon/src/control/sync.rs
+++ b/crates/rw-daemon/src/control/sync.rs
@@ -70,6 +70,9 @@
     };
     let reply = cx.pool.ask(addr, &req, cx.peer_timeout()).await;
     if let Ok(PeerReply::Sync(reply)) = reply {
+        for snapshot in reply.snapshot {
+            cx.shared.restore(snapshot);
+        }
         let new = cx.shared.apply(reply.generations);
         note_applied(cx, &new);
         cx.shared.apply_listing(reply.listing);
@@ -79,10 +82,14 @@
 /// Answers a daemon that compares its configuration with ours.
 pub fn answer_sync(cx: &Context, req: &SyncRequest) -> PeerReply {
     let view = cx.shared.read();
-    let mut generations = view.cfg.since(req.head);
+    let (snapshot, mut generations) = match view.cfg.since(req.head) {
+        Some(generations) => (Vec::new(), generations),
+        None => (vec![view.cfg.snapshot()], Vec::new()),
+    };
     generations.truncate(MAX_GENERATIONS);
     PeerReply::Sync(SyncReply {
         head: view.cfg.head(),
+        snapshot,
         generations,
         listing: view.listing_since(req.list_version),
     })
--- a/crates/rw-daemon/src/control/watch.rs
+++ b/crates/rw-daemon/src/control/watch.rs
@@ -11,7 +11,7 @@
 };
 use tokio::task::JoinSet;
 
-use super::View;
+use super::{snapshot, View};
 use crate::Context;
 
 const WATCH_PERIOD: Duration = Duration::from_secs(2);
@@ -104,6 +104,9 @@
         let status = report(&cx.shared.read().cfg, &seen, unix_ms());
         self.raise(cx, &status);
         self.replace(cx).await;
+        let worker = cx.clone();
+        // A snapshot that failed is due again at the next check.
+        let _ = tokio::task::spawn_blocking(move || snapshot::write_if_due(&worker)).await;
     }
 
     fn count_misses(&mut self, cx: &Context, seen: &Observed) {
--- a/crates/rw-daemon/src/operator/plans.rs
+++ b/crates/rw-daemon/src/operator/plans.rs
@@ -11,6 +11,7 @@
 use serde_json::json;
 
 use super::server::{fail, ok, Answer, Operators};
+use crate::control::announce;
 use crate::Context;
 
 const BITS_PER_BYTE: u64 = 8;
@@ -152,10 +153,11 @@
         Ok(plan) => plan,
         Err(err) => return fail(500, &format!("plan {id} cannot be read: {err}")),
     };
-    append(cx, plan)
+    append(operators, plan)
 }
 
-fn append(cx: &Context, plan: Plan) -> Answer {
+fn append(operators: &Operators, plan: Plan) -> Answer {
+    let cx = &operators.cx;
     let gen = Generation {
         number: plan.base + 1,
         plan_id: plan.id.clone(),
@@ -168,6 +170,7 @@
         Ok(Appended::Done(number)) => {
             let detail = format!("generation={number} plan={}", plan.id);
             cx.recorder.emit(Event::GenerationConfirmed, &detail);
+            operators.handle.block_on(announce(cx, gen));
             ok(&json!({ "generation": number }))
         }
         Ok(Appended::Stale(head)) => {
--- a/crates/rw-intent/src/configuration.rs
+++ b/crates/rw-intent/src/configuration.rs
@@ -1,9 +1,14 @@
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use rw_protocol::{Assignment, Change, Generation, Intent, Name, PutIntent, ReplaceHosts};
+use rw_protocol::{
+    Assignment, Change, Generation, Intent, Name, PutIntent, ReplaceHosts, Snapshot,
+};
 
 use crate::{Error, Result};
 
+/// Generations that are kept for peers that lag.
+const LOG_GENERATIONS: usize = 512;
+
 /// One confirmed intent.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Active {
@@ -22,6 +27,34 @@
     pub since_ms: u64,
 }
 
+impl Active {
+    fn to_message(&self) -> rw_protocol::Active {
+        let assign = |(host, wave): (&Name, &u32)| Assignment {
+            host: host.clone(),
+            wave: *wave,
+        };
+        rw_protocol::Active {
+            intent: self.intent.clone(),
+            manifest: self.manifest.clone(),
+            length: self.length,
+            previous: self.previous.clone(),
+            assignments: self.assignments.iter().map(assign).collect(),
+            since_ms: self.since_ms,
+        }
+    }
+
+    fn from_message(msg: rw_protocol::Active) -> Self {
+        Active {
+            assignments: by_host(&msg.assignments),
+            intent: msg.intent,
+            manifest: msg.manifest,
+            length: msg.length,
+            previous: msg.previous,
+            since_ms: msg.since_ms,
+        }
+    }
+}
+
 /// What one host has to serve.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Duty {
@@ -44,8 +77,8 @@
 pub struct Configuration {
     head: u64,
     intents: BTreeMap<Name, Active>,
-    // Generations in force, for peers that lag.
-    log: Vec<Generation>,
+    // The last generations, for peers that lag.
+    log: VecDeque<Generation>,
 }
 
 impl Configuration {
@@ -59,10 +92,45 @@
         &self.intents
     }
 
-    /// Generations after `number`.
-    pub fn since(&self, number: u64) -> Vec<Generation> {
+    /// Generations after `number`; `None` when some of them are kept no more,
+    /// and a snapshot has to do.
+    pub fn since(&self, number: u64) -> Option<Vec<Generation>> {
+        if number >= self.head {
+            return Some(Vec::new());
+        }
+        let oldest = self.log.front().map_or(u64::MAX, |gen| gen.number);
         let from = self.log.partition_point(|gen| gen.number <= number);
-        self.log[from..].to_vec()
+        (oldest <= number + 1).then(|| self.log.iter().skip(from).cloned().collect())
+    }
+
+    /// The whole configuration, for a daemon that starts or lags far behind.
+    pub fn snapshot(&self) -> Snapshot {
+        let intents = self.intents.values().map(Active::to_message);
+        Snapshot {
+            head: self.head,
+            intents: intents.collect(),
+        }
+    }
+
+    /// Takes a snapshot into force, unless it is older; says whether it was
+    /// newer.
+    ///
+    /// ```
+    /// use rw_protocol::Snapshot;
+    /// let mut cfg = rw_intent::Configuration::default();
+    /// assert!(cfg.restore(Snapshot { head: 7, intents: vec![] }));
+    /// assert!(!cfg.restore(Snapshot { head: 6, intents: vec![] }));
+    /// assert_eq!(cfg.head(), 7);
+    /// ```
+    pub fn restore(&mut self, snapshot: Snapshot) -> bool {
+        if snapshot.head <= self.head {
+            return false;
+        }
+        let intents = snapshot.intents.into_iter().map(Active::from_message);
+        self.intents = intents.map(|a| (a.intent.name.clone(), a)).collect();
+        self.head = snapshot.head;
+        self.log.clear();
+        true
     }
 
     /// Takes one generation into force. One that is known already is passed
@@ -92,7 +160,10 @@
             Change::Replace(replace) => self.replace(replace),
         }
         self.head = gen.number;
-        self.log.push(gen);
+        self.log.push_back(gen);
+        if self.log.len() > LOG_GENERATIONS {
+            self.log.pop_front();
+        }
         Ok(true)
     }
 
--- a/crates/rw-intent/tests/planning.rs
+++ b/crates/rw-intent/tests/planning.rs
@@ -154,7 +154,10 @@
         other => panic!("{other:?}"),
     };
     confirm(&mut cfg, own.change);
-    assert_eq!(cfg.manifests("assistant", "arima"), [manifest.clone()]);
+    assert_eq!(
+        cfg.manifests("assistant", "arima"),
+        std::slice::from_ref(&manifest)
+    );
     assert!(!cfg.manifests("assistant", "penal").contains(&manifest));
 }
 
@@ -179,3 +182,30 @@
     let all: BTreeSet<Name> = hosts(9).into_iter().map(|h| h.name).collect();
     assert_eq!(replace_failed(&cfg, &active, &hosts(9), &all, 8), None);
 }
+
+#[test]
+fn a_snapshot_gives_the_same_configuration_and_the_log_stays_bounded() {
+    let mut cfg = Configuration::default();
+    for number in 1..=2000u64 {
+        let version = if number.is_multiple_of(2) { "2" } else { "1" };
+        let plan = make(&cfg, &hosts(12), intent("a", version, 6)).expect("a plan");
+        confirm(&mut cfg, plan.change);
+    }
+    assert_eq!(cfg.since(0), None);
+    assert_eq!(cfg.since(1999).map(|g| g.len()), Some(1));
+    assert_eq!(cfg.since(2000), Some(Vec::new()));
+    let kept = (0..2000)
+        .rev()
+        .take_while(|n| cfg.since(*n).is_some())
+        .count();
+    assert_eq!(kept, 512);
+    let mut other = Configuration::default();
+    assert!(other.restore(cfg.snapshot()));
+    assert_eq!((other.head(), other.intents()), (cfg.head(), cfg.intents()));
+    assert_eq!(other.duty("h0"), cfg.duty("h0"));
+    // It goes on from there, and a daemon behind it gets a snapshot in turn.
+    assert_eq!(other.since(1999), None);
+    let plan = make(&other, &hosts(12), intent("a", "3", 6)).expect("a plan");
+    confirm(&mut other, plan.change);
+    assert_eq!(other.since(2000).map(|g| g.len()), Some(1));
+}
--- a/crates/rw-protocol/src/generated.rs
+++ b/crates/rw-protocol/src/generated.rs
@@ -41,6 +41,21 @@
 pub struct Ack {
     pub head: u64,
 }
+///One confirmed intent as it stands.
+///
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Active {
+    pub assignments: ::std::vec::Vec<Assignment>,
+    pub intent: Intent,
+    ///Bytes of the model.
+    pub length: u64,
+    pub manifest: crate::Name,
+    pub previous: crate::Name,
+    ///Unix time of the last confirmation in milliseconds.
+    pub since_ms: u64,
+}
 ///One host's part in an intent.
 ///
 #[derive(Clone, Debug, PartialEq)]
@@ -744,6 +759,15 @@
     pub service: crate::Name,
     pub version: crate::Name,
 }
+///The whole configuration at one generation.
+///
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Snapshot {
+    pub head: u64,
+    pub intents: ::std::vec::Vec<Active>,
+}
 ///The call began to run.
 ///
 #[derive(Clone, Debug, PartialEq)]
@@ -779,6 +803,8 @@
     pub generations: ::std::vec::Vec<Generation>,
     pub head: u64,
     pub listing: HostListing,
+    ///At most one: for a daemon too far behind for single generations.
+    pub snapshot: ::std::vec::Vec<Snapshot>,
 }
 ///Asks a peer for what is newer.
 ///
--- a/crates/rw-protocol/tests/frames.rs
+++ b/crates/rw-protocol/tests/frames.rs
@@ -158,6 +158,20 @@
     let mut out: Vec<PeerReply> = frames.into_iter().map(PeerReply::Call).collect();
     out.push(PeerReply::Sync(SyncReply {
         head: 3,
+        snapshot: vec![Snapshot {
+            head: 3,
+            intents: vec![Active {
+                intent: intent(),
+                manifest: "m".into(),
+                length: 3,
+                previous: "l".into(),
+                assignments: vec![Assignment {
+                    host: "host-1".into(),
+                    wave: 3,
+                }],
+                since_ms: 5,
+            }],
+        }],
         generations: generations(),
         listing: listing(),
     }));
--- /dev/null
+++ b/crates/rw-standins/examples/bench_control.rs
@@ -0,0 +1,152 @@
+//! Measures what control costs a daemon: `bench_control SIZES`, such as
+//! `bench_control 8,32,128`. Counts processor time, memory, bytes and the
+//! table's load while nothing is asked for, and the time until confirmed
+//! changes are in force everywhere.
+
+use std::time::{Duration, Instant};
+
+use rw_protocol::EventRecord;
+use rw_standins::cluster::{get, wait_for, Cluster};
+use rw_standins::layout::{intent, Layout};
+use rw_standins::measure::{quantile, slope, usage, Usage};
+use rw_standins::platform::Records;
+
+const REGIONS: usize = 4;
+const IDLE: Duration = Duration::from_secs(10);
+const CHANGES: usize = 8;
+
+struct Figures {
+    host_cpu: f64,
+    host_rss: f64,
+    entry_cpu: f64,
+    entry_rss: f64,
+    table_reads: f64,
+    list_calls: f64,
+    config_ms: Vec<f64>,
+}
+
+fn start(count: usize) -> Cluster {
+    let layout = Layout {
+        entries: 4,
+        engines: count,
+        plain: 0,
+        regions: REGIONS,
+        extra: "[log]\nlevel = warn".into(),
+        ..Layout::default()
+    };
+    let cluster = layout.start(&format!("control-{count}"));
+    for version in ["v1", "v2"] {
+        cluster.add_model("cutlist", version, 64 << 10, 64 << 10);
+    }
+    cluster
+}
+
+fn usages(cluster: &Cluster, role: &str, count: usize) -> Vec<Usage> {
+    (0..count)
+        .map(|at| usage(cluster.pid(&format!("{role}-{at}"))))
+        .collect()
+}
+
+fn mean(values: impl Iterator<Item = f64>) -> f64 {
+    let all: Vec<f64> = values.collect();
+    all.iter().sum::<f64>() / all.len().max(1) as f64
+}
+
+// Share of a core, and resident bytes.
+fn cost(before: &[Usage], after: &[Usage]) -> (f64, f64) {
+    let cpu = before
+        .iter()
+        .zip(after)
+        .map(|(b, a)| (a.cpu_s - b.cpu_s) / IDLE.as_secs_f64());
+    (mean(cpu), mean(after.iter().map(|u| u.rss as f64)))
+}
+
+fn records(cluster: &Cluster) -> Records {
+    wait_for("records", || {
+        get(&format!(
+            "{}/control/records",
+            cluster.deployment.platform.url
+        ))
+    })
+}
+
+// Time from a confirmation to the last daemon's taking it into force, by the
+// daemons' own events.
+fn config_ms(cluster: &Cluster, count: usize, change: usize) -> f64 {
+    let version = if change.is_multiple_of(2) { "v1" } else { "v2" };
+    let number = cluster.apply("entry-0", &intent(version, count, REGIONS));
+    let wanted = format!("generation={number} ");
+    let stamp = |name: &str, event: &str| {
+        wait_for("generation", || {
+            let events: Vec<EventRecord> = get(&format!("{}/events", cluster.operator_url(name)))?;
+            let found = events
+                .iter()
+                .find(|e| &*e.event == event && e.detail.starts_with(&wanted))?;
+            Some(found.stamp >> 16)
+        })
+    };
+    let begin = stamp("entry-0", "GenerationConfirmed");
+    let hosts = (0..count).map(|at| stamp(&format!("engine-{at}"), "GenerationApplied"));
+    let last = hosts.max().unwrap_or(begin);
+    last.saturating_sub(begin) as f64
+}
+
+fn measure(count: usize) -> Figures {
+    let cluster = start(count);
+    let config: Vec<f64> = (0..CHANGES)
+        .map(|change| config_ms(&cluster, count, change))
+        .collect();
+    cluster.wait_fulfilled("entry-0", "cuts", "v2");
+    let (hosts, entries) = (
+        usages(&cluster, "engine", count),
+        usages(&cluster, "entry", 4),
+    );
+    let platform = records(&cluster);
+    let begin = Instant::now();
+    std::thread::sleep(IDLE);
+    let seconds = begin.elapsed().as_secs_f64();
+    let after = records(&cluster);
+    let (host_cpu, host_rss) = cost(&hosts, &usages(&cluster, "engine", count));
+    let (entry_cpu, entry_rss) = cost(&entries, &usages(&cluster, "entry", 4));
+    Figures {
+        host_cpu,
+        host_rss,
+        entry_cpu,
+        entry_rss,
+        table_reads: (after.reads - platform.reads) as f64 / seconds,
+        list_calls: (after.list_calls - platform.list_calls) as f64 / seconds,
+        config_ms: config,
+    }
+}
+
+fn main() {
+    let sizes = std::env::args().nth(1).unwrap_or("8,32".to_string());
+    let sizes: Vec<usize> = sizes.split(',').filter_map(|s| s.parse().ok()).collect();
+    println!("hosts,host_cpu_percent,host_rss_mb,entry_cpu_percent,entry_rss_mb,table_reads_per_s,list_calls_per_s,config_median_ms,config_max_ms");
+    let mut rows = Vec::new();
+    for &count in &sizes {
+        let mut f = measure(count);
+        let median = quantile(&mut f.config_ms, 0.5);
+        let max = quantile(&mut f.config_ms, 1.0);
+        let row = [
+            f.host_cpu * 100.0,
+            f.host_rss / 1e6,
+            f.entry_cpu * 100.0,
+            f.entry_rss / 1e6,
+            f.table_reads,
+            f.list_calls,
+            median,
+            max,
+        ];
+        let cells: Vec<String> = row.iter().map(|v| format!("{v:.2}")).collect();
+        println!("{count},{}", cells.join(","));
+        rows.push((count as f64, row));
+    }
+    let slopes: Vec<String> = (0..8)
+        .map(|at| {
+            let points: Vec<(f64, f64)> = rows.iter().map(|(n, row)| (*n, row[at])).collect();
+            format!("{:.4}", slope(&points).0)
+        })
+        .collect();
+    println!("slope per host,{}", slopes.join(","));
+}
--- /dev/null
+++ b/crates/rw-standins/examples/bench_routing.rs
@@ -0,0 +1,279 @@
+//! Measures routing: `bench_routing POLICIES WORKLOADS`, such as
+//! `bench_routing affinity,least_loaded,round_robin,random steady,overload`.
+//!
+//! Calls start at fixed times whatever became of earlier ones, and latency is
+//! counted from the time at which a call should have started. Writes CSV to
+//! standard output.
+
+use std::collections::BTreeMap;
+use std::io::Read;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rw_standins::caller::draft_body;
+use rw_standins::cluster::Cluster;
+use rw_standins::engine::{Behaviour, Records};
+use rw_standins::layout::{intent, Layout};
+
+const ENGINES: usize = 9;
+const ENTRIES: usize = 3;
+const SLOTS: u32 = 4;
+const TOKENS: u64 = 8;
+const TOKEN_MS: u64 = 5;
+const PREFILL_MS: u64 = 80;
+const CACHE_PREFIXES: usize = 4;
+const PREFIXES: usize = 24;
+const SECONDS: f64 = 6.0;
+const DEADLINE_MS: u64 = 2_000;
+/// Calls a second that the engines carry when every prefix is cached.
+const CAPACITY: f64 = (ENGINES as u32 * SLOTS) as f64 * 1000.0 / (TOKENS * TOKEN_MS) as f64;
+const TEAMS: [&str; 4] = ["arima", "penal", "couva", "office"];
+
+#[derive(Clone, Copy)]
+struct Workload {
+    name: &'static str,
+    /// Load at the start and the end as a share of capacity.
+    from: f64,
+    to: f64,
+    /// Share of the calls that the first team makes.
+    first_team: f64,
+    slow_host: bool,
+    lost_zone: bool,
+}
+
+const EVEN: f64 = 1.0 / TEAMS.len() as f64;
+
+const WORKLOADS: [Workload; 6] = [
+    Workload {
+        name: "steady",
+        from: 0.5,
+        to: 0.5,
+        first_team: EVEN,
+        slow_host: false,
+        lost_zone: false,
+    },
+    Workload {
+        name: "overload",
+        from: 1.5,
+        to: 1.5,
+        first_team: EVEN,
+        slow_host: false,
+        lost_zone: false,
+    },
+    Workload {
+        name: "skewed",
+        from: 1.5,
+        to: 1.5,
+        first_team: 0.8,
+        slow_host: false,
+        lost_zone: false,
+    },
+    Workload {
+        name: "rush",
+        from: 0.15,
+        to: 1.5,
+        first_team: EVEN,
+        slow_host: false,
+        lost_zone: false,
+    },
+    Workload {
+        name: "slow-host",
+        from: 0.5,
+        to: 0.5,
+        first_team: EVEN,
+        slow_host: true,
+        lost_zone: false,
+    },
+    Workload {
+        name: "lost-zone",
+        from: 0.4,
+        to: 0.4,
+        first_team: EVEN,
+        slow_host: false,
+        lost_zone: true,
+    },
+];
+
+#[derive(Default)]
+struct Tally {
+    first_token_us: Vec<u64>,
+    refused_us: Vec<u64>,
+    failed: u64,
+    by_team: BTreeMap<&'static str, (u64, u64)>,
+}
+
+fn start(policy: &str) -> Cluster {
+    let layout = Layout {
+        entries: ENTRIES,
+        engines: ENGINES,
+        plain: 0,
+        regions: 3,
+        concurrency: SLOTS,
+        teams: TEAMS.iter().map(|t| (*t, 1)).collect(),
+        extra: format!("[limits]\nrouting = {policy}\n[log]\nlevel = warn"),
+        ..Layout::default()
+    };
+    let cluster = layout.start(&format!("routing-{policy}"));
+    cluster.add_model("cutlist", "v1", 1 << 20, 64 << 10);
+    cluster.apply("entry-0", &intent("v1", ENGINES, 3));
+    cluster.wait_fulfilled("entry-0", "cuts", "v1");
+    cluster
+}
+
+fn behave(cluster: &Cluster, workload: &Workload) {
+    for at in 0..ENGINES {
+        let slow = workload.slow_host && at == 0;
+        let factor = if slow { 5 } else { 1 };
+        let behaviour = Behaviour {
+            slots: SLOTS,
+            token_ms: TOKEN_MS * factor,
+            prefill_ms: PREFILL_MS * factor,
+            cache_prefixes: CACHE_PREFIXES,
+            ..Behaviour::default()
+        };
+        cluster.behave(&format!("engine-{at}"), &behaviour);
+    }
+}
+
+// One call; its times count from `due`.
+fn call(url: &str, team: &'static str, prompt: &str, due: Instant, tally: &Mutex<Tally>) {
+    let req = minreq::post(format!("{url}/v1/chat/completions"))
+        .with_header("x-team", team)
+        .with_header("x-deadline-ms", DEADLINE_MS.to_string())
+        .with_header("connection", "close")
+        .with_body(draft_body(prompt, TOKENS, true).to_string())
+        .with_timeout(10);
+    let res = req.send_lazy();
+    let first = due.elapsed().as_micros() as u64;
+    let mut text = String::new();
+    let whole = match res {
+        Ok(mut res) if res.status_code == 200 => {
+            let read = res.read_to_string(&mut text);
+            read.is_ok() && text.contains("[DONE]")
+        }
+        Ok(res) => {
+            let mut tally = tally.lock().expect("no panic");
+            tally.by_team.entry(team).or_default().0 += 1;
+            match res.status_code {
+                503 => tally.refused_us.push(first),
+                _ => tally.failed += 1,
+            }
+            return;
+        }
+        Err(_) => false,
+    };
+    let mut tally = tally.lock().expect("no panic");
+    let counts = tally.by_team.entry(team).or_default();
+    counts.0 += 1;
+    counts.1 += u64::from(whole);
+    match whole {
+        true => tally.first_token_us.push(first),
+        false => tally.failed += 1,
+    }
+}
+
+fn run(cluster: &mut Cluster, workload: &Workload) -> (Tally, f64) {
+    behave(cluster, workload);
+    let before: Vec<usize> = (0..ENGINES).map(|at| runs(cluster, at).len()).collect();
+    let urls: Vec<String> = (0..ENTRIES)
+        .map(|at| cluster.entry_url(&format!("entry-{at}")))
+        .collect();
+    let tally = Arc::new(Mutex::new(Tally::default()));
+    let mut rng = StdRng::seed_from_u64(7);
+    let start = Instant::now();
+    let mut due = 0.0;
+    let mut threads = Vec::new();
+    let mut lost = false;
+    while due < SECONDS {
+        let load = workload.from + (workload.to - workload.from) * due / SECONDS;
+        due += 1.0 / (load * CAPACITY);
+        let at = start + Duration::from_secs_f64(due);
+        std::thread::sleep(at.saturating_duration_since(Instant::now()));
+        if workload.lost_zone && !lost && due > SECONDS / 2.0 {
+            lost = true;
+            (0..ENGINES)
+                .step_by(3)
+                .for_each(|at| cluster.kill(&format!("engine-{at}")));
+        }
+        let team = match rng.random_bool(workload.first_team) {
+            true => TEAMS[0],
+            false => TEAMS[rng.random_range(1..TEAMS.len())],
+        };
+        let prompt = format!(
+            "shop {}|{}",
+            rng.random_range(0..PREFIXES),
+            rng.random::<u32>()
+        );
+        let (url, tally) = (urls[rng.random_range(0..ENTRIES)].clone(), tally.clone());
+        threads.push(std::thread::spawn(move || {
+            call(&url, team, &prompt, at, &tally)
+        }));
+    }
+    for thread in threads {
+        thread.join().expect("no panic");
+    }
+    let (mut hits, mut all) = (0, 0);
+    for (at, before) in before.iter().enumerate() {
+        let runs = runs(cluster, at);
+        hits += runs[*before..].iter().filter(|hit| **hit).count();
+        all += runs.len() - before;
+    }
+    let tally = std::mem::take(&mut *tally.lock().expect("no panic"));
+    (tally, hits as f64 / all.max(1) as f64)
+}
+
+fn runs(cluster: &Cluster, at: usize) -> Vec<bool> {
+    let records: Records = cluster.records(&format!("engine-{at}"));
+    records.runs.iter().map(|r| r.cache_hit).collect()
+}
+
+fn quantiles(samples: &[u64]) -> [f64; 3] {
+    let mut histogram: Histogram<u64> = Histogram::new(3).expect("three digits are allowed");
+    for sample in samples {
+        histogram.saturating_record(*sample);
+    }
+    [0.5, 0.95, 0.99].map(|q| histogram.value_at_quantile(q) as f64 / 1000.0)
+}
+
+// Answers of the team served worst, over what it asked for or its equal share.
+fn worst_share(tally: &Tally) -> f64 {
+    let answered: u64 = tally.by_team.values().map(|(_, done)| done).sum();
+    let equal = answered as f64 / TEAMS.len() as f64;
+    let share = |(asked, done): &(u64, u64)| *done as f64 / equal.min(*asked as f64).max(1.0);
+    tally
+        .by_team
+        .values()
+        .map(share)
+        .fold(f64::INFINITY, f64::min)
+}
+
+fn main() {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let policies = args
+        .first()
+        .map_or("affinity,least_loaded,round_robin,random", String::as_str);
+    let chosen = args.get(1).map_or("all", String::as_str);
+    println!("workload,policy,goodput_per_s,first_p50_ms,first_p95_ms,first_p99_ms,hit_ratio,refused,refused_p99_ms,failed,worst_team_share");
+    for policy in policies.split(',') {
+        for workload in WORKLOADS
+            .iter()
+            .filter(|w| chosen == "all" || chosen.split(',').any(|c| c == w.name))
+        {
+            let mut cluster = start(policy);
+            let (tally, hits) = run(&mut cluster, workload);
+            let [p50, p95, p99] = quantiles(&tally.first_token_us);
+            println!(
+                "{},{policy},{:.0},{p50:.1},{p95:.1},{p99:.1},{hits:.2},{},{:.1},{},{:.2}",
+                workload.name,
+                tally.first_token_us.len() as f64 / SECONDS,
+                tally.refused_us.len(),
+                quantiles(&tally.refused_us)[2],
+                tally.failed,
+                worst_share(&tally)
+            );
+        }
+    }
+}
--- a/tests/chaos_run.rs
+++ b/tests/chaos_run.rs
@@ -237,7 +237,11 @@
     // A plan and its confirmation, each of which may fail.
     fn new_version(&mut self, daemon: &str) {
         self.versions += 1;
-        let version = if self.versions % 2 == 0 { "v2" } else { "v1" };
+        let version = if self.versions.is_multiple_of(2) {
+            "v2"
+        } else {
+            "v1"
+        };
         let (status, plan) = self.cluster.plan(daemon, &intent(version, ENGINES - 1, 3));
         if let (200, Some(id)) = (status, plan["id"].as_str()) {
             self.cluster.confirm(daemon, id);
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -195,3 +195,41 @@
     let (status, _) = cluster.confirm("entry-0", "00ff");
     assert_eq!(status, 404);
 }
+
+#[test]
+fn a_daemon_that_starts_after_many_changes_begins_with_a_snapshot() {
+    let mut cluster = start("snapshot");
+    for number in 2..=140u64 {
+        let version = if number.is_multiple_of(2) { "v2" } else { "v1" };
+        cluster.apply("entry-0", &intent(version, ENGINES, 3));
+    }
+    everywhere(&cluster, 140, &[]);
+    let url = format!(
+        "{}/table/row?key=config%2Fsnapshot",
+        cluster.deployment.platform.url
+    );
+    wait_for("a snapshot", || {
+        let row: serde_json::Value = rw_standins::cluster::get(&url)?;
+        row["value"]
+            .as_str()?
+            .parse::<u64>()
+            .ok()
+            .filter(|n| *n >= 64)
+    });
+    cluster.kill("engine-0");
+    cluster.start_daemon("engine-0");
+    everywhere(&cluster, 140, &[]);
+    cluster.wait_fulfilled("entry-0", "cuts", "v2");
+    // It applied only what came after the snapshot.
+    let url = format!("{}/events", cluster.operator_url("engine-0"));
+    let events: Vec<rw_protocol::EventRecord> =
+        wait_for("events", || rw_standins::cluster::get(&url));
+    let applied = events
+        .iter()
+        .filter(|e| &*e.event == "GenerationApplied")
+        .count();
+    assert!(
+        applied < 100,
+        "{applied} generations were applied one by one"
+    );
+}
--- a/tests/weights.rs
+++ b/tests/weights.rs
@@ -2,6 +2,7 @@
 
 use rstest::rstest;
 use rw_protocol::manifest_id;
+use rw_standins::caller::{draft, Outcome};
 use rw_standins::cluster::{get, post, wait_for, Cluster};
 use rw_standins::engine::{Behaviour, Records};
 use rw_standins::layout::{intent, Layout};
@@ -225,13 +226,11 @@
     cluster.wait_fulfilled("entry-0", "cuts", "v1");
     let outcomes = load.stop();
     // A draft cut by the foreign order is told as cut; none is wrong.
-    let wrong = |o: &&&(String, rw_standins::caller::Outcome)| {
-        matches!(o.1, rw_standins::caller::Outcome::Wrong(_))
-    };
+    let wrong = |o: &&&(String, Outcome)| matches!(o.1, Outcome::Wrong(_));
     let failed = failures(&outcomes);
     assert_eq!(failed.iter().filter(wrong).count(), 0, "{failed:?}");
     for (id, outcome) in &outcomes {
-        if let rw_standins::caller::Outcome::Answered(version) = outcome {
+        if let Outcome::Answered(version) = outcome {
             assert!(
                 version.is_empty() || version == "cutlist@v1",
                 "{id}: {version}"
@@ -240,6 +239,58 @@
     }
 }
 
+// The engine is switched in the middle of a stream: the caller learns that its
+// draft was cut, and never takes words of two versions for one draft.
+#[test]
+fn a_stream_under_which_the_version_changes_is_told_as_cut() {
+    let cluster = layout().start("switched-stream");
+    serve_v1(&cluster, ENGINES, 2);
+    for at in 0..ENGINES {
+        let behaviour = Behaviour {
+            token_ms: 50,
+            ..Behaviour::default()
+        };
+        cluster.behave(&format!("engine-{at}"), &behaviour);
+    }
+    let url = cluster.entry_url("entry-0");
+    let callers: Vec<_> = (0..6)
+        .map(|n| {
+            let url = url.clone();
+            std::thread::spawn(move || draft(&url, "arima", &format!("long|{n}"), 60, 20_000))
+        })
+        .collect();
+    let running = || {
+        let count = |at| {
+            cluster
+                .records::<Records>(&format!("engine-{at}"))
+                .runs
+                .len()
+        };
+        (0..ENGINES).map(count).sum::<usize>()
+    };
+    wait_for("streams run", || (running() == 6).then_some(()));
+    let source = format!(
+        "{}/origin/manifest?model=cutlist&version=v1",
+        cluster.deployment.platform.url
+    );
+    let order = serde_json::json!({
+        "model": "cutlist", "version": "rogue", "manifest": "rogue", "source": source, "fence": 9,
+    });
+    for at in 0..ENGINES {
+        post(
+            &format!(
+                "{}/orders/load",
+                cluster.daemon(&format!("engine-{at}")).backend_url
+            ),
+            &order,
+        );
+    }
+    for caller in callers {
+        let outcome = caller.join().expect("no panic");
+        assert!(matches!(outcome, Outcome::Cut(_)), "{outcome:?}");
+    }
+}
+
 // A daemon is frozen past its lease while a second process takes its place.
 #[rstest]
 #[case::checks_fencing(true)]
