Move what both roles use out of the host's folder, count known daemons

Cause: entries answered other daemons through a HostHandler in host/, and measurements with 250 hosts waited on a status of all daemons only to learn whether the host list had come.

Change: handler.rs and status.rs stand beside the roles; the metric ragworttack_daemons_listed tells how many daemons are known here.

--- a/crates/rw-daemon/src/control/push.rs
+++ b/crates/rw-daemon/src/control/push.rs
@@ -30,7 +30,10 @@
         let view = cx.shared.read();
         let mut zones: BTreeMap<Name, Vec<Name>> = BTreeMap::new();
         for host in view.present().filter(|h| h.name != cx.name) {
-            zones.entry(host.zone.clone()).or_default().push(host.name.clone());
+            zones
+                .entry(host.zone.clone())
+                .or_default()
+                .push(host.name.clone());
         }
         (zones, view.list_version)
     };
--- a/crates/rw-daemon/src/host/handler.rs
+++ b/crates/rw-daemon/src/handler.rs
@@ -4,9 +4,10 @@
 use rw_engine::HttpBackend;
 use rw_protocol::{Missing, PeerReply, PeerRequest};
 
-use super::{calls, Admission, StatusBoard, Weights};
 use crate::control::{answer_sync, receive_push};
+use crate::host::{run_call, Admission, Weights};
 use crate::peer::{FrameTx, Handler, Result};
+use crate::status::StatusBoard;
 use crate::Context;
 
 /// Time between two reports of an unchanged status.
@@ -14,22 +15,22 @@
 
 /// What a host's daemon has beyond the common parts.
 pub struct HostParts {
-    pub(super) admission: Arc<Admission>,
-    pub(super) backend: HttpBackend,
-    pub(super) weights: Arc<Weights>,
+    pub(crate) admission: Arc<Admission>,
+    pub(crate) backend: HttpBackend,
+    pub(crate) weights: Arc<Weights>,
 }
 
 /// Answers other daemons; entries have no host parts.
-pub struct HostHandler {
-    pub(super) cx: Arc<Context>,
-    pub(super) board: Arc<StatusBoard>,
-    pub(super) parts: Option<HostParts>,
+pub struct PeerHandler {
+    pub(crate) cx: Arc<Context>,
+    pub(crate) board: Arc<StatusBoard>,
+    pub(crate) parts: Option<HostParts>,
 }
 
-impl HostHandler {
+impl PeerHandler {
     /// A handler for an entry.
     pub fn entry(cx: Arc<Context>, board: Arc<StatusBoard>) -> Self {
-        HostHandler {
+        PeerHandler {
             cx,
             board,
             parts: None,
@@ -49,7 +50,7 @@
             backend,
             weights,
         });
-        HostHandler { cx, board, parts }
+        PeerHandler { cx, board, parts }
     }
 
     async fn answer(&self, req: PeerRequest, tx: &mut FrameTx) -> Result<()> {
@@ -57,7 +58,7 @@
             (PeerRequest::Sync(req), _) => tx.send(&answer_sync(&self.cx, &req)).await?,
             (PeerRequest::Push(req), _) => tx.send(&receive_push(&self.cx, req)).await?,
             (PeerRequest::Watch(_), _) => self.report(tx).await?,
-            (PeerRequest::Call(req), Some(parts)) => calls::run(&self.cx, parts, req, tx).await?,
+            (PeerRequest::Call(req), Some(parts)) => run_call(&self.cx, parts, req, tx).await?,
             (PeerRequest::Chunk(req), Some(parts)) => {
                 let reply = parts
                     .weights
@@ -91,7 +92,7 @@
     }
 }
 
-impl Handler for HostHandler {
+impl Handler for PeerHandler {
     async fn handle(self: Arc<Self>, req: PeerRequest, mut tx: FrameTx) {
         if let Err(err) = self.answer(req, &mut tx).await {
             log::debug!("answer to a daemon: {err}");
--- a/crates/rw-daemon/src/host/calls.rs
+++ b/crates/rw-daemon/src/host/calls.rs
@@ -10,8 +10,8 @@
 };
 use tokio::time::{timeout_at, Instant};
 
-use super::handler::HostParts;
 use super::{Refused, Slot};
+use crate::handler::HostParts;
 use crate::peer::{FrameTx, Result};
 use crate::Context;
 
@@ -37,7 +37,7 @@
 }
 
 /// Runs one call.
-pub(super) async fn run(
+pub async fn run_call(
     cx: &Arc<Context>,
     parts: &HostParts,
     req: CallRequest,
--- a/crates/rw-daemon/src/host/runner.rs
+++ b/crates/rw-daemon/src/host/runner.rs
@@ -12,8 +12,9 @@
 use rw_settings::ServiceKind;
 use tokio::time::Instant;
 
-use super::{Admission, StatusBoard, Weights};
+use super::{Admission, Weights};
 use crate::control::status_of;
+use crate::status::StatusBoard;
 use crate::Context;
 
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
--- a/crates/rw-daemon/src/lib.rs
+++ b/crates/rw-daemon/src/lib.rs
@@ -4,10 +4,12 @@
 pub mod control;
 mod entry;
 mod error;
+mod handler;
 mod host;
 mod operator;
 pub mod peer;
 mod start;
+mod status;
 
 pub use context::Context;
 pub use error::{Error, Result};
--- a/crates/rw-daemon/src/operator/server.rs
+++ b/crates/rw-daemon/src/operator/server.rs
@@ -105,7 +105,7 @@
                 .unwrap_or("")
         };
         match (method, path) {
-            (Method::Get, "/metrics") => (200, self.cx.recorder.metrics().render()),
+            (Method::Get, "/metrics") => (200, self.metrics()),
             (Method::Get, "/live") => ok(&"live"),
             (Method::Get, "/ready") => self.ready(),
             (Method::Get, "/status") => reports::status(self),
@@ -120,6 +120,13 @@
         }
     }
 
+    fn metrics(&self) -> String {
+        let metrics = self.cx.recorder.metrics();
+        let listed = self.cx.shared.read().present().count();
+        metrics.listed.set(listed as i64);
+        metrics.render()
+    }
+
     fn ready(&self) -> Answer {
         match self.cx.is_leaving() {
             true => fail(503, "leaving"),
--- a/crates/rw-daemon/src/start.rs
+++ b/crates/rw-daemon/src/start.rs
@@ -12,8 +12,10 @@
 use tokio::signal::unix::{signal, SignalKind};
 
 use crate::entry::{run_dispatcher, serve_callers, watch_hosts, Entry};
-use crate::host::{collect, run_backend, Admission, HostHandler, StatusBoard, Weights};
+use crate::handler::PeerHandler;
+use crate::host::{collect, run_backend, Admission, Weights};
 use crate::operator::serve_operators;
+use crate::status::StatusBoard;
 use crate::{control, peer, Context, Error, Result};
 
 const WORKER_THREADS: usize = 2;
@@ -93,7 +95,7 @@
     let peers = listen(&cx.daemon.listen).await?;
     let callers = listen(&cx.daemon.caller_listen).await?;
     let board = StatusBoard::new(cx.clone(), None);
-    let handler = Arc::new(HostHandler::entry(cx.clone(), board.clone()));
+    let handler = Arc::new(PeerHandler::entry(cx.clone(), board.clone()));
     serve_operators(cx.clone(), None, handle)?;
     cx.recorder.emit(Event::DaemonStarted, "role=entry");
     start_control(&cx);
@@ -127,7 +129,7 @@
     let links = &cx.deployment.weights;
     let weights = Weights::new(links.uplink_bytes_per_s, links.downlink_bytes_per_s);
     let board = StatusBoard::new(cx.clone(), Some(admission.clone()));
-    let handler = HostHandler::host(
+    let handler = PeerHandler::host(
         cx.clone(),
         board.clone(),
         admission.clone(),
--- a/crates/rw-daemon/src/host/status.rs
+++ b/crates/rw-daemon/src/status.rs
@@ -2,7 +2,7 @@
 
 use rw_protocol::{HostStatus, Load};
 
-use super::Admission;
+use crate::host::Admission;
 use crate::Context;
 
 /// What this daemon tells entries about itself.
--- a/crates/rw-observe/src/metrics.rs
+++ b/crates/rw-observe/src/metrics.rs
@@ -27,6 +27,8 @@
     pub queued: Gauge,
     /// Generation in force.
     pub head: Gauge,
+    /// Daemons that are known here.
+    pub listed: Gauge,
     /// Intents that are not fulfilled.
     pub unfulfilled: Gauge,
     /// Claims whose end is not known.
@@ -73,6 +75,7 @@
         let in_flight = gauge("in_flight", "Calls in progress");
         let queued = gauge("queued", "Calls that wait");
         let head = gauge("generation", "Generation in force");
+        let listed = gauge("daemons_listed", "Daemons known here");
         let unfulfilled = gauge("intents_unfulfilled", "Intents not fulfilled");
         let unresolved = gauge("claims_unresolved", "Claims with an unknown end");
         Metrics {
@@ -84,6 +87,7 @@
             in_flight,
             queued,
             head,
+            listed,
             unfulfilled,
             unresolved,
         }
--- a/crates/rw-standins/examples/bench_control.rs
+++ b/crates/rw-standins/examples/bench_control.rs
@@ -1,5 +1,5 @@
-//! Measures what control costs a daemon: `bench_control SIZES`, such as
-//! `bench_control 8,32,128`. Counts processor time, memory, bytes and the
+//! Measures what control costs a daemon: `bench_control SIZES [SYNC_MS]`, such
+//! as `bench_control 8,32,128`. Counts processor time, memory, bytes and the
 //! table's load while nothing is asked for, and the time until confirmed
 //! changes are in force everywhere.
 
@@ -8,7 +8,7 @@
 use rw_protocol::EventRecord;
 use rw_standins::cluster::{get, wait_for, Cluster};
 use rw_standins::layout::{intent, Layout};
-use rw_standins::measure::{quantile, slope, usage, Usage};
+use rw_standins::measure::{loopback_bytes, quantile, slope, usage, Usage};
 use rw_standins::platform::Records;
 
 const REGIONS: usize = 4;
@@ -20,18 +20,19 @@
     host_rss: f64,
     entry_cpu: f64,
     entry_rss: f64,
+    bytes: f64,
     table_reads: f64,
     list_calls: f64,
     config_ms: Vec<f64>,
 }
 
-fn start(count: usize) -> Cluster {
+fn start(count: usize, sync_ms: u64) -> Cluster {
     let layout = Layout {
         entries: 4,
         engines: count,
         plain: 0,
         regions: REGIONS,
-        extra: "[log]\nlevel = warn".into(),
+        extra: format!("[log]\nlevel = warn\n[control]\nsync_ms = {sync_ms}"),
         ..Layout::default()
     };
     let cluster = layout.start(&format!("control-{count}"));
@@ -91,8 +92,8 @@
     last.saturating_sub(begin) as f64
 }
 
-fn measure(count: usize) -> Figures {
-    let cluster = start(count);
+fn measure(count: usize, sync_ms: u64) -> Figures {
+    let cluster = start(count, sync_ms);
     let config: Vec<f64> = (0..CHANGES)
         .map(|change| config_ms(&cluster, count, change))
         .collect();
@@ -102,9 +103,10 @@
         usages(&cluster, "entry", 4),
     );
     let platform = records(&cluster);
-    let begin = Instant::now();
+    let (begin, bytes) = (Instant::now(), loopback_bytes());
     std::thread::sleep(IDLE);
     let seconds = begin.elapsed().as_secs_f64();
+    let bytes = (loopback_bytes() - bytes) / seconds / count as f64;
     let after = records(&cluster);
     let (host_cpu, host_rss) = cost(&hosts, &usages(&cluster, "engine", count));
     let (entry_cpu, entry_rss) = cost(&entries, &usages(&cluster, "entry", 4));
@@ -113,6 +115,7 @@
         host_rss,
         entry_cpu,
         entry_rss,
+        bytes,
         table_reads: (after.reads - platform.reads) as f64 / seconds,
         list_calls: (after.list_calls - platform.list_calls) as f64 / seconds,
         config_ms: config,
@@ -122,10 +125,14 @@
 fn main() {
     let sizes = std::env::args().nth(1).unwrap_or("8,32".to_string());
     let sizes: Vec<usize> = sizes.split(',').filter_map(|s| s.parse().ok()).collect();
-    println!("hosts,host_cpu_percent,host_rss_mb,entry_cpu_percent,entry_rss_mb,table_reads_per_s,list_calls_per_s,config_median_ms,config_max_ms");
+    let sync_ms = std::env::args()
+        .nth(2)
+        .and_then(|s| s.parse().ok())
+        .unwrap_or(1000);
+    println!("hosts,host_cpu_percent,host_rss_mb,entry_cpu_percent,entry_rss_mb,loopback_bytes_per_s_and_host,table_reads_per_s,list_calls_per_s,config_median_ms,config_max_ms");
     let mut rows = Vec::new();
     for &count in &sizes {
-        let mut f = measure(count);
+        let mut f = measure(count, sync_ms);
         let median = quantile(&mut f.config_ms, 0.5);
         let max = quantile(&mut f.config_ms, 1.0);
         let row = [
@@ -133,6 +140,7 @@
             f.host_rss / 1e6,
             f.entry_cpu * 100.0,
             f.entry_rss / 1e6,
+            f.bytes,
             f.table_reads,
             f.list_calls,
             median,
@@ -142,7 +150,7 @@
         println!("{count},{}", cells.join(","));
         rows.push((count as f64, row));
     }
-    let slopes: Vec<String> = (0..8)
+    let slopes: Vec<String> = (0..9)
         .map(|at| {
             let points: Vec<(f64, f64)> = rows.iter().map(|(n, row)| (*n, row[at])).collect();
             format!("{:.4}", slope(&points).0)
--- a/crates/rw-standins/src/cluster.rs
+++ b/crates/rw-standins/src/cluster.rs
@@ -109,10 +109,9 @@
     fn wait_listed(&self) {
         let all = self.deployment.daemons.len();
         for name in self.names(DaemonRole::Entry) {
-            let url = format!("{}/hosts", self.operator_url(&name));
             wait_for("host list", || {
-                let hosts: BTreeMap<String, serde_json::Value> = get(&url)?;
-                (hosts.len() == all).then_some(())
+                let listed = self.metric(&name, "ragworttack_daemons_listed");
+                (listed as usize == all).then_some(())
             });
         }
     }
--- a/crates/rw-standins/src/measure.rs
+++ b/crates/rw-standins/src/measure.rs
@@ -49,6 +49,19 @@
         .unwrap_or(0)
 }
 
+/// Bytes that crossed the loopback interface so far.
+pub fn loopback_bytes() -> f64 {
+    let text = std::fs::read_to_string("/proc/net/dev").unwrap_or_default();
+    let line = text
+        .lines()
+        .find(|l| l.trim_start().starts_with("lo:"))
+        .unwrap_or("");
+    line.split_whitespace()
+        .nth(1)
+        .and_then(|n| n.parse().ok())
+        .unwrap_or(0.0)
+}
+
 /// The value at a fraction of the sorted samples; 0 when there are none.
 ///
 /// ```
