Let zones report on themselves, ask a second source for overdue chunks, prefer caches to near hosts

Cause: - Two watchers asked every daemon every two seconds: at 2,500 daemons about 375 KB/s each, against 7 KB/s. - A host with a slow way out delivers now and then, so it never counted as stuck and held back every chunk that it is the parent for. - weights.goal=time skipped the exchange between regions.

--- a/crates/rw-daemon/src/control/poll.rs
+++ b/crates/rw-daemon/src/control/poll.rs
@@ -79,7 +79,7 @@
 // A daemon far behind takes the newest snapshot and what came after it.
 fn start_from_snapshot(cx: &Context) -> Result<u64> {
     if let Some(snapshot) = snapshot::read(&cx.platform)? {
-        cx.shared.restore(snapshot);
+        snapshot::restore(cx, snapshot);
     }
     Ok(cx.shared.read().cfg.head())
 }
@@ -109,6 +109,8 @@
     for gen in gens {
         let detail = format!("generation={} plan={}", gen.number, gen.plan_id);
         cx.recorder.emit(Event::GenerationApplied, &detail);
-        cx.recorder.metrics().head.set(gen.number as i64);
     }
+    // A snapshot moves the head without single generations.
+    let head = cx.shared.read().cfg.head();
+    cx.recorder.metrics().head.set(head as i64);
 }
--- a/crates/rw-daemon/src/control/snapshot.rs
+++ b/crates/rw-daemon/src/control/snapshot.rs
@@ -1,6 +1,7 @@
 //! Snapshots of the configuration in the object store, so that neither the
 //! table's log nor a starting daemon's work grows for ever.
 
+use rw_observe::Event;
 use rw_platform::{Condition, HttpPlatform, ObjectStore, Put, TableService, Transaction};
 use rw_protocol::Snapshot;
 
@@ -26,6 +27,15 @@
         .map_err(|err| rw_platform::Error::Malformed(err.to_string()))
 }
 
+/// Takes a snapshot into force, if it is newer.
+pub fn restore(cx: &Context, snapshot: Snapshot) {
+    let head = snapshot.head;
+    if cx.shared.restore(snapshot) {
+        cx.recorder
+            .emit(Event::SnapshotRestored, &format!("generation={head}"));
+    }
+}
+
 /// Writes a snapshot when the last one is far enough behind, and deletes log
 /// entries that nobody needs beside it. Daemons that do so at the same time
 /// write equal objects, and one of them moves the pointer.
--- a/crates/rw-daemon/src/control/sync.rs
+++ b/crates/rw-daemon/src/control/sync.rs
@@ -6,6 +6,7 @@
 
 use super::poll::note_applied;
 use super::push::relay_to;
+use super::snapshot;
 use crate::Context;
 
 /// Generations in one answer, so that a daemon far behind asks in steps.
@@ -71,7 +72,7 @@
     let reply = cx.pool.ask(addr, &req, cx.peer_timeout()).await;
     if let Ok(PeerReply::Sync(reply)) = reply {
         for snapshot in reply.snapshot {
-            cx.shared.restore(snapshot);
+            snapshot::restore(cx, snapshot);
         }
         let new = cx.shared.apply(reply.generations);
         note_applied(cx, &new);
--- a/crates/rw-daemon/src/control/watch.rs
+++ b/crates/rw-daemon/src/control/watch.rs
@@ -3,73 +3,18 @@
 use std::time::Duration;
 
 use rw_coord::{unix_ms, AppendLog, Appended, LeaseKeeper};
-use rw_intent::{replace_failed, report, Observed};
+use rw_intent::{replace_failed, report};
 use rw_observe::Event;
-use rw_protocol::{
-    Change, Generation, HostEntry, HostState, HostStatus, Name, PeerReply, PeerRequest, Role,
-    StatusReport, WatchRequest,
-};
-use tokio::task::JoinSet;
+use rw_protocol::{Change, Generation, HostEntry, HostState, Name, Role, StatusReport};
 
-use super::{snapshot, View};
+use super::{gather, snapshot, View};
 use crate::Context;
 
 const WATCH_PERIOD: Duration = Duration::from_secs(2);
 /// Entries that watch the outcome of intents.
 const WATCHERS: usize = 2;
-/// Hosts asked at once.
-const GATHER_AT_ONCE: usize = 64;
 /// Checks that a host has to miss before it is replaced.
 const MISSES_TO_REPLACE: u32 = 3;
-/// Age from which an open claim counts as unresolved.
-const UNRESOLVED_AFTER_MS: u64 = 30_000;
-
-/// Asks every daemon that is present for its status.
-pub async fn gather(cx: &Arc<Context>) -> Observed {
-    let hosts: Vec<HostEntry> = cx.shared.read().present().cloned().collect();
-    let mut seen = Observed::default();
-    let mut asking = JoinSet::new();
-    for host in hosts {
-        if asking.len() >= GATHER_AT_ONCE {
-            note(&mut seen, asking.join_next().await);
-        }
-        let cx = cx.clone();
-        asking.spawn(async move { (host.name.clone(), status_of(&cx, &host.addr).await) });
-    }
-    while let Some(done) = asking.join_next().await {
-        note(&mut seen, Some(done));
-    }
-    let counter = cx.clone();
-    let count = tokio::task::spawn_blocking(move || {
-        rw_ledger::unresolved(&counter.platform, UNRESOLVED_AFTER_MS)
-    });
-    if let Ok(Ok(claims)) = count.await {
-        seen.table_reachable = true;
-        seen.unresolved = claims.len() as u64;
-    }
-    seen
-}
-
-type Answer = Result<(Name, Option<HostStatus>), tokio::task::JoinError>;
-
-fn note(seen: &mut Observed, done: Option<Answer>) {
-    match done {
-        Some(Ok((name, Some(status)))) => drop(seen.hosts.insert(name, status)),
-        Some(Ok((name, None))) => seen.unreachable.push(name),
-        _ => {}
-    }
-}
-
-/// The status that a daemon reports.
-pub async fn status_of(cx: &Context, addr: &Name) -> Option<HostStatus> {
-    let req = PeerRequest::Watch(WatchRequest {
-        name: cx.name.clone(),
-    });
-    match cx.pool.ask(addr, &req, cx.peer_timeout()).await {
-        Ok(PeerReply::Status(status)) => Some(status),
-        _ => None,
-    }
-}
 
 /// Compares the outcome of intents with what is confirmed, raises events for
 /// what is amiss and replaces hosts that failed. Few entries do this; doing it
@@ -100,8 +45,8 @@
 impl Watcher {
     async fn check(&mut self, cx: &Arc<Context>) {
         let seen = gather(cx).await;
-        self.count_misses(cx, &seen);
         let status = report(&cx.shared.read().cfg, &seen, unix_ms());
+        self.count_misses(cx, &status);
         self.raise(cx, &status);
         self.replace(cx).await;
         let worker = cx.clone();
@@ -109,7 +54,7 @@
         let _ = tokio::task::spawn_blocking(move || snapshot::write_if_due(&worker)).await;
     }
 
-    fn count_misses(&mut self, cx: &Context, seen: &Observed) {
+    fn count_misses(&mut self, cx: &Context, seen: &StatusReport) {
         self.misses
             .retain(|name, _| seen.unreachable.contains(name));
         for name in &seen.unreachable {
--- a/crates/rw-daemon/src/handler.rs
+++ b/crates/rw-daemon/src/handler.rs
@@ -4,7 +4,7 @@
 use rw_engine::HttpBackend;
 use rw_protocol::{Missing, PeerReply, PeerRequest};
 
-use crate::control::{answer_sync, receive_push};
+use crate::control::{answer_sync, own_zone, receive_push};
 use crate::host::{run_call, Admission, Weights};
 use crate::peer::{FrameTx, Handler, Result};
 use crate::status::StatusBoard;
@@ -57,6 +57,10 @@
         match (req, &self.parts) {
             (PeerRequest::Sync(req), _) => tx.send(&answer_sync(&self.cx, &req)).await?,
             (PeerRequest::Push(req), _) => tx.send(&receive_push(&self.cx, req)).await?,
+            (PeerRequest::Report(_), _) => {
+                let report = own_zone(&self.cx).await;
+                tx.send(&PeerReply::Report(report)).await?;
+            }
             (PeerRequest::Watch(_), _) => self.report(tx).await?,
             (PeerRequest::Call(req), Some(parts)) => run_call(&self.cx, parts, req, tx).await?,
             (PeerRequest::Chunk(req), Some(parts)) => {
--- a/crates/rw-daemon/src/host/runner.rs
+++ b/crates/rw-daemon/src/host/runner.rs
@@ -1,5 +1,6 @@
 //! Keeps the backend server at what the confirmed configuration says.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,7 +9,7 @@
 use rw_intent::Duty;
 use rw_observe::Event;
 use rw_platform::HttpPlatform;
-use rw_protocol::{HostState, Name, Serving};
+use rw_protocol::{HostEntry, HostState, HostStatus, Name, Serving};
 use rw_settings::ServiceKind;
 use tokio::time::Instant;
 
@@ -18,6 +19,8 @@
 use crate::Context;
 
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
+/// Hosts of earlier waves that one check asks.
+const ASKS_PER_CHECK: usize = 16;
 /// Part of a lease that must be left when an order is sent, and that the
 /// order's own time limit stays below.
 const LEASE_MARGIN: Duration = Duration::from_millis(500);
@@ -30,8 +33,15 @@
     board: Arc<StatusBoard>,
     weights: Arc<Weights>,
     leases: LeaseKeeper<HttpPlatform>,
-    // When the last chunk of the wanted model was here.
-    whole_since: Option<(Name, Instant)>,
+    turn: Option<Turn>,
+}
+
+// What is known of the hosts that switch before this one.
+struct Turn {
+    manifest: Name,
+    // When the whole model was here.
+    since: Instant,
+    switched: BTreeSet<Name>,
 }
 
 /// Checks and orders for as long as the daemon runs.
@@ -53,7 +63,7 @@
         admission,
         board,
         weights,
-        whole_since: None,
+        turn: None,
     };
     while ticks.recv_async().await.is_ok() {
         runner.check().await;
@@ -158,29 +168,42 @@
     }
 
     // Hosts switch wave by wave, so that most of them serve at any time. A
-    // late or dead host holds the next wave up only for a bounded time.
+    // late or dead host holds the next wave up only for a bounded time. Each
+    // host of an earlier wave is asked until it has switched, and few at once.
     async fn is_turn(&mut self, duty: &Duty) -> bool {
         let limit = Duration::from_millis(self.cx.deployment.weights.wave_timeout_ms);
-        let since = match &self.whole_since {
-            Some((manifest, at)) if *manifest == duty.manifest => *at,
-            _ => Instant::now(),
+        let mut turn = match self.turn.take() {
+            Some(turn) if turn.manifest == duty.manifest => turn,
+            _ => Turn {
+                manifest: duty.manifest.clone(),
+                since: Instant::now(),
+                switched: BTreeSet::new(),
+            },
         };
-        self.whole_since = Some((duty.manifest.clone(), since));
-        if duty.wave == 0 || self.admission.serving().is_empty() || since.elapsed() >= limit {
-            return true;
-        }
-        for addr in self.earlier(duty) {
-            let status = status_of(&self.cx, &addr).await;
-            let waits =
-                status.is_some_and(|s| !s.serving.iter().any(|s| s.manifest == duty.manifest));
-            if waits {
+        let free = duty.wave == 0 || self.admission.serving().is_empty();
+        let is_turn =
+            free || turn.since.elapsed() >= limit || self.have_switched(duty, &mut turn).await;
+        self.turn = Some(turn);
+        is_turn
+    }
+
+    async fn have_switched(&self, duty: &Duty, turn: &mut Turn) -> bool {
+        let mut earlier = self.earlier(duty);
+        earlier.retain(|host| !turn.switched.contains(&host.name));
+        let all_asked = earlier.len() <= ASKS_PER_CHECK;
+        for host in earlier.into_iter().take(ASKS_PER_CHECK) {
+            let status = status_of(&self.cx, &host.addr).await;
+            let serves = |s: &HostStatus| s.serving.iter().any(|s| s.manifest == duty.manifest);
+            // One that does not answer is dead or cut off, and waits for nobody.
+            if status.is_some_and(|status| !serves(&status)) {
                 return false;
             }
+            turn.switched.insert(host.name);
         }
-        true
+        all_asked
     }
 
-    fn earlier(&self, duty: &Duty) -> Vec<Name> {
+    fn earlier(&self, duty: &Duty) -> Vec<HostEntry> {
         let view = self.cx.shared.read();
         let Some(active) = view.cfg.intents().get(&duty.intent) else {
             return Vec::new();
@@ -191,7 +214,7 @@
             .filter(|(_, wave)| **wave < duty.wave);
         let hosts = hosts.filter_map(|(name, _)| view.hosts.get(name));
         let live = hosts.filter(|h| h.state == HostState::Live);
-        live.map(|h| h.addr.clone()).collect()
+        live.cloned().collect()
     }
 
     async fn switch(&self, duty: &Duty) {
--- a/crates/rw-daemon/src/host/transfer.rs
+++ b/crates/rw-daemon/src/host/transfer.rs
@@ -152,9 +152,14 @@
 
     fn limits(&self) -> Limits {
         let cfg = &self.cx.deployment.weights;
+        let chunk_timeout = Duration::from_millis(cfg.chunk_timeout_ms);
         Limits {
             window: cfg.window.get() as usize,
-            chunk_timeout: Duration::from_millis(cfg.chunk_timeout_ms),
+            chunk_timeout,
+            hedge_after: match cfg.goal {
+                WeightsGoal::Time => chunk_timeout / 8,
+                WeightsGoal::Origin => chunk_timeout / 2,
+            },
             avoid: AVOID,
         }
     }
@@ -166,9 +171,9 @@
             self.duty.manifest, fetch.chunk, fetch.source
         );
         match got {
-            Got::Missing => transfer.on_missing(fetch.chunk),
+            Got::Missing => transfer.on_missing(&fetch),
             Got::Failed => {
-                transfer.on_failed(fetch.chunk, self.cx.now());
+                transfer.on_failed(&fetch, self.cx.now());
                 let event = match fetch.source {
                     Source::Origin => Event::OriginUnreachable,
                     Source::Peer(_) => Event::ChunkRefetched,
@@ -185,9 +190,9 @@
                     .insert(&self.duty.manifest, fetch.chunk, body)
                     .is_ok()
                 {
-                    return transfer.on_chunk(fetch.chunk, self.cx.now());
+                    return transfer.on_chunk(&fetch, self.cx.now());
                 }
-                transfer.on_failed(fetch.chunk, self.cx.now());
+                transfer.on_failed(&fetch, self.cx.now());
                 recorder.emit(Event::ChunkCorrupt, &detail);
                 self.note_corrupt(&fetch.source);
             }
@@ -312,9 +317,7 @@
 fn policy(cx: &Context) -> Policy {
     let cfg = &cx.deployment.weights;
     match cfg.policy {
-        WeightsPolicy::Tree => Policy::Tree {
-            spend_origin: cfg.goal == WeightsGoal::Time,
-        },
+        WeightsPolicy::Tree => Policy::Tree,
         WeightsPolicy::Origin => Policy::Origin,
         WeightsPolicy::Chain => Policy::Chain,
         WeightsPolicy::Random => Policy::Random,
--- a/crates/rw-daemon/src/operator/reports.rs
+++ b/crates/rw-daemon/src/operator/reports.rs
@@ -2,11 +2,11 @@
 
 use rw_coord::unix_ms;
 use rw_intent::report;
-use rw_protocol::{EventRecord, HostStatus, Name};
+use rw_protocol::{EventRecord, HostEntry, Name};
 use serde_json::{json, Value};
 
 use super::server::{fail, ok, Answer, Operators};
-use crate::control::gather;
+use crate::control::{gather, statuses};
 
 /// Time limit for the events of one daemon.
 const EVENTS_TIMEOUT_S: u64 = 2;
@@ -22,16 +22,15 @@
 /// Every daemon with what it serves.
 pub(super) fn hosts(operators: &Operators) -> Answer {
     let cx = &operators.cx;
-    let seen = operators.handle.block_on(gather(cx));
-    let view = cx.shared.read();
-    let describe = |host: &rw_protocol::HostEntry| -> Value {
-        let status: Option<&HostStatus> = seen.hosts.get(&host.name);
-        json!({ "listed": host, "status": status })
+    let listed: Vec<HostEntry> = cx.shared.read().present().cloned().collect();
+    let seen = operators.handle.block_on(statuses(cx, listed.clone()));
+    let describe = |host: HostEntry| {
+        (
+            host.name.clone(),
+            json!({ "status": seen.get(&host.name), "listed": host }),
+        )
     };
-    let hosts: BTreeMap<Name, Value> = view
-        .present()
-        .map(|h| (h.name.clone(), describe(h)))
-        .collect();
+    let hosts: BTreeMap<Name, Value> = listed.into_iter().map(describe).collect();
     ok(&hosts)
 }
 
--- a/crates/rw-intent/src/lib.rs
+++ b/crates/rw-intent/src/lib.rs
@@ -10,7 +10,7 @@
 pub use parse::parse_intent;
 pub use plan::{plan, Site, WAVES};
 pub use replace::replace_failed;
-pub use report::{report, Observed};
+pub use report::{report, report_zone, Observed};
 
 use quick_error::quick_error;
 
--- a/crates/rw-intent/src/report.rs
+++ b/crates/rw-intent/src/report.rs
@@ -1,15 +1,15 @@
 use std::collections::BTreeMap;
 
-use rw_protocol::{HostStatus, IntentReport, Name, StatusReport};
+use rw_protocol::{HostStatus, IntentPart, IntentReport, Name, StatusReport, ZoneReport};
 
 use crate::{Active, Configuration};
 
-/// What an observer gathered.
+/// What an observer gathered over all availability zones.
 #[derive(Clone, Debug, Default)]
 pub struct Observed {
-    /// Status of the hosts that answered.
-    pub hosts: BTreeMap<Name, HostStatus>,
-    /// Daemons that did not answer.
+    /// Reports of the zones that answered.
+    pub zones: Vec<ZoneReport>,
+    /// Daemons of zones of which nobody answered.
     pub unreachable: Vec<Name>,
     /// Whether the table service answered.
     pub table_reachable: bool,
@@ -17,6 +17,45 @@
     pub unresolved: u64,
 }
 
+/// Reports on one zone: `members` are its daemons, `seen` the status of those
+/// that answered. It names exceptions only, so its size does not grow with the
+/// zone while all is well.
+pub fn report_zone(
+    cfg: &Configuration,
+    zone: &Name,
+    members: &[Name],
+    seen: &BTreeMap<Name, HostStatus>,
+) -> ZoneReport {
+    let part = |active: &Active| part(active, members, seen);
+    let lagging = seen.values().filter(|h| h.head < cfg.head());
+    let absent = members.iter().filter(|name| !seen.contains_key(*name));
+    let heads = seen.values().map(|h| h.head).chain([cfg.head()]);
+    ZoneReport {
+        zone: zone.clone(),
+        lowest_head: heads.min().unwrap_or(0),
+        intents: cfg.intents().values().map(part).collect(),
+        lagging: lagging.map(|h| h.host.clone()).collect(),
+        unreachable: absent.cloned().collect(),
+    }
+}
+
+fn part(active: &Active, members: &[Name], seen: &BTreeMap<Name, HostStatus>) -> IntentPart {
+    let serves = |host: &Name| {
+        let status = seen.get(host);
+        status.is_some_and(|s| s.serving.iter().any(|s| s.manifest == active.manifest))
+    };
+    let mine = members
+        .iter()
+        .filter(|host| active.assignments.contains_key(*host));
+    let (serving, missing): (Vec<&Name>, Vec<&Name>) = mine.partition(|host| serves(host));
+    IntentPart {
+        intent: active.intent.name.clone(),
+        manifest: active.manifest.clone(),
+        serving: serving.len() as u32,
+        missing: missing.into_iter().cloned().collect(),
+    }
+}
+
 /// Compares what is confirmed with what was observed.
 ///
 /// ```
@@ -28,42 +67,41 @@
     let intents: Vec<IntentReport> = cfg
         .intents()
         .values()
-        .map(|a| intent(a, seen, now_ms))
+        .map(|active| intent(active, seen, now_ms))
         .collect();
-    let lowest_head = seen
-        .hosts
-        .values()
-        .map(|h| h.head)
-        .min()
-        .unwrap_or(cfg.head());
-    let lagging = seen.hosts.values().filter(|h| h.head < cfg.head());
-    let lagging: Vec<Name> = lagging.map(|h| h.host.clone()).collect();
-    let problems = problems(&intents, &lagging, seen);
+    let heads = seen.zones.iter().map(|z| z.lowest_head);
+    let lagging: Vec<Name> = seen.zones.iter().flat_map(|z| z.lagging.clone()).collect();
+    let mut unreachable = seen.unreachable.clone();
+    unreachable.extend(seen.zones.iter().flat_map(|z| z.unreachable.clone()));
+    let problems = problems(&intents, &lagging, &unreachable, seen);
     StatusReport {
         head: cfg.head(),
-        lowest_head: lowest_head.min(cfg.head()),
+        lowest_head: heads.chain([cfg.head()]).min().unwrap_or(0),
         table_reachable: seen.table_reachable,
         healthy: problems.is_empty(),
         intents,
         lagging,
-        unreachable: seen.unreachable.clone(),
+        unreachable,
         unresolved: seen.unresolved,
         problems,
     }
 }
 
+// A zone that still goes by another version of the intent counts as not
+// serving this one.
 fn intent(active: &Active, seen: &Observed, now_ms: u64) -> IntentReport {
-    let serves = |host: &Name| {
-        let status = seen.hosts.get(host);
-        status.is_some_and(|s| s.serving.iter().any(|s| s.manifest == active.manifest))
-    };
-    let missing: Vec<Name> = active
-        .assignments
-        .keys()
-        .filter(|h| !serves(h))
-        .cloned()
-        .collect();
-    let serving = (active.assignments.len() - missing.len()) as u32;
+    let parts = seen.zones.iter().flat_map(|z| &z.intents);
+    let current = parts.filter(|p| p.intent == active.intent.name && p.manifest == active.manifest);
+    let (mut serving, mut missing) = (0, Vec::new());
+    for part in current {
+        serving += part.serving;
+        missing.extend(part.missing.iter().cloned());
+    }
+    let lost = seen.unreachable.iter();
+    missing.extend(
+        lost.filter(|host| active.assignments.contains_key(*host))
+            .cloned(),
+    );
     IntentReport {
         intent: active.intent.name.clone(),
         version: active.intent.version.clone(),
@@ -74,7 +112,12 @@
     }
 }
 
-fn problems(intents: &[IntentReport], lagging: &[Name], seen: &Observed) -> Vec<String> {
+fn problems(
+    intents: &[IntentReport],
+    lagging: &[Name],
+    unreachable: &[Name],
+    seen: &Observed,
+) -> Vec<String> {
     let mut out = Vec::new();
     for intent in intents.iter().filter(|i| i.serving < i.wanted) {
         let late = if intent.late { "late: " } else { "" };
@@ -90,8 +133,8 @@
             lagging.len()
         ));
     }
-    if !seen.unreachable.is_empty() {
-        out.push(format!("{} daemons do not answer", seen.unreachable.len()));
+    if !unreachable.is_empty() {
+        out.push(format!("{} daemons do not answer", unreachable.len()));
     }
     if !seen.table_reachable {
         out.push("the table service does not answer".to_string());
--- a/crates/rw-observe/src/catalogue.rs
+++ b/crates/rw-observe/src/catalogue.rs
@@ -54,6 +54,7 @@
     204 TableReachable Info "The table service answers again." "Nothing.";
     205 HostsReplaced Warn "Failed hosts of an intent were replaced by spare ones." "Look at the failed hosts.";
     206 ReplaceFailed Warn "An intent has failed hosts and no spare ones." "Add hosts or lower the intent's count.";
+    207 SnapshotRestored Info "A daemon far behind took a snapshot of the configuration into force." "Nothing.";
     300 TransferStarted Info "A host began to collect a model." "Nothing.";
     301 TransferComplete Info "A host holds a whole verified model." "Nothing.";
     302 ChunkCorrupt Warn "A chunk did not match its hash; its sender is avoided." "If it repeats, look at the named sender.";
--- a/crates/rw-protocol/src/generated.rs
+++ b/crates/rw-protocol/src/generated.rs
@@ -434,6 +434,18 @@
     pub teams: ::std::vec::Vec<crate::Name>,
     pub version: crate::Name,
 }
+///One zone's part in the outcome of an intent.
+///
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct IntentPart {
+    pub intent: crate::Name,
+    pub manifest: crate::Name,
+    pub missing: ::std::vec::Vec<crate::Name>,
+    ///Hosts that serve the manifest.
+    pub serving: u32,
+}
 ///Outcome of one intent.
 ///
 #[derive(Clone, Debug, PartialEq)]
@@ -521,6 +533,7 @@
     Missing(Missing),
     Manifest(Manifest),
     Status(HostStatus),
+    Report(ZoneReport),
 }
 impl ::std::convert::From<CallFrame> for PeerReply {
     fn from(value: CallFrame) -> Self {
@@ -557,6 +570,11 @@
         Self::Status(value)
     }
 }
+impl ::std::convert::From<ZoneReport> for PeerReply {
+    fn from(value: ZoneReport) -> Self {
+        Self::Report(value)
+    }
+}
 ///First frame of a stream between daemons.
 ///
 #[derive(Clone, Debug, PartialEq)]
@@ -568,6 +586,7 @@
     Chunk(ChunkRequest),
     Manifest(ManifestRequest),
     Watch(WatchRequest),
+    Report(ReportRequest),
 }
 impl ::std::convert::From<CallRequest> for PeerRequest {
     fn from(value: CallRequest) -> Self {
@@ -599,6 +618,11 @@
         Self::Watch(value)
     }
 }
+impl ::std::convert::From<ReportRequest> for PeerRequest {
+    fn from(value: ReportRequest) -> Self {
+        Self::Report(value)
+    }
+}
 ///What a confirmation would change.
 ///
 #[derive(Clone, Debug, PartialEq)]
@@ -683,6 +707,14 @@
     pub gone: ::std::vec::Vec<crate::Name>,
     pub intent: crate::Name,
 }
+///Asks a daemon for the report of its availability zone.
+///
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ReportRequest {
+    pub zone: crate::Name,
+}
 ///What a daemon does.
 ///
 #[derive(
@@ -824,3 +856,15 @@
 pub struct WatchRequest {
     pub name: crate::Name,
 }
+///Outcome of everything in one availability zone.
+///
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ZoneReport {
+    pub intents: ::std::vec::Vec<IntentPart>,
+    pub lagging: ::std::vec::Vec<crate::Name>,
+    pub lowest_head: u64,
+    pub unreachable: ::std::vec::Vec<crate::Name>,
+    pub zone: crate::Name,
+}
--- a/crates/rw-protocol/tests/frames.rs
+++ b/crates/rw-protocol/tests/frames.rs
@@ -120,6 +120,7 @@
         PeerRequest::Manifest(ManifestRequest {
             manifest: "m".into(),
         }),
+        PeerRequest::Report(ReportRequest { zone: "z".into() }),
         PeerRequest::Watch(WatchRequest { name: "a".into() }),
     ]
 }
@@ -182,6 +183,18 @@
     }));
     out.push(PeerReply::Missing(Missing { retry_after_ms: 1 }));
     out.push(PeerReply::Manifest(manifest()));
+    out.push(PeerReply::Report(ZoneReport {
+        zone: "z".into(),
+        lowest_head: 2,
+        intents: vec![IntentPart {
+            intent: "cuts".into(),
+            manifest: "m".into(),
+            serving: 1,
+            missing: vec!["host-2".into()],
+        }],
+        lagging: vec!["host-1".into()],
+        unreachable: vec!["host-2".into()],
+    }));
     out.push(PeerReply::Status(HostStatus {
         host: "a".into(),
         load: load(),
--- a/crates/rw-routing/src/policy.rs
+++ b/crates/rw-routing/src/policy.rs
@@ -2,8 +2,10 @@
 use rand::{Rng, SeedableRng};
 use rw_protocol::{rank, Name};
 
-/// Load above the mean at which a call leaves its preferred host.
+/// Load over the mean at which a call leaves its preferred host.
 const AFFINITY_BOUND: f64 = 1.25;
+/// Share of its limit up to which a host keeps its prefixes whatever the mean.
+const AFFINITY_FLOOR: f64 = 0.75;
 
 /// One host that could take a call.
 #[derive(Clone, Debug, PartialEq)]
@@ -44,7 +46,8 @@
         let held: u32 = candidates.iter().map(|c| c.load).sum();
         let room: u32 = candidates.iter().map(|c| c.limit).sum();
         let mean = f64::from(held + 1) / f64::from(room.max(1));
-        let bound = |c: &Candidate| (mean * AFFINITY_BOUND * f64::from(c.limit)).ceil();
+        let share = (mean * AFFINITY_BOUND).max(AFFINITY_FLOOR);
+        let bound = |c: &Candidate| (share * f64::from(c.limit)).ceil();
         let fits = |at: &usize| f64::from(candidates[*at].load) < bound(&candidates[*at]);
         let preferred = (0..candidates.len())
             .filter(fits)
--- a/crates/rw-routing/src/queue.rs
+++ b/crates/rw-routing/src/queue.rs
@@ -97,7 +97,8 @@
     }
 
     /// Lets a call wait, or refuses it at once when its team's queue is full
-    /// or its deadline would pass before `slots` places come round to it.
+    /// or its deadline would pass before `slots` places come round to it and it
+    /// has run.
     pub fn push(
         &mut self,
         call: Waiting<T>,
@@ -105,12 +106,13 @@
         now: Duration,
     ) -> Result<(), (Waiting<T>, Refusal)> {
         let wait = self.expected_wait(&call.team, slots);
+        let needed = wait + Duration::from_secs_f64(self.mean_call.unwrap_or(0.0));
         let per_team = self.per_team;
         let start = self.virtual_now;
         let team = self.team(&call.team);
         let reason = if team.calls.len() >= per_team {
             "the team's queue is full"
-        } else if now + wait > call.deadline {
+        } else if now + needed > call.deadline {
             "the deadline would pass in the queue"
         } else {
             if team.calls.is_empty() {
--- a/crates/rw-routing/src/router.rs
+++ b/crates/rw-routing/src/router.rs
@@ -164,17 +164,14 @@
             .filter_map(|host| Some((host, host.manifest(want)?)))
     }
 
-    /// Chooses a host with room for the call. Hosts of the entry's own zone
-    /// come first; calls spill to others when those are full.
+    /// Chooses a host with room for the call. The entry's subset prefers its own
+    /// zone; within it a cached prefix is worth more than a near host.
     pub fn pick(&mut self, want: &Want, now: Duration) -> Option<Pick> {
         let mut found: Vec<(Candidate, Name)> = self
             .usable(want)
             .filter(|(host, _)| host.load() < host.allowed(now))
             .map(|(host, manifest)| (candidate(host, now), manifest))
             .collect();
-        if found.iter().any(|(c, _)| c.near) {
-            found.retain(|(c, _)| c.near);
-        }
         if found.is_empty() {
             return None;
         }
--- a/crates/rw-standins/examples/bench_weights.rs
+++ b/crates/rw-standins/examples/bench_weights.rs
@@ -1,5 +1,6 @@
 //! Measures how weights spread: `bench_weights SIZES POLICIES [FAULT]`, such
-//! as `bench_weights 16,64,250 tree,chain,random,origin`.
+//! as `bench_weights 16,64,250 tree-origin,chain,random,origin slow`; the fault
+//! is `kill`, `corrupt` or `slow`.
 //!
 //! Writes CSV to standard output and a plot to `out/weights.svg`.
 
@@ -11,6 +12,7 @@
 use rw_standins::layout::{intent, Layout};
 use rw_standins::measure::{quantile, svg, Series};
 use rw_standins::platform::{Faults, Records};
+use rw_standins::proxy::Fault;
 
 const MODEL_BYTES: u64 = 16 << 20;
 const CHUNK_BYTES: u64 = 64 << 10;
@@ -19,8 +21,9 @@
 /// The origin carries four copies in the time in which a host carries two.
 const ORIGIN_RATE: u64 = 2 * HOST_RATE;
 const REGIONS: usize = 3;
-/// One in so many hosts is killed halfway.
+/// One in so many hosts is killed halfway, or has a slow way out.
 const KILLED_SHARE: usize = 10;
+const SLOW_FACTOR: u64 = 10;
 const CORRUPT_EVERY: u64 = 50;
 
 struct Figures {
@@ -32,7 +35,7 @@
     mean_sent: f64,
 }
 
-fn start(count: usize, policy: &str) -> Cluster {
+fn start(count: usize, policy: &str, fault: &str) -> Cluster {
     let (policy, goal) = match policy {
         "tree-time" => ("tree", "time"),
         "tree-origin" => ("tree", "origin"),
@@ -43,6 +46,7 @@
         engines: count,
         plain: 0,
         regions: REGIONS,
+        proxied: fault == "slow",
         extra: format!(
             "[weights]\npolicy = {policy}\ngoal = {goal}\nuplink_bytes_per_s = {HOST_RATE}\ndownlink_bytes_per_s = {HOST_RATE}\nwindow = 64\n[log]\nlevel = warn"
         ),
@@ -65,7 +69,7 @@
 }
 
 fn measure(count: usize, policy: &str, fault: &str) -> Figures {
-    let mut cluster = start(count, policy);
+    let mut cluster = start(count, policy, fault);
     if fault == "corrupt" {
         cluster.set_platform(&Faults {
             origin_bytes_per_s: ORIGIN_RATE,
@@ -73,6 +77,15 @@
             ..Faults::default()
         });
     }
+    if fault == "slow" {
+        let slow = Fault {
+            bytes_per_s: HOST_RATE / SLOW_FACTOR,
+            ..Fault::default()
+        };
+        for at in (0..count).step_by(KILLED_SHARE) {
+            cluster.set_fault(&format!("engine-{at}"), slow.clone());
+        }
+    }
     let names: Vec<String> = (0..count).map(|at| format!("engine-{at}")).collect();
     let begin = rw_standins::plain::unix_ms();
     let started = Instant::now();
--- a/crates/rw-weights/src/layout.rs
+++ b/crates/rw-weights/src/layout.rs
@@ -34,10 +34,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Policy {
     /// One tree per chunk, with the inner places spread over the hosts.
-    Tree {
-        /// Take a second copy from the origin to each remote region's lead.
-        spend_origin: bool,
-    },
+    Tree,
     /// Every host fetches everything from the origin.
     Origin,
     /// One fixed chain through all hosts.
@@ -72,7 +69,7 @@
     /// use rw_weights::{Layout, Peer, Policy, Source};
     /// use std::collections::BTreeSet;
     /// let peer = Peer { region: "north".into(), zone: "n1".into(), name: "a".into() };
-    /// let layout = Layout::new("m", "north", vec![peer.clone()], Policy::Tree { spend_origin: false });
+    /// let layout = Layout::new("m", "north", vec![peer.clone()], Policy::Tree);
     /// assert_eq!(layout.sources(0, &peer, &BTreeSet::new()), [Source::Origin]);
     /// ```
     pub fn new(manifest: &str, home: &str, mut peers: Vec<Peer>, policy: Policy) -> Self {
@@ -103,7 +100,7 @@
     /// hosts wait for each other.
     pub fn sources(&self, chunk: u32, me: &Peer, avoid: &BTreeSet<Name>) -> Vec<Source> {
         let peers = match self.policy {
-            Policy::Tree { .. } => self.tree_sources(chunk, me),
+            Policy::Tree => self.tree_sources(chunk, me),
             Policy::Origin => Vec::new(),
             Policy::Chain => self.chain_sources(me),
             Policy::Random => self.random_sources(chunk, me),
@@ -144,14 +141,9 @@
         if at == 0 {
             return Vec::new();
         }
-        let spend = matches!(self.policy, Policy::Tree { spend_origin: true });
         let remote = self.regions.len() - 1;
         let lead = 1 + chunk as usize % remote;
-        let order = if lead == at || spend {
-            vec![0]
-        } else {
-            vec![lead, 0]
-        };
+        let order = if lead == at { vec![0] } else { vec![lead, 0] };
         order
             .into_iter()
             .filter_map(|r| self.regions[r].root(chunk).cloned())
--- a/crates/rw-weights/src/transfer.rs
+++ b/crates/rw-weights/src/transfer.rs
@@ -10,6 +10,11 @@
 /// A host takes a chunk in for its region once it holds all but so many of the
 /// chunks before it, so that the origin sends few at a time and in order.
 const IMPORT_AHEAD: usize = 64;
+/// A chunk is overdue when one so many numbers above it has arrived, since
+/// chunks arrive roughly in their order.
+const OVERDUE_BEHIND: u32 = 32;
+/// Sources that one chunk is asked from at the same time.
+const MAX_ASKS: usize = 2;
 
 /// Bounds of one transfer.
 #[derive(Clone, Copy, Debug)]
@@ -18,6 +23,8 @@
     pub window: usize,
     /// Time after which a chunk is asked for elsewhere.
     pub chunk_timeout: Duration,
+    /// Time after which an overdue chunk is asked for at a second source too.
+    pub hedge_after: Duration,
     /// Time for which a failed source is avoided.
     pub avoid: Duration,
 }
@@ -31,7 +38,7 @@
     pub source: Source,
 }
 
-struct Pending {
+struct Ask {
     source: Source,
     since: Duration,
 }
@@ -42,7 +49,8 @@
     limits: Limits,
     chunks: usize,
     wanted: BTreeSet<u32>,
-    pending: BTreeMap<u32, Pending>,
+    highest: u32,
+    pending: BTreeMap<u32, Vec<Ask>>,
     // How many sources of a chunk said that they do not hold it yet.
     misses: BTreeMap<u32, usize>,
     avoid: BTreeMap<Name, Duration>,
@@ -60,11 +68,12 @@
     /// use std::time::Duration;
     /// let me = Peer { region: "r".into(), zone: "z".into(), name: "a".into() };
     /// let layout = Layout::new("m", "r", vec![me.clone()], Policy::Origin);
-    /// let limits = Limits { window: 4, chunk_timeout: Duration::from_secs(1), avoid: Duration::from_secs(1) };
+    /// let second = Duration::from_secs(1);
+    /// let limits = Limits { window: 4, chunk_timeout: second, hedge_after: second, avoid: second };
     /// let mut transfer = Transfer::new(me, 1, limits);
     /// let fetch = transfer.next(&layout, Duration::ZERO);
     /// assert_eq!(fetch[0].source, Source::Origin);
-    /// transfer.on_chunk(0, Duration::ZERO);
+    /// transfer.on_chunk(&fetch[0], Duration::ZERO);
     /// assert!(transfer.is_complete());
     /// ```
     pub fn new(me: Peer, chunks: u32, limits: Limits) -> Self {
@@ -73,6 +82,7 @@
             limits,
             chunks: chunks as usize,
             wanted: (0..chunks).collect(),
+            highest: 0,
             pending: BTreeMap::new(),
             misses: BTreeMap::new(),
             avoid: BTreeMap::new(),
@@ -97,7 +107,7 @@
     pub fn next(&mut self, layout: &Layout, now: Duration) -> Vec<Fetch> {
         self.avoid.retain(|_, until| *until > now);
         self.drop_stuck(now);
-        let mut out = Vec::new();
+        let mut out = self.hedge(layout, now);
         let (own, other): (Vec<u32>, Vec<u32>) = self
             .wanted
             .iter()
@@ -109,34 +119,22 @@
             if self.pending.len() >= self.limits.window {
                 break;
             }
-            let Some(source) = self.source(layout, chunk, now) else {
-                continue;
-            };
-            self.pending.insert(
-                chunk,
-                Pending {
-                    source: source.clone(),
-                    since: now,
-                },
-            );
-            out.push(Fetch { chunk, source });
+            if let Some(source) = self.source(layout, chunk) {
+                if source != Source::Origin || self.origin_is_free(now) {
+                    out.push(self.ask(chunk, source, now));
+                }
+            }
         }
         out
     }
 
-    fn source(&self, layout: &Layout, chunk: u32, now: Duration) -> Option<Source> {
-        let avoid: BTreeSet<Name> = self.avoid.keys().cloned().collect();
-        let sources = layout.sources(chunk, &self.me, &avoid);
-        // A live source that lacks the chunk is waiting for it itself, so the
-        // origin is asked only when no source is left.
-        let peers = sources.len() - 1;
-        if peers > 0 {
-            let at = self.misses.get(&chunk).copied().unwrap_or(0) % peers;
-            return Some(sources[at].clone());
-        }
-        let asked = self.pending.values().filter(|p| p.source == Source::Origin);
-        let free = asked.count() < ORIGIN_WINDOW && now >= self.origin_free_at;
-        free.then_some(Source::Origin)
+    fn ask(&mut self, chunk: u32, source: Source, now: Duration) -> Fetch {
+        let ask = Ask {
+            source: source.clone(),
+            since: now,
+        };
+        self.pending.entry(chunk).or_default().push(ask);
+        Fetch { chunk, source }
     }
 
     // Without any delivery for a while the order no longer matters.
@@ -146,52 +144,120 @@
         stalled || chunk as usize <= held + IMPORT_AHEAD
     }
 
-    // A request counts as failed when its source has delivered nothing for
-    // twice the timeout; a source with a long queue goes on delivering.
-    fn drop_stuck(&mut self, now: Duration) {
-        let limit = self.limits.chunk_timeout * 2;
-        let since = |p: &Pending| {
-            let delivered = self.delivered.get(&p.source).copied();
-            delivered.unwrap_or_default().max(p.since)
-        };
-        let stuck: Vec<u32> = self
+    fn peers(&self, layout: &Layout, chunk: u32) -> Vec<Source> {
+        let avoid: BTreeSet<Name> = self.avoid.keys().cloned().collect();
+        let mut sources = layout.sources(chunk, &self.me, &avoid);
+        sources.retain(|source| *source != Source::Origin);
+        sources
+    }
+
+    // A live source that lacks the chunk is waiting for it itself, so the
+    // origin is asked only when no other source is left.
+    fn source(&self, layout: &Layout, chunk: u32) -> Option<Source> {
+        let peers = self.peers(layout, chunk);
+        if peers.is_empty() {
+            return Some(Source::Origin);
+        }
+        let at = self.misses.get(&chunk).copied().unwrap_or(0) % peers.len();
+        peers.get(at).cloned()
+    }
+
+    fn origin_is_free(&self, now: Duration) -> bool {
+        let asks = self.pending.values().flatten();
+        let asked = asks.filter(|ask| ask.source == Source::Origin).count();
+        asked < ORIGIN_WINDOW && now >= self.origin_free_at
+    }
+
+    // Asks a second source for chunks that a slow one holds back.
+    fn hedge(&mut self, layout: &Layout, now: Duration) -> Vec<Fetch> {
+        let overdue: Vec<u32> = self
             .pending
             .iter()
-            .filter(|(_, p)| p.source != Source::Origin && now > since(p) + limit)
+            .filter(|(chunk, asks)| {
+                asks.len() < MAX_ASKS && self.is_overdue(**chunk, &asks[0], now)
+            })
             .map(|(chunk, _)| *chunk)
             .collect();
-        for chunk in stuck {
-            self.on_failed(chunk, now);
+        let mut out = Vec::new();
+        for chunk in overdue {
+            let asked = &self.pending[&chunk][0].source;
+            let second = self.peers(layout, chunk).into_iter().find(|s| s != asked);
+            if let Some(source) = second {
+                out.push(self.ask(chunk, source, now));
+            }
+        }
+        out
+    }
+
+    fn is_overdue(&self, chunk: u32, ask: &Ask, now: Duration) -> bool {
+        let waited = now.saturating_sub(ask.since);
+        let behind = self.highest >= chunk + OVERDUE_BEHIND;
+        let last = self.wanted.len() <= OVERDUE_BEHIND as usize;
+        ask.source != Source::Origin
+            && ((behind && waited > self.limits.hedge_after)
+                || (last && waited > 2 * self.limits.hedge_after))
+    }
+
+    // A request counts as failed when its source has delivered nothing for
+    // twice the timeout; a source with a long queue goes on delivering.
+    fn drop_stuck(&mut self, now: Duration) {
+        let limit = self.limits.chunk_timeout * 2;
+        let mut stuck = Vec::new();
+        for (chunk, asks) in &self.pending {
+            for ask in asks.iter().filter(|ask| ask.source != Source::Origin) {
+                let delivered = self.delivered.get(&ask.source).copied().unwrap_or_default();
+                if now > delivered.max(ask.since) + limit {
+                    let (chunk, source) = (*chunk, ask.source.clone());
+                    stuck.push(Fetch { chunk, source });
+                }
+            }
+        }
+        for fetch in stuck {
+            self.on_failed(&fetch, now);
         }
     }
 
     /// A verified chunk arrived.
-    pub fn on_chunk(&mut self, chunk: u32, now: Duration) {
-        self.wanted.remove(&chunk);
-        self.misses.remove(&chunk);
+    pub fn on_chunk(&mut self, fetch: &Fetch, now: Duration) {
+        self.wanted.remove(&fetch.chunk);
+        self.misses.remove(&fetch.chunk);
+        self.pending.remove(&fetch.chunk);
+        self.highest = self.highest.max(fetch.chunk);
         self.last_delivery = now;
-        if let Some(pending) = self.pending.remove(&chunk) {
-            self.delivered.insert(pending.source, now);
-        }
+        self.delivered.insert(fetch.source.clone(), now);
     }
 
     /// The source does not hold the chunk yet; the next ancestor is asked.
-    pub fn on_missing(&mut self, chunk: u32) {
-        if self.pending.remove(&chunk).is_some() {
-            *self.misses.entry(chunk).or_default() += 1;
+    pub fn on_missing(&mut self, fetch: &Fetch) {
+        if self.forget(fetch) {
+            *self.misses.entry(fetch.chunk).or_default() += 1;
         }
     }
 
     /// The source failed or sent damaged bytes; it is avoided for a while.
-    /// Returns the source.
-    pub fn on_failed(&mut self, chunk: u32, now: Duration) -> Option<Source> {
-        let pending = self.pending.remove(&chunk)?;
-        match &pending.source {
+    pub fn on_failed(&mut self, fetch: &Fetch, now: Duration) {
+        if !self.forget(fetch) {
+            return;
+        }
+        match &fetch.source {
             Source::Peer(name) => {
                 self.avoid.insert(name.clone(), now + self.limits.avoid);
             }
             Source::Origin => self.origin_free_at = now + self.limits.chunk_timeout / 4,
         }
-        Some(pending.source)
+    }
+
+    // Says whether the request was pending.
+    fn forget(&mut self, fetch: &Fetch) -> bool {
+        let Some(asks) = self.pending.get_mut(&fetch.chunk) else {
+            return false;
+        };
+        let before = asks.len();
+        asks.retain(|ask| ask.source != fetch.source);
+        let found = asks.len() < before;
+        if asks.is_empty() {
+            self.pending.remove(&fetch.chunk);
+        }
+        found
     }
 }
