Refuse calls that would wait too long at once, by the rate at which places came

Cause: at 1.5 times capacity refusals came after 4.0 s, the whole deadline (p99 of 923), and calls that did get a place ran past it (98 failed). The expected wait counted every slot of the hosts as this entry's own, with three entries sharing them, and left out the call's own run.

Ruled out: the hosts' own queues (4 places, refusals within a millisecond) and the retry budget (no retries in that run).

Change: the wait is worked out from the gaps between this entry's last grants while calls waited, which hold the other entries' share; a call's mean run is counted; limits.max_wait_ms bounds the wait.

--- a/crates/rw-daemon/src/entry/dispatcher.rs
+++ b/crates/rw-daemon/src/entry/dispatcher.rs
@@ -12,8 +12,6 @@
 use crate::Context;
 
 const TICK: Duration = Duration::from_millis(10);
-/// Longest wait while no host serves what a call needs.
-const UNSERVED_WAIT: Duration = Duration::from_secs(5);
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// What became of a call that asked for a host.
@@ -109,7 +107,10 @@
     let limits = &cx.deployment.limits;
     let mut state = State {
         router: Router::new(policy(&cx)),
-        queue: FairQueue::new(limits.queue_per_team.get() as usize),
+        queue: FairQueue::new(
+            limits.queue_per_team.get() as usize,
+            Duration::from_millis(limits.max_wait_ms.get()),
+        ),
         budget: RetryBudget::new(limits.retry_ratio),
         cx: cx.clone(),
     };
@@ -167,20 +168,13 @@
         if !call.is_retry {
             self.budget.on_first_try();
         }
-        let slots = self.router.slots(&call.want, now);
-        let served = self.router.is_served(&call.want);
-        let longest = if served {
-            call.deadline
-        } else {
-            now + UNSERVED_WAIT
-        };
         let waiting = Waiting {
             team: call.team.clone(),
             priority: call.priority,
-            deadline: call.deadline.min(longest),
+            deadline: call.deadline,
             item: call,
         };
-        if let Err((waiting, refusal)) = self.queue.push(waiting, slots, now) {
+        if let Err((waiting, refusal)) = self.queue.push(waiting, now) {
             refuse(waiting.item, refusal.reason, refusal.retry_after);
         }
     }
@@ -236,7 +230,7 @@
         let now = self.cx.now();
         loop {
             let router = &self.router;
-            let next = self.queue.pop(|call| router.has_room(&call.want, now));
+            let next = self.queue.pop(now, |call| router.has_room(&call.want, now));
             let Some(waiting) = next else { return };
             let call = waiting.item;
             let Some(pick) = self.router.pick(&call.want, now) else {
--- a/crates/rw-platform/tests/contract.rs
+++ b/crates/rw-platform/tests/contract.rs
@@ -194,7 +194,7 @@
     assert_eq!(matches!(err, Error::Refused(_)), refused, "{err}");
     assert_eq!(matches!(err, Error::Unknown(_)), !refused, "{err}");
     cluster.set_platform(&Faults::default());
-    let row = rw_standins::cluster::wait_for("settled", || {
+    let row = rw_standins::client::wait_for("settled", || {
         let row = platform.read("contract/fault").ok()?;
         (row.is_some() == took_effect).then_some(row)
     });
--- a/crates/rw-routing/src/queue.rs
+++ b/crates/rw-routing/src/queue.rs
@@ -3,10 +3,10 @@
 
 use rw_protocol::Name;
 
-/// Weight of the newest sample in the mean time of a call.
+/// Weight of the newest sample in a moving mean.
 const SAMPLE_WEIGHT: f64 = 0.1;
-/// Retry-after of a refusal before any call has ended.
-const FIRST_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Shortest retry-after of a refusal.
+const SHORTEST_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// A call that waits.
 #[derive(Clone, Debug, PartialEq)]
@@ -17,7 +17,7 @@
     pub team: Name,
     /// Higher goes first within a team.
     pub priority: u32,
-    /// When the caller stops waiting.
+    /// When the caller stops waiting; the queue may set it earlier.
     pub deadline: Duration,
 }
 
@@ -44,27 +44,43 @@
     teams: BTreeMap<Name, Team<T>>,
     per_team: usize,
     virtual_now: f64,
-    mean_call: Option<f64>,
+    max_wait: Duration,
+    // Mean time of a call in seconds.
+    mean_call: f64,
+    // Mean time between two grants in seconds, while calls waited.
+    mean_gap: f64,
+    // The last grant, if calls still waited after it.
+    last_grant: Option<Duration>,
+}
+
+fn mean(old: f64, sample: f64) -> f64 {
+    match old {
+        0.0 => sample,
+        _ => old + (sample - old) * SAMPLE_WEIGHT,
+    }
 }
 
 impl<T> FairQueue<T> {
-    /// At most `per_team` calls of one team wait.
+    /// At most `per_team` calls of one team wait, none longer than `max_wait`.
     ///
     /// ```
     /// use rw_routing::{FairQueue, Waiting};
     /// use std::time::Duration;
-    /// let mut queue = FairQueue::new(1);
+    /// let mut queue = FairQueue::new(1, Duration::from_secs(1));
     /// let call = |n| Waiting { item: n, team: "a".into(), priority: 0, deadline: Duration::from_secs(9) };
-    /// assert!(queue.push(call(1), 4, Duration::ZERO).is_ok());
-    /// assert!(queue.push(call(2), 4, Duration::ZERO).is_err());
-    /// assert_eq!(queue.pop(|_| true).unwrap().item, 1);
+    /// assert!(queue.push(call(1), Duration::ZERO).is_ok());
+    /// assert!(queue.push(call(2), Duration::ZERO).is_err());
+    /// assert_eq!(queue.pop(Duration::ZERO, |_| true).unwrap().item, 1);
     /// ```
-    pub fn new(per_team: usize) -> Self {
+    pub fn new(per_team: usize, max_wait: Duration) -> Self {
         FairQueue {
             teams: BTreeMap::new(),
             per_team,
             virtual_now: 0.0,
-            mean_call: None,
+            max_wait,
+            mean_call: 0.0,
+            mean_gap: 0.0,
+            last_grant: None,
         }
     }
 
@@ -96,33 +112,33 @@
         self.teams.values().all(|team| team.calls.is_empty())
     }
 
-    /// Lets a call wait, or refuses it at once when its team's queue is full
-    /// or its deadline would pass before `slots` places come round to it and it
-    /// has run.
+    /// Lets a call wait, or refuses it at once: when its team's queue is full,
+    /// when it would wait too long, or when it would end after its deadline.
     pub fn push(
         &mut self,
-        call: Waiting<T>,
-        slots: u32,
+        mut call: Waiting<T>,
         now: Duration,
     ) -> Result<(), (Waiting<T>, Refusal)> {
-        let wait = self.expected_wait(&call.team, slots);
-        let needed = wait + Duration::from_secs_f64(self.mean_call.unwrap_or(0.0));
+        let wait = self.expected_wait(&call.team, now);
+        let runs = Duration::from_secs_f64(self.mean_call);
+        let latest = call.deadline.saturating_sub(runs).min(now + self.max_wait);
         let per_team = self.per_team;
         let start = self.virtual_now;
         let team = self.team(&call.team);
         let reason = if team.calls.len() >= per_team {
             "the team's queue is full"
-        } else if now + needed > call.deadline {
-            "the deadline would pass in the queue"
+        } else if now + wait > latest {
+            "the wait for a host would be too long"
         } else {
             if team.calls.is_empty() {
                 team.virtual_time = team.virtual_time.max(start);
             }
+            call.deadline = latest.max(now);
             let at = team.calls.partition_point(|c| c.priority >= call.priority);
             team.calls.insert(at, call);
             return Ok(());
         };
-        let retry_after = wait.max(FIRST_RETRY_AFTER / 10);
+        let retry_after = wait.max(SHORTEST_RETRY_AFTER);
         Err((
             call,
             Refusal {
@@ -132,35 +148,28 @@
         ))
     }
 
-    /// Time until a new call of the team would be granted.
-    pub fn expected_wait(&self, team: &Name, slots: u32) -> Duration {
-        let Some(mean) = self.mean_call else {
-            return if slots == 0 {
-                FIRST_RETRY_AFTER
-            } else {
-                Duration::ZERO
-            };
-        };
+    /// Time until a new call of the team would be granted: the calls of the
+    /// team ahead of it, at the rate at which this entry was granted places
+    /// lately. Other entries' share of the hosts is in that rate.
+    pub fn expected_wait(&self, team: &Name, now: Duration) -> Duration {
         let ahead = self.teams.get(team).map_or(0, |t| t.calls.len());
-        let waiting: f64 = self
-            .teams
-            .values()
-            .filter(|t| !t.calls.is_empty())
-            .map(|t| t.weight)
-            .sum();
+        if ahead == 0 {
+            return Duration::ZERO;
+        }
+        let silent = self
+            .last_grant
+            .map_or(0.0, |at| now.saturating_sub(at).as_secs_f64());
+        let gap = self.mean_gap.max(silent);
+        let waiting = self.teams.values().filter(|t| !t.calls.is_empty());
+        let weights: f64 = waiting.map(|t| t.weight).sum();
         let own = self.teams.get(team).map_or(1.0, |t| t.weight);
-        let share = if waiting > 0.0 {
-            (own / waiting.max(own)).min(1.0)
-        } else {
-            1.0
-        };
-        let rate = f64::from(slots.max(1)) * share / mean.max(0.001);
-        Duration::from_secs_f64((ahead as f64 / rate).min(3600.0))
+        let wait = ahead as f64 * gap * weights / own;
+        Duration::from_secs_f64(wait.min(3600.0))
     }
 
     /// Takes the next call whose team is below its limit and for which `fits`
     /// holds; the team served least for its weight goes first.
-    pub fn pop(&mut self, mut fits: impl FnMut(&T) -> bool) -> Option<Waiting<T>> {
+    pub fn pop(&mut self, now: Duration, mut fits: impl FnMut(&T) -> bool) -> Option<Waiting<T>> {
         let mut order: Vec<(f64, Name)> = self
             .teams
             .iter()
@@ -177,6 +186,7 @@
             self.virtual_now = self.virtual_now.max(team.virtual_time);
             team.virtual_time += 1.0 / team.weight;
             team.in_flight += 1;
+            self.note_grant(now);
             return Some(call);
         }
         None
@@ -188,10 +198,17 @@
             team.in_flight = team.in_flight.saturating_sub(1);
         }
         if let Some(took) = took {
-            let took = took.as_secs_f64();
-            let mean = self.mean_call.unwrap_or(took);
-            self.mean_call = Some(mean + (took - mean) * SAMPLE_WEIGHT);
+            self.mean_call = mean(self.mean_call, took.as_secs_f64());
+        }
+    }
+
+    // Gaps count only while calls wait: otherwise they tell of the callers.
+    fn note_grant(&mut self, now: Duration) {
+        if let Some(last) = self.last_grant {
+            let gap = now.saturating_sub(last).as_secs_f64();
+            self.mean_gap = mean(self.mean_gap, gap);
         }
+        self.last_grant = (!self.is_empty()).then_some(now);
     }
 
     /// Changes every call that waits.
--- a/crates/rw-routing/src/router.rs
+++ b/crates/rw-routing/src/router.rs
@@ -151,11 +151,6 @@
             .any(|(host, _)| host.load() < host.allowed(now))
     }
 
-    /// Calls that the hosts for `want` may hold together.
-    pub fn slots(&self, want: &Want, now: Duration) -> u32 {
-        self.usable(want).map(|(host, _)| host.allowed(now)).sum()
-    }
-
     fn usable<'a>(&'a self, want: &'a Want) -> impl Iterator<Item = (&'a Host, Name)> + 'a {
         self.hosts
             .values()
--- a/crates/rw-routing/tests/decisions.rs
+++ b/crates/rw-routing/tests/decisions.rs
@@ -155,23 +155,23 @@
 #[case(3, 1)]
 #[case(4, 2)]
 fn teams_are_served_by_weight_whoever_asks_more(#[case] a: u32, #[case] b: u32) {
-    let mut queue = FairQueue::new(10_000);
+    let mut queue = FairQueue::new(10_000, SECOND * 60);
     queue.set_team(&"a".into(), a, u32::MAX);
     queue.set_team(&"b".into(), b, u32::MAX);
     for n in 0..1000 {
         queue
-            .push(call("a", n, 0, SECOND), 4, Duration::ZERO)
+            .push(call("a", n, 0, SECOND), Duration::ZERO)
             .expect("room");
         // Team b asks ten times as much.
         for _ in 0..4 {
             queue
-                .push(call("b", n, 0, SECOND), 4, Duration::ZERO)
+                .push(call("b", n, 0, SECOND), Duration::ZERO)
                 .expect("room");
         }
     }
     let mut served: BTreeMap<Name, u32> = BTreeMap::new();
     for _ in 0..600 {
-        let next = queue.pop(|_| true).expect("calls wait");
+        let next = queue.pop(Duration::ZERO, |_| true).expect("calls wait");
         *served.entry(next.team).or_default() += 1;
     }
     let share = f64::from(served[&Name::from("a")]) / 600.0;
@@ -181,33 +181,55 @@
 
 #[test]
 fn higher_priority_goes_first_within_a_team_and_a_limit_holds() {
-    let mut queue = FairQueue::new(10);
+    let mut queue = FairQueue::new(10, SECOND);
     queue.set_team(&"a".into(), 1, 2);
     for (item, priority) in [(1, 0), (2, 5), (3, 5)] {
         queue
-            .push(call("a", item, priority, SECOND), 4, Duration::ZERO)
+            .push(call("a", item, priority, SECOND), Duration::ZERO)
             .expect("room");
     }
-    assert_eq!(queue.pop(|_| true).map(|w| w.item), Some(2));
-    assert_eq!(queue.pop(|_| true).map(|w| w.item), Some(3));
-    assert_eq!(queue.pop(|_| true), None);
+    assert_eq!(queue.pop(Duration::ZERO, |_| true).map(|w| w.item), Some(2));
+    assert_eq!(queue.pop(Duration::ZERO, |_| true).map(|w| w.item), Some(3));
+    assert_eq!(queue.pop(Duration::ZERO, |_| true), None);
     queue.on_end(&"a".into(), Some(SECOND));
-    assert_eq!(queue.pop(|_| true).map(|w| w.item), Some(1));
+    assert_eq!(queue.pop(Duration::ZERO, |_| true).map(|w| w.item), Some(1));
 }
 
 #[test]
-fn a_call_that_cannot_make_its_deadline_is_refused_with_when_to_come_back() {
-    let mut queue = FairQueue::new(100);
-    queue.on_end(&"a".into(), Some(SECOND));
-    for n in 0..10 {
+fn a_call_that_would_wait_too_long_is_refused_at_once_with_when_to_come_back() {
+    let mut queue = FairQueue::new(100, SECOND * 10);
+    let push =
+        |queue: &mut FairQueue<usize>, n, deadline, now| queue.push(call("a", n, 0, deadline), now);
+    for n in 0..6 {
+        push(&mut queue, n, SECOND * 100, Duration::ZERO).expect("room");
+    }
+    // A place every two seconds, as the last grants show.
+    for at in 0..3 {
+        queue.pop(SECOND * 2 * at, |_| true).expect("calls wait");
+    }
+    let now = SECOND * 4;
+    assert_eq!(queue.expected_wait(&"a".into(), now), SECOND * 6);
+    let (_, refusal) = push(&mut queue, 7, now + SECOND * 5, now).expect_err("too late");
+    assert_eq!(refusal.retry_after, SECOND * 6);
+    // Its run counts too.
+    queue.on_end(&"a".into(), Some(SECOND * 3));
+    push(&mut queue, 8, now + SECOND * 8, now).expect_err("would end too late");
+    push(&mut queue, 9, now + SECOND * 10, now).expect("in time");
+    // Nothing waits longer than the limit, whatever its deadline is.
+    assert_eq!(queue.expire(now + SECOND * 11).len(), 4);
+    assert!(queue.is_empty());
+}
+
+#[test]
+fn grants_that_stop_make_the_wait_longer() {
+    let mut queue = FairQueue::new(100, SECOND * 10);
+    for n in 0..4 {
         queue
-            .push(call("a", n, 0, SECOND * 60), 2, Duration::ZERO)
+            .push(call("a", n, 0, SECOND * 100), Duration::ZERO)
             .expect("room");
     }
-    let (_, refusal) = queue
-        .push(call("a", 11, 0, SECOND), 2, Duration::ZERO)
-        .expect_err("too late");
-    assert_eq!(refusal.retry_after, SECOND * 5);
-    assert_eq!(queue.expire(SECOND * 61).len(), 10);
-    assert!(queue.is_empty());
+    queue.pop(SECOND, |_| true).expect("calls wait");
+    queue.pop(SECOND * 2, |_| true).expect("calls wait");
+    assert_eq!(queue.expected_wait(&"a".into(), SECOND * 2), SECOND * 2);
+    assert_eq!(queue.expected_wait(&"a".into(), SECOND * 7), SECOND * 10);
 }
--- a/crates/rw-settings/src/generated.rs
+++ b/crates/rw-settings/src/generated.rs
@@ -175,6 +175,9 @@
     ///Largest request head in bytes
     #[serde(default = "defaults::default_u64::<u64, 16384>")]
     pub max_header_bytes: u64,
+    ///Longest wait for a host at an entry, milliseconds; calls that would wait longer are refused at once
+    #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU64, 700>")]
+    pub max_wait_ms: ::std::num::NonZeroU64,
     ///Calls of one team that wait at an entry
     #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU32, 256>")]
     pub queue_per_team: ::std::num::NonZeroU32,
@@ -196,6 +199,7 @@
             max_body_bytes: defaults::default_u64::<u64, 1048576>(),
             max_connections: defaults::default_nzu64::<::std::num::NonZeroU32, 4000>(),
             max_header_bytes: defaults::default_u64::<u64, 16384>(),
+            max_wait_ms: defaults::default_nzu64::<::std::num::NonZeroU64, 700>(),
             queue_per_team: defaults::default_nzu64::<::std::num::NonZeroU32, 256>(),
             retry_ratio: defaults::limits_retry_ratio(),
             routing: defaults::limits_routing(),
--- a/crates/rw-standins/examples/bench_control.rs
+++ b/crates/rw-standins/examples/bench_control.rs
@@ -6,7 +6,8 @@
 use std::time::{Duration, Instant};
 
 use rw_protocol::EventRecord;
-use rw_standins::cluster::{get, wait_for, Cluster};
+use rw_standins::client::{get, wait_for};
+use rw_standins::cluster::Cluster;
 use rw_standins::layout::{intent, Layout};
 use rw_standins::measure::{loopback_bytes, quantile, slope, usage, Usage};
 use rw_standins::platform::Records;
--- a/crates/rw-standins/examples/bench_weights.rs
+++ b/crates/rw-standins/examples/bench_weights.rs
@@ -8,7 +8,8 @@
 use std::time::Instant;
 
 use rw_protocol::EventRecord;
-use rw_standins::cluster::{get, wait_for, Cluster};
+use rw_standins::client::{get, wait_for};
+use rw_standins::cluster::Cluster;
 use rw_standins::layout::{intent, Layout};
 use rw_standins::measure::{quantile, svg, Series};
 use rw_standins::platform::{Faults, Records};
--- a/crates/rw-standins/src/caller.rs
+++ b/crates/rw-standins/src/caller.rs
@@ -25,12 +25,17 @@
     Wrong(String),
 }
 
-/// A draft request.
+/// A draft request; what stands before the first `|` is the system message,
+/// which calls of one kind share.
 pub fn draft_body(prompt: &str, tokens: u64, stream: bool) -> Value {
-    json!({
-        "model": "assistant", "stream": stream, "max_tokens": tokens,
-        "messages": [{"role": "user", "content": prompt}],
-    })
+    let messages = match prompt.split_once('|') {
+        Some((system, user)) => json!([
+            {"role": "system", "content": system},
+            {"role": "user", "content": user},
+        ]),
+        None => json!([{"role": "user", "content": prompt}]),
+    };
+    json!({"model": "assistant", "stream": stream, "max_tokens": tokens, "messages": messages})
 }
 
 /// Asks for a streamed draft and checks every token.
--- a/crates/rw-standins/src/cluster.rs
+++ b/crates/rw-standins/src/cluster.rs
@@ -3,21 +3,17 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use rw_protocol::{HostEntry, HostState, Name, Role, StatusReport};
 use rw_settings::{Daemon, DaemonRole, Deployment, ServiceKind};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
+use crate::client::{answer, get, post, wait_for, POLL, TIMEOUT_S, WAIT_CAP};
 use crate::platform::{Faults, Model};
 use crate::proxy::{Fault, Route};
 
-/// Cap of every wait; far beyond what any wait needs.
-pub const WAIT_CAP: Duration = Duration::from_secs(30);
-const POLL: Duration = Duration::from_millis(20);
-const TIMEOUT_S: u64 = 10;
-
 /// A running deployment. Dropping it ends its processes.
 pub struct Cluster {
     /// Settings of the deployment.
@@ -44,37 +40,6 @@
     }
 }
 
-/// Polls until `done` gives a value; panics after [`WAIT_CAP`].
-pub fn wait_for<T>(what: &str, mut done: impl FnMut() -> Option<T>) -> T {
-    let start = Instant::now();
-    loop {
-        if let Some(value) = done() {
-            return value;
-        }
-        assert!(start.elapsed() < WAIT_CAP, "gave up waiting: {what}");
-        std::thread::sleep(POLL);
-    }
-}
-
-/// Posts JSON and returns status and body.
-pub fn post<T: Serialize>(url: &str, value: &T) -> (i32, String) {
-    let body = serde_json::to_vec(value).unwrap_or_default();
-    let sent = minreq::post(url)
-        .with_body(body)
-        .with_timeout(TIMEOUT_S)
-        .send();
-    match sent {
-        Ok(res) => (res.status_code, res.as_str().unwrap_or("").to_string()),
-        Err(err) => (0, err.to_string()),
-    }
-}
-
-/// Reads JSON.
-pub fn get<T: DeserializeOwned>(url: &str) -> Option<T> {
-    let res = minreq::get(url).with_timeout(TIMEOUT_S).send().ok()?;
-    serde_json::from_slice(res.as_bytes()).ok()
-}
-
 impl Cluster {
     /// Starts the stand-ins of a deployment file, but no daemon; logs go to
     /// `dir`.
@@ -395,16 +360,6 @@
     }
 }
 
-fn answer(req: minreq::Request) -> (i32, serde_json::Value) {
-    match req.with_timeout(TIMEOUT_S).send() {
-        Ok(res) => (
-            res.status_code,
-            serde_json::from_slice(res.as_bytes()).unwrap_or_default(),
-        ),
-        Err(err) => (0, serde_json::Value::String(err.to_string())),
-    }
-}
-
 /// Sends a signal to a child by its id.
 pub fn send_signal(child: &Child, signal: &str) {
     let id = child.id().to_string();
--- a/crates/rw-standins/src/lib.rs
+++ b/crates/rw-standins/src/lib.rs
@@ -2,6 +2,7 @@
 //! run whole deployments as real processes. Not published.
 
 pub mod caller;
+pub mod client;
 pub mod cluster;
 pub mod engine;
 pub mod layout;
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -6,8 +6,9 @@
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
-use rw_standins::caller::{draft, plain, Outcome};
-use rw_standins::cluster::{wait_for, Cluster};
+use rw_standins::caller::{draft, Outcome};
+use rw_standins::client::wait_for;
+use rw_standins::cluster::Cluster;
 use rw_standins::engine::{Behaviour, Records};
 use rw_standins::layout::Layout;
 use rw_standins::plain::Ran;
@@ -310,95 +311,3 @@
         run.cancelled.then_some(())
     });
 }
-
-#[rstest]
-#[case::not_json("POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nx-team: arima\r\ncontent-length: 3\r\n\r\n{x}", "400")]
-#[case::no_team(
-    "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\n{}",
-    "400"
-)]
-#[case::other_method("GET /v1/chat/completions HTTP/1.1\r\nhost: x\r\n\r\n", "405")]
-#[case::no_service(
-    "POST /v1/services/nothing/x HTTP/1.1\r\nhost: x\r\nx-team: arima\r\ncontent-length: 0\r\n\r\n",
-    "404"
-)]
-#[case::no_model("POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nx-team: arima\r\ncontent-length: 15\r\n\r\n{\"model\": \"no\"}", "404")]
-#[case::bad_deadline("POST /v1/services/checkout/stock HTTP/1.1\r\nhost: x\r\nx-team: arima\r\nx-deadline-ms: soon\r\ncontent-length: 0\r\n\r\n", "400")]
-#[case::not_http("\x16\x03\x01 hello\r\n\r\n", "400")]
-fn bad_input_gets_a_clear_error(#[case] request: &str, #[case] status: &str) {
-    let cluster = Layout {
-        engines: 0,
-        entries: 1,
-        ..layout()
-    }
-    .start("bad-input");
-    let addr = cluster.daemon("entry-0").caller_listen.clone();
-    let mut conn = TcpStream::connect(&addr).expect("the entry listens");
-    conn.set_read_timeout(Some(Duration::from_secs(20)))
-        .expect("a timeout can be set");
-    conn.write_all(request.as_bytes()).expect("sent");
-    let mut buf = [0; 4096];
-    let len = conn.read(&mut buf).expect("an answer");
-    let text = String::from_utf8_lossy(&buf[..len]).into_owned();
-    assert!(text.starts_with(&format!("HTTP/1.1 {status}")), "{text}");
-    // The process lives.
-    wait_for("a good call", || {
-        let answer = plain(&cluster.entry_url("entry-0"), "arima", "stock", "", "goat");
-        matches!(answer, Outcome::Answered(_)).then_some(())
-    });
-}
-
-#[test]
-fn an_oversize_body_or_head_is_refused() {
-    let cluster = Layout {
-        engines: 0,
-        entries: 1,
-        ..layout()
-    }
-    .start("oversize");
-    let url = cluster.entry_url("entry-0");
-    let body = "x".repeat(2 << 20);
-    let answer = plain(&url, "arima", "stock", "", &body);
-    assert!(
-        matches!(answer, Outcome::Refused(413) | Outcome::Cut(_)),
-        "{answer:?}"
-    );
-    let mut conn =
-        TcpStream::connect(cluster.daemon("entry-0").caller_listen.as_str()).expect("connected");
-    let head = format!(
-        "POST / HTTP/1.1\r\nx-long: {}\r\n\r\n",
-        "x".repeat(64 << 10)
-    );
-    // The entry may close before all is sent.
-    let _ = conn.write_all(head.as_bytes());
-    let mut text = String::new();
-    let _ = conn.read_to_string(&mut text);
-    assert!(text.is_empty() || text.starts_with("HTTP/1.1 4"), "{text}");
-    wait_for("a good call", || {
-        let answer = plain(&url, "arima", "stock", "", "goat");
-        matches!(answer, Outcome::Answered(_)).then_some(())
-    });
-}
-
-// Bytes on the peer port that are no messages end their stream and no more.
-#[rstest]
-#[case::garbage(b"garbage\r\n\r\n".to_vec())]
-#[case::empty(Vec::new())]
-#[case::http1(b"GET / HTTP/1.1\r\n\r\n".to_vec())]
-fn garbage_on_the_peer_port_harms_nobody(#[case] bytes: Vec<u8>) {
-    let cluster = Layout {
-        engines: 0,
-        entries: 1,
-        ..layout()
-    }
-    .start("peer-garbage");
-    for _ in 0..20 {
-        let mut conn =
-            TcpStream::connect(&*cluster.daemon("plain-0").listen).expect("the host listens");
-        let _ = conn.write_all(&bytes);
-    }
-    wait_for("a good call", || {
-        let answer = plain(&cluster.entry_url("entry-0"), "arima", "stock", "", "goat");
-        matches!(answer, Outcome::Answered(_)).then_some(())
-    });
-}
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -5,7 +5,8 @@
 
 use rstest::rstest;
 use rw_standins::caller::{plain, Outcome};
-use rw_standins::cluster::{wait_for, Cluster};
+use rw_standins::client::wait_for;
+use rw_standins::cluster::Cluster;
 use rw_standins::layout::Layout;
 use rw_standins::plain::{Behaviour, Ran};
 use rw_standins::platform::Faults;
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -3,7 +3,8 @@
 
 use rw_protocol::Name;
 use rw_settings::DaemonRole;
-use rw_standins::cluster::{wait_for, Cluster};
+use rw_standins::client::wait_for;
+use rw_standins::cluster::Cluster;
 use rw_standins::layout::{intent, Layout};
 use rw_standins::platform::Faults;
 use rw_standins::proxy::Fault;
@@ -209,7 +210,7 @@
         cluster.deployment.platform.url
     );
     wait_for("a snapshot", || {
-        let row: serde_json::Value = rw_standins::cluster::get(&url)?;
+        let row: serde_json::Value = rw_standins::client::get(&url)?;
         row["value"]
             .as_str()?
             .parse::<u64>()
@@ -223,7 +224,7 @@
     // It applied only what came after the snapshot.
     let url = format!("{}/events", cluster.operator_url("engine-0"));
     let events: Vec<rw_protocol::EventRecord> =
-        wait_for("events", || rw_standins::cluster::get(&url));
+        wait_for("events", || rw_standins::client::get(&url));
     let applied = events
         .iter()
         .filter(|e| &*e.event == "GenerationApplied")
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -5,7 +5,8 @@
 
 use rw_protocol::HostState;
 use rw_standins::caller::{draft, Outcome};
-use rw_standins::cluster::{wait_for, Cluster};
+use rw_standins::client::wait_for;
+use rw_standins::cluster::Cluster;
 use rw_standins::engine::{Behaviour, Records};
 use rw_standins::layout::Layout;
 use rw_standins::plain::unix_ms;
--- a/tests/outcomes.rs
+++ b/tests/outcomes.rs
@@ -4,7 +4,8 @@
 
 use rw_protocol::EventRecord;
 use rw_standins::caller::plain;
-use rw_standins::cluster::{get, wait_for, Cluster};
+use rw_standins::client::{get, wait_for};
+use rw_standins::cluster::Cluster;
 use rw_standins::layout::{intent, Layout};
 use rw_standins::plain::Behaviour;
 use rw_standins::platform::Faults;
--- a/tests/weights.rs
+++ b/tests/weights.rs
@@ -3,7 +3,8 @@
 use rstest::rstest;
 use rw_protocol::manifest_id;
 use rw_standins::caller::{draft, Outcome};
-use rw_standins::cluster::{get, post, wait_for, Cluster};
+use rw_standins::client::{get, post, wait_for};
+use rw_standins::cluster::Cluster;
 use rw_standins::engine::{Behaviour, Records};
 use rw_standins::layout::{intent, Layout};
 use rw_standins::model::{manifest, whole_hash};
@@ -43,16 +44,28 @@
     }
 }
 
-fn metric(cluster: &Cluster, name: &str, line: &str) -> u64 {
-    let url = format!("{}/metrics", cluster.operator_url(name));
-    let text = minreq::get(url).with_timeout(5).send().ok();
-    let text = text
-        .and_then(|r| r.as_str().ok().map(str::to_string))
-        .unwrap_or_default();
-    let found = text.lines().find(|l| l.starts_with(line));
-    found
-        .and_then(|l| l.rsplit(' ').next()?.parse().ok())
-        .unwrap_or(0)
+fn got_bytes(cluster: &Cluster) -> u64 {
+    let flows = [
+        "from_zone",
+        "from_region",
+        "from_other_region",
+        "from_origin",
+    ];
+    let bytes = |at: usize| {
+        let line = |flow| format!("ragworttack_weight_bytes_total{{flow=\"{flow}\"}}");
+        flows
+            .map(|flow| cluster.metric(&format!("engine-{at}"), &line(flow)))
+            .iter()
+            .sum::<f64>()
+    };
+    (0..ENGINES).map(bytes).sum::<f64>() as u64
+}
+
+fn events(cluster: &Cluster, name: &str, event: &str) -> u64 {
+    cluster.metric(
+        name,
+        &format!("ragworttack_events_total{{event=\"{event}\"}}"),
+    ) as u64
 }
 
 #[rstest]
@@ -84,14 +97,7 @@
     });
     cluster.apply("entry-0", &intent("v1", ENGINES, 2));
     wait_for("chunks arrive", || {
-        let got = (0..ENGINES).map(|at| {
-            metric(
-                &cluster,
-                &format!("engine-{at}"),
-                "ragworttack_weight_bytes_total",
-            )
-        });
-        (got.sum::<u64>() > 2 * CHUNK_BYTES).then_some(())
+        (got_bytes(&cluster) > 2 * CHUNK_BYTES).then_some(())
     });
     cluster.kill("engine-0");
     wait_for("the others serve", || {
@@ -115,14 +121,7 @@
     });
     cluster.apply("entry-0", &intent("v1", ENGINES, 2));
     wait_for("chunks arrive", || {
-        let got = (0..ENGINES).map(|at| {
-            metric(
-                &cluster,
-                &format!("engine-{at}"),
-                "ragworttack_weight_bytes_total",
-            )
-        });
-        (got.sum::<u64>() > 2 * CHUNK_BYTES).then_some(())
+        (got_bytes(&cluster) > 2 * CHUNK_BYTES).then_some(())
     });
     cluster.apply("entry-1", &intent("v2", ENGINES, 2));
     cluster.wait_fulfilled("entry-0", "cuts", "v2");
@@ -143,11 +142,9 @@
     });
     cluster.apply("entry-0", &intent("v2", ENGINES, 2));
     wait_for("the mismatch is reported", || {
-        let events = (0..ENGINES).map(|at| {
-            let line = "ragworttack_events_total{event=\"ManifestMismatch\"}";
-            metric(&cluster, &format!("engine-{at}"), line)
-        });
-        (events.sum::<u64>() > 0).then_some(())
+        let counts =
+            (0..ENGINES).map(|at| events(&cluster, &format!("engine-{at}"), "ManifestMismatch"));
+        (counts.sum::<u64>() > 0).then_some(())
     });
     // Everybody still serves v1.
     for at in 0..ENGINES {
@@ -310,12 +307,8 @@
     serve_v1(&cluster, ENGINES, 2);
     cluster.apply("entry-0", &intent("v2", ENGINES, 2));
     wait_for("an order is on its way", || {
-        let events = metric(
-            &cluster,
-            "engine-0",
-            "ragworttack_events_total{event=\"OrderSent\"}",
-        );
-        (events > 1).then_some(())
+        let sent = events(&cluster, "engine-0", "OrderSent");
+        (sent > 1).then_some(())
     });
     cluster.signal("engine-0", "STOP");
     // Past the lease of two seconds.
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -1,6 +1,6 @@
 //! A request from end to end, a new version and planned stops under load.
 
-use rw_standins::cluster::wait_for;
+use rw_standins::client::wait_for;
 use rw_standins::engine::Records;
 use rw_standins::layout::{intent, Layout};
 use rw_standins::model::whole_hash;
