Give a free place first to a call that finds its prefix there

Change: when places come free, calls that prefer one of them go first; others go after 150 ms to what is left. Calls are let in up to 0.6 of the longest wait, so that few wait in vain.

--- a/crates/rw-daemon/src/entry/call.rs
+++ b/crates/rw-daemon/src/entry/call.rs
@@ -127,6 +127,7 @@
         team: call.team.clone(),
         priority: call.priority,
         deadline: until,
+        since: entry.cx.now(),
         is_retry,
         grant: tx,
     }));
--- a/crates/rw-daemon/src/entry/dispatcher.rs
+++ b/crates/rw-daemon/src/entry/dispatcher.rs
@@ -46,6 +46,8 @@
     pub priority: u32,
     /// Time since the daemon's start at which the caller stops waiting.
     pub deadline: Duration,
+    /// Time since the daemon's start at which it came.
+    pub since: Duration,
     /// Whether this is a repetition after a failure.
     pub is_retry: bool,
     /// Where the grant goes.
@@ -230,7 +232,16 @@
         let now = self.cx.now();
         loop {
             let router = &self.router;
-            let next = self.queue.pop(now, |call| router.has_room(&call.want, now));
+            // A place goes first to a call that finds its prefix there.
+            let next = self
+                .queue
+                .pop(now, |call| router.has_preferred_room(&call.want, now));
+            let next = next.or_else(|| {
+                self.queue.pop(now, |call| {
+                    let waited = now.saturating_sub(call.since);
+                    router.may_spill(&call.want, waited, now)
+                })
+            });
             let Some(waiting) = next else { return };
             let call = waiting.item;
             let Some(pick) = self.router.pick(&call.want, now) else {
--- a/crates/rw-routing/src/policy.rs
+++ b/crates/rw-routing/src/policy.rs
@@ -31,6 +31,11 @@
     /// Index of the chosen candidate; `key` is equal for calls that share a
     /// prompt prefix. `candidates` is not empty.
     fn choose(&mut self, candidates: &[Candidate], key: &str) -> usize;
+
+    /// Whether it is worth waiting for a host that holds a call's prefix.
+    fn keeps_prefixes(&self) -> bool {
+        false
+    }
 }
 
 /// Prefers the host whose cache holds the prefix, unless it is loaded above
@@ -54,6 +59,10 @@
             .max_by_key(|at| rank(key, &candidates[*at].host));
         preferred.unwrap_or_else(|| least_loaded(candidates))
     }
+
+    fn keeps_prefixes(&self) -> bool {
+        true
+    }
 }
 
 /// The least loaded host, own zone first among equals.
@@ -124,4 +133,8 @@
             AnyPolicy::Random(p) => p.choose(candidates, key),
         }
     }
+
+    fn keeps_prefixes(&self) -> bool {
+        matches!(self, AnyPolicy::Affinity(_))
+    }
 }
--- a/crates/rw-routing/src/queue.rs
+++ b/crates/rw-routing/src/queue.rs
@@ -5,6 +5,9 @@
 
 /// Weight of the newest sample in a moving mean.
 const SAMPLE_WEIGHT: f64 = 0.1;
+/// Share of the longest wait up to which calls are let in, so that few of them
+/// wait in vain when the rate falls.
+const ADMIT_SHARE: f64 = 0.6;
 /// Shortest retry-after of a refusal.
 const SHORTEST_RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -122,12 +125,13 @@
         let wait = self.expected_wait(&call.team, now);
         let runs = Duration::from_secs_f64(self.mean_call);
         let latest = call.deadline.saturating_sub(runs).min(now + self.max_wait);
+        let allowed = latest.saturating_sub(now).mul_f64(ADMIT_SHARE);
         let per_team = self.per_team;
         let start = self.virtual_now;
         let team = self.team(&call.team);
         let reason = if team.calls.len() >= per_team {
             "the team's queue is full"
-        } else if now + wait > latest {
+        } else if wait > allowed {
             "the wait for a host would be too long"
         } else {
             if team.calls.is_empty() {
--- a/crates/rw-routing/src/router.rs
+++ b/crates/rw-routing/src/router.rs
@@ -1,10 +1,16 @@
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use rw_protocol::{HostStatus, Name};
+use rw_protocol::{rank, HostStatus, Name};
 
 use crate::{Candidate, Circuit, Policy};
 
+/// Time for which a call waits for a host that should hold its prefix.
+const SPILL_AFTER: Duration = Duration::from_millis(150);
+/// Hosts that should hold one prefix.
+const PREFERRED: usize = 2;
+
 /// What a call needs.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Want {
@@ -145,6 +151,24 @@
         self.usable(want).next().is_some()
     }
 
+    /// Whether a host that should hold the call's prefix has room.
+    pub fn has_preferred_room(&self, want: &Want, now: Duration) -> bool {
+        if !self.policy.keeps_prefixes() || want.prefix.is_empty() {
+            return self.has_room(want, now);
+        }
+        let mut hosts: Vec<&Host> = self.usable(want).map(|(host, _)| host).collect();
+        hosts.sort_by_cached_key(|host| Reverse(rank(&want.prefix, &host.status.host)));
+        let mut preferred = hosts.into_iter().take(PREFERRED);
+        preferred.any(|host| host.load() < host.allowed(now))
+    }
+
+    /// Whether the call may go to any host with room: it has waited for one
+    /// that should hold its prefix. Under load, calls that go anywhere push each
+    /// other's prefixes out of every cache.
+    pub fn may_spill(&self, want: &Want, waited: Duration, now: Duration) -> bool {
+        waited >= SPILL_AFTER && self.has_room(want, now)
+    }
+
     /// Whether some host has room for the call.
     pub fn has_room(&self, want: &Want, now: Duration) -> bool {
         self.usable(want)
