Take a plain service's 'busy' for its answer, and refuse manifests that cannot travel

Cause, found by reading: status 503 or 429 of a plain service counted as 'not run', and the call was offered to another host. A service may say so after it ran the call.

Ruled out: asking the service whether it ran; there is no such protocol.

Change: the status is the answer for calls that may not be repeated; idempotent calls go on to another host within the retry budget. A call whose deadline passed while its daemon was paused is not dispatched after the thaw. A manifest whose chunks do not fit a frame or its length is refused when planning.

--- a/crates/rw-daemon/src/entry/call.rs
+++ b/crates/rw-daemon/src/entry/call.rs
@@ -16,6 +16,8 @@
 
 /// Hosts that one call is offered to, refusals included.
 const MAX_OFFERS: usize = 6;
+const BUSY: u32 = 503;
+const TOO_MANY: u32 = 429;
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Time beyond its deadline for which a call's last frame is awaited.
 const LAST_FRAME_GRACE: Duration = Duration::from_millis(250);
@@ -73,6 +75,12 @@
             Err(outcome) => return outcome,
         };
         match dispatch(entry, call, &pick, until, sink).await {
+            // A plain service that says it is busy may have run the call all the
+            // same: only idempotent calls go on to another host.
+            Dispatched::Answered(BUSY | TOO_MANY) if call.idempotent && !sink.has_sent() => {
+                sink.restart();
+                is_retry = true;
+            }
             Dispatched::Answered(status) => return Outcome::Answered(status, Vec::new()),
             Dispatched::Abandoned => return Outcome::Unknown("the caller went away".to_string()),
             Dispatched::NotRun { reason, after, .. } => {
--- a/crates/rw-daemon/src/host/calls.rs
+++ b/crates/rw-daemon/src/host/calls.rs
@@ -17,6 +17,10 @@
 
 /// Parts of an answer that wait for a slow entry.
 const BACKLOG: usize = 64;
+const LATE: Refused = Refused {
+    reason: "the deadline passed in the host's queue",
+    retry_after_ms: 100,
+};
 const RETRY_BACKEND_MS: u64 = 200;
 /// Time beyond its deadline for which a call keeps its slot.
 const LAST_ANSWER_GRACE: Duration = Duration::from_secs(1);
@@ -64,6 +68,8 @@
     };
     match slot {
         Err(refused) => call.not_run(refused).await,
+        // After a pause of this process the queue may have moved too late.
+        Ok(_) if Instant::now() >= until => call.not_run(LATE).await,
         Ok(slot) => call.dispatch(req, slot, until).await,
     }
 }
--- a/crates/rw-daemon/src/operator/plans.rs
+++ b/crates/rw-daemon/src/operator/plans.rs
@@ -5,7 +5,8 @@
 use rw_observe::Event;
 use rw_platform::{ObjectStore, Origin};
 use rw_protocol::{
-    manifest_id, Change, Generation, HostEntry, Intent, Manifest, Name, Plan, RemoveIntent,
+    manifest_fault, manifest_id, Change, Generation, HostEntry, Intent, Manifest, Name, Plan,
+    RemoveIntent,
 };
 use rw_settings::ServiceKind;
 use serde_json::json;
@@ -35,6 +36,12 @@
         }
         Err(err) => return fail(503, &format!("origin: {err}; try again")),
     };
+    if let Some(fault) = manifest_fault(&manifest) {
+        return fail(
+            422,
+            &format!("the origin's manifest cannot be used: {fault}"),
+        );
+    }
     let planned = {
         let view = cx.shared.read();
         let hosts: Vec<HostEntry> = view.hosts.values().cloned().collect();
--- a/crates/rw-engine/src/http.rs
+++ b/crates/rw-engine/src/http.rs
@@ -214,11 +214,7 @@
             .send(Method::POST, &path, &headers, call.body.clone())
             .await?;
         let status = res.status();
-        let busy = matches!(
-            status,
-            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
-        );
-        if busy || (self.is_engine && !status.is_success()) {
+        if self.is_engine && !status.is_success() {
             let body = read(res).await?;
             return Err(refused(status, &body));
         }
--- a/crates/rw-protocol/src/ids.rs
+++ b/crates/rw-protocol/src/ids.rs
@@ -24,6 +24,29 @@
     Name::from(hasher.finalize().to_hex().as_str())
 }
 
+/// Largest chunk that travels in one frame, in bytes.
+pub const MAX_CHUNK_BYTES: u64 = 8 << 20;
+
+/// What is wrong with a manifest, if anything.
+///
+/// ```
+/// use rw_protocol::{manifest_fault, Manifest};
+/// let m = Manifest { model: "m".into(), version: "1".into(), length: 3, chunk_bytes: 2, chunks: vec!["0".into()] };
+/// assert_eq!(manifest_fault(&m).unwrap(), "3 bytes in chunks of 2 need 2 hashes, there are 1");
+/// ```
+pub fn manifest_fault(manifest: &Manifest) -> Option<String> {
+    let (length, chunk) = (manifest.length, manifest.chunk_bytes);
+    if length == 0 || chunk == 0 || chunk > MAX_CHUNK_BYTES {
+        return Some(format!(
+            "{length} bytes in chunks of {chunk}: neither may be 0, chunks at most {MAX_CHUNK_BYTES}"
+        ));
+    }
+    let (needed, found) = (length.div_ceil(chunk), manifest.chunks.len() as u64);
+    (needed != found).then(|| {
+        format!("{length} bytes in chunks of {chunk} need {needed} hashes, there are {found}")
+    })
+}
+
 /// BLAKE3 of one chunk in hexadecimal.
 pub fn chunk_hash(data: &[u8]) -> Name {
     Name::from(blake3::hash(data).to_hex().as_str())
--- a/crates/rw-protocol/src/lib.rs
+++ b/crates/rw-protocol/src/lib.rs
@@ -12,5 +12,7 @@
     decode, encode, Decoder, Error, Result, FRAME_HEAD_BYTES, MAX_FRAME_BYTES, VERSION,
 };
 pub use generated::*;
-pub use ids::{chunk_hash, digest, manifest_id, rank, verify_chunk};
+pub use ids::{
+    chunk_hash, digest, manifest_fault, manifest_id, rank, verify_chunk, MAX_CHUNK_BYTES,
+};
 pub use name::Name;
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -96,6 +96,7 @@
         &Behaviour {
             call_ms: 200,
             lose_every: 0,
+            ..Behaviour::default()
         },
     );
     let answers: Vec<Outcome> = std::thread::scope(|scope| {
@@ -122,6 +123,7 @@
         &Behaviour {
             call_ms: 500,
             lose_every: 0,
+            ..Behaviour::default()
         },
     );
     let url = cluster.entry_url("entry-0");
@@ -162,6 +164,7 @@
         &Behaviour {
             call_ms: 1500,
             lose_every: 0,
+            ..Behaviour::default()
         },
     );
     let url = cluster.entry_url("entry-0");
@@ -222,6 +225,7 @@
         &Behaviour {
             call_ms: 0,
             lose_every: 1,
+            ..Behaviour::default()
         },
     );
     assert_eq!(charge(&cluster, 0, "order-1"), Outcome::Unknown);
@@ -238,6 +242,7 @@
         &Behaviour {
             call_ms: 0,
             lose_every: 1,
+            ..Behaviour::default()
         },
     );
     let url = cluster.entry_url("entry-0");
@@ -249,6 +254,31 @@
     assert_eq!(ran.iter().filter(|r| r.body == "keyless").count(), 1);
 }
 
+// A service that answers "busy" may have run the call all the same.
+#[test]
+fn a_charge_that_the_service_calls_busy_is_not_offered_again() {
+    let cluster = start("busy");
+    let busy = Behaviour {
+        status: 503,
+        ..Behaviour::default()
+    };
+    cluster.behave("plain-0", &busy);
+    assert_eq!(charge(&cluster, 0, "order-1"), Outcome::Refused(503));
+    let url = cluster.entry_url("entry-0");
+    assert_eq!(
+        plain(&url, "penal", "charge", "", "keyless"),
+        Outcome::Refused(503)
+    );
+    let ran: Vec<Ran> = cluster.records("plain-0");
+    for body in ["curry duck order-1", "keyless"] {
+        assert_eq!(ran.iter().filter(|r| r.body == body).count(), 1, "{body}");
+    }
+    // A lookup may be repeated, and is, at the other host.
+    plain(&url, "arima", "stock", "", "lookup");
+    let ran: Vec<Ran> = cluster.records("plain-0");
+    assert!(ran.iter().filter(|r| r.body == "lookup").count() > 1);
+}
+
 #[test]
 fn with_the_table_down_nothing_runs_and_nothing_is_lost() {
     let cluster = start("table-down");
@@ -284,6 +314,7 @@
         &Behaviour {
             call_ms: 500,
             lose_every: 0,
+            ..Behaviour::default()
         },
     );
     let url = cluster.entry_url("entry-0");
--- a/tests/outcomes.rs
+++ b/tests/outcomes.rs
@@ -132,6 +132,7 @@
         &Behaviour {
             call_ms: 0,
             lose_every: 1,
+            ..Behaviour::default()
         },
     );
     plain(&url, "penal", "charge", "order-1", "goat");
