--- a/crates/rw-settings/src/generated.rs
+++ b/crates/rw-settings/src/generated.rs
@@ -624,7 +624,7 @@
     ///Download limit of a host, bytes a second; 0 is unlimited
     #[serde(default)]
     pub downlink_bytes_per_s: u64,
-    ///Favour time to N replicas, or origin and inter-region bytes
+    ///How soon a second source is asked for an overdue chunk: late (origin) or early (time)
     #[serde(default = "defaults::weights_goal")]
     pub goal: WeightsGoal,
     ///Distribution policy; all but tree are baselines for measurements
@@ -653,7 +653,7 @@
         }
     }
 }
-///Favour time to N replicas, or origin and inter-region bytes
+///How soon a second source is asked for an overdue chunk: late (origin) or early (time)
 ///
 #[derive(
     ::serde::Deserialize,
@@ -719,7 +719,7 @@
 }
 impl ::std::default::Default for WeightsGoal {
     fn default() -> Self {
-        WeightsGoal::Time
+        WeightsGoal::Origin
     }
 }
 ///Distribution policy; all but tree are baselines for measurements
@@ -843,7 +843,7 @@
         super::LogLevel::Info
     }
     pub(super) fn weights_goal() -> super::WeightsGoal {
-        super::WeightsGoal::Time
+        super::WeightsGoal::Origin
     }
     pub(super) fn weights_policy() -> super::WeightsPolicy {
         super::WeightsPolicy::Tree
