--- a/crates/rw-coord/src/lib.rs
+++ b/crates/rw-coord/src/lib.rs
@@ -8,6 +8,7 @@
 mod commit;
 mod lease;
 mod log;
+mod signal;
 mod timer;
 
 pub use backoff::Backoff;
@@ -16,6 +17,7 @@
 pub use commit::{GroupCommit, Index, Outcome, WriteItem};
 pub use lease::{Lease, LeaseKeeper};
 pub use log::{AppendLog, Appended};
+pub use signal::Signal;
 pub use timer::{Tick, Timer};
 
 use quick_error::quick_error;
--- a/crates/rw-daemon/src/control/shared.rs
+++ b/crates/rw-daemon/src/control/shared.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
-use std::sync::{Mutex, PoisonError, RwLock, RwLockReadGuard};
+use std::sync::{PoisonError, RwLock, RwLockReadGuard};
 
+use rw_coord::Signal;
 use rw_intent::Configuration;
 use rw_protocol::{rank, Generation, HostEntry, HostListing, HostState, Name, Role, Snapshot};
 
@@ -65,7 +66,7 @@
 #[derive(Default)]
 pub struct Shared {
     view: RwLock<View>,
-    subscribers: Mutex<Vec<flume::Sender<()>>>,
+    changed: Signal,
 }
 
 impl Shared {
@@ -74,23 +75,9 @@
         self.view.read().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// A signal for every change; a slow subscriber gets one for several.
+    /// A signal for every change.
     pub fn subscribe(&self) -> flume::Receiver<()> {
-        let (tx, rx) = flume::bounded(1);
-        let mut subs = self
-            .subscribers
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        subs.push(tx);
-        rx
-    }
-
-    fn notify(&self) {
-        let mut subs = self
-            .subscribers
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        subs.retain(|tx| !matches!(tx.try_send(()), Err(flume::TrySendError::Disconnected(()))));
+        self.changed.subscribe()
     }
 
     /// Takes generations into force that follow the one in force; returns the
@@ -108,7 +95,7 @@
             }
         }
         if !new.is_empty() {
-            self.notify();
+            self.changed.notify();
         }
         new
     }
@@ -120,7 +107,7 @@
             view.cfg.restore(snapshot)
         };
         if newer {
-            self.notify();
+            self.changed.notify();
         }
         newer
     }
@@ -147,7 +134,7 @@
             }
         }
         if !new.hosts.is_empty() {
-            self.notify();
+            self.changed.notify();
         }
         new
     }
--- a/crates/rw-daemon/src/status.rs
+++ b/crates/rw-daemon/src/status.rs
@@ -1,5 +1,6 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
+use rw_coord::Signal;
 use rw_protocol::{HostStatus, Load};
 
 use crate::host::Admission;
@@ -10,7 +11,7 @@
     cx: Arc<Context>,
     admission: Option<Arc<Admission>>,
     problem: Mutex<String>,
-    subscribers: Mutex<Vec<flume::Sender<()>>>,
+    changed: Signal,
 }
 
 impl StatusBoard {
@@ -20,7 +21,7 @@
             cx,
             admission,
             problem: Mutex::default(),
-            subscribers: Mutex::default(),
+            changed: Signal::default(),
         })
     }
 
@@ -62,21 +63,11 @@
 
     /// A signal for every change that entries have to know at once.
     pub fn subscribe(&self) -> flume::Receiver<()> {
-        let (tx, rx) = flume::bounded(1);
-        let mut subs = self
-            .subscribers
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        subs.push(tx);
-        rx
+        self.changed.subscribe()
     }
 
     /// Tells the subscribers that something changed.
     pub fn publish(&self) {
-        let mut subs = self
-            .subscribers
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        subs.retain(|tx| !matches!(tx.try_send(()), Err(flume::TrySendError::Disconnected(()))));
+        self.changed.notify();
     }
 }
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -1,6 +1,7 @@
 //! A call that may not be repeated runs at most once, whatever fails.
 
 use std::collections::BTreeMap;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use rstest::rstest;
@@ -50,6 +51,22 @@
     plain(&url, "penal", "charge", key, &format!("curry duck {key}"))
 }
 
+// A charge that runs for a while, as its caller and the service see it.
+fn running_charge(cluster: &Cluster, call_ms: u64) -> JoinHandle<Outcome> {
+    let slow = Behaviour {
+        call_ms,
+        ..Behaviour::default()
+    };
+    cluster.behave("plain-0", &slow);
+    let url = cluster.entry_url("entry-0");
+    let caller =
+        std::thread::spawn(move || plain(&url, "penal", "charge", "order-1", "curry duck order-1"));
+    wait_for("the call runs", || {
+        (runs(cluster, "order-1") == 1).then_some(())
+    });
+    caller
+}
+
 #[test]
 fn a_repeat_through_another_entry_gets_the_recorded_answer() {
     let cluster = start("repeat");
@@ -118,20 +135,7 @@
 #[test]
 fn an_entry_killed_during_a_call_does_not_lead_to_a_second_run() {
     let mut cluster = start("entry-killed");
-    cluster.behave(
-        "plain-0",
-        &Behaviour {
-            call_ms: 500,
-            lose_every: 0,
-            ..Behaviour::default()
-        },
-    );
-    let url = cluster.entry_url("entry-0");
-    let caller =
-        std::thread::spawn(move || plain(&url, "penal", "charge", "order-1", "curry duck order-1"));
-    wait_for("the call runs", || {
-        (runs(&cluster, "order-1") == 1).then_some(())
-    });
+    let caller = running_charge(&cluster, 500);
     cluster.kill("entry-0");
     assert!(matches!(caller.join().expect("no panic"), Outcome::Cut(_)));
     for _ in 0..5 {
@@ -159,20 +163,7 @@
 #[case::answer_held_back("one-way")]
 fn a_call_whose_host_fails_is_unknown_and_never_runs_again(#[case] fault: &str) {
     let mut cluster = start(&format!("host-{fault}"));
-    cluster.behave(
-        "plain-0",
-        &Behaviour {
-            call_ms: 1500,
-            lose_every: 0,
-            ..Behaviour::default()
-        },
-    );
-    let url = cluster.entry_url("entry-0");
-    let caller =
-        std::thread::spawn(move || plain(&url, "penal", "charge", "order-1", "curry duck order-1"));
-    wait_for("the call runs", || {
-        (runs(&cluster, "order-1") == 1).then_some(())
-    });
+    let caller = running_charge(&cluster, 1500);
     for host in ["plain-0", "plain-1"] {
         match fault {
             "kill" => cluster.kill(host),
@@ -309,20 +300,7 @@
 #[test]
 fn a_table_that_goes_down_during_a_call_gets_its_answer_later() {
     let cluster = start("table-down-during");
-    cluster.behave(
-        "plain-0",
-        &Behaviour {
-            call_ms: 500,
-            lose_every: 0,
-            ..Behaviour::default()
-        },
-    );
-    let url = cluster.entry_url("entry-0");
-    let caller =
-        std::thread::spawn(move || plain(&url, "penal", "charge", "order-1", "curry duck order-1"));
-    wait_for("the call runs", || {
-        (runs(&cluster, "order-1") == 1).then_some(())
-    });
+    let caller = running_charge(&cluster, 500);
     cluster.set_platform(&Faults {
         table_down: true,
         ..Faults::default()
