Take the lease before a host stops serving, and let a stopping entry finish all it began

Cause, found by reading: - A host with a new model stopped serving, drained, and only then asked for its lease. While the table was down it did so four times a second. - A stopping entry counted a call as done when its answer was queued, and did not wait for claims that were still being closed in the background.

Change: no lease, no stop; a lease that aged while draining is taken anew. The entry waits until every connection has ended and background work is done.

--- a/crates/rw-daemon/src/entry/callers.rs
+++ b/crates/rw-daemon/src/entry/callers.rs
@@ -26,7 +26,8 @@
 const BACKLOG: usize = 64;
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Accepts callers until `stop` is closed; connections finish what they have.
+/// Accepts callers until `stop` is closed; returns once every connection has
+/// finished what it has.
 pub async fn serve_callers(entry: Arc<Entry>, listener: TcpListener, stop: flume::Receiver<()>) {
     let limit = entry.cx.deployment.limits.max_connections.get() as usize;
     let places = Arc::new(Semaphore::new(limit));
@@ -37,7 +38,7 @@
         };
         let conn = tokio::select! {
             conn = listener.accept() => conn,
-            _ = stop.recv_async() => return,
+            _ = stop.recv_async() => break,
         };
         match conn {
             Ok((conn, _)) => {
@@ -50,6 +51,9 @@
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
         }
     }
+    drop(listener);
+    // Every place is back once the last connection has ended.
+    let _ = places.acquire_many(limit as u32).await;
 }
 
 async fn connection(entry: Arc<Entry>, conn: TcpStream, stop: flume::Receiver<()>) {
@@ -76,11 +80,12 @@
     }
 }
 
-// Counts a call as in progress until its answer is written.
-struct InFlight(Arc<Entry>);
+/// Counts work that a stopping entry has to finish.
+pub(super) struct InFlight(Arc<Entry>);
 
 impl InFlight {
-    fn new(entry: &Arc<Entry>) -> Self {
+    /// Counts until it is dropped.
+    pub(super) fn new(entry: &Arc<Entry>) -> Self {
         entry.cx.recorder.metrics().in_flight.inc();
         InFlight(entry.clone())
     }
@@ -109,6 +114,7 @@
     // The work goes on when the caller leaves, so that a claim gets closed.
     let worker = entry.clone();
     let work = tokio::spawn(async move {
+        let _in_flight = in_flight;
         let outcome = match call.is_draft() {
             true => draft(&worker, &call).await,
             false => once::run_plain(&worker, &call).await,
--- a/crates/rw-daemon/src/entry/once.rs
+++ b/crates/rw-daemon/src/entry/once.rs
@@ -9,6 +9,7 @@
 use rw_protocol::{chunk_hash, rank, Name};
 
 use super::call::{run, Collect};
+use super::callers::InFlight;
 use super::request::CallerRequest;
 use super::respond::{Outcome, Refused};
 use super::Entry;
@@ -82,6 +83,7 @@
     if !try_close(entry, &open, &end).await {
         let entry = entry.clone();
         tokio::spawn(async move {
+            let _in_flight = InFlight::new(&entry);
             let mut backoff = Backoff::new(FIRST_PAUSE, LAST_PAUSE, rand::random());
             for _ in 0..CLOSE_TRIES {
                 tokio::time::sleep(backoff.next_delay()).await;
@@ -114,6 +116,7 @@
 // The claim may have been written though its answer was lost. The call was not
 // dispatched, so the claim is closed as not run once it can be read.
 async fn withdraw(entry: Arc<Entry>, req: Request) {
+    let _in_flight = InFlight::new(&entry);
     let mut backoff = Backoff::new(FIRST_PAUSE, LAST_PAUSE, req.attempt);
     for _ in 0..CLOSE_TRIES {
         tokio::time::sleep(backoff.next_delay()).await;
--- a/crates/rw-daemon/src/host/runner.rs
+++ b/crates/rw-daemon/src/host/runner.rs
@@ -217,17 +217,31 @@
         live.cloned().collect()
     }
 
+    // Without a lease the old version goes on serving: while the table is down
+    // nothing is ordered, and nothing stops for an order.
     async fn switch(&self, duty: &Duty) {
+        let Some(first) = self.lease().await else {
+            return;
+        };
         self.stop("switching to another version");
         let limit = Duration::from_millis(self.cx.deployment.limits.drain_ms);
         if !self.admission.drained(limit).await {
             let detail = format!("held={}", self.admission.held());
             return self.cx.recorder.emit(Event::DrainTimedOut, &detail);
         }
-        let Some(lease) = self.lease().await else {
-            return;
+        let fresh = first.left() > self.lease_life() / 2;
+        let lease = if fresh {
+            Some(first)
+        } else {
+            self.lease().await
         };
-        self.order(duty, lease).await;
+        if let Some(lease) = lease {
+            self.order(duty, lease).await;
+        }
+    }
+
+    fn lease_life(&self) -> Duration {
+        Duration::from_millis(self.cx.deployment.control.lease_ms)
     }
 
     async fn lease(&self) -> Option<Lease> {
--- a/crates/rw-daemon/src/start.rs
+++ b/crates/rw-daemon/src/start.rs
@@ -105,7 +105,7 @@
     tokio::spawn(control::watch(cx.clone()));
     let entry = Entry::new(cx.clone(), dispatcher);
     let (stop, stopped) = flume::bounded::<()>(0);
-    tokio::spawn(serve_callers(entry, callers, stopped));
+    let serving = tokio::spawn(serve_callers(entry, callers, stopped));
     stop_signal().await?;
     // Readiness fails first, so that the balancer sends no more callers.
     cx.leave();
@@ -113,7 +113,7 @@
     tokio::time::sleep(UNREADY_GRACE).await;
     drop(stop);
     let in_flight = cx.recorder.metrics().in_flight.clone();
-    drain(&cx, || in_flight.get() == 0).await;
+    drain(&cx, || serving.is_finished() && in_flight.get() == 0).await;
     Ok(())
 }
 
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -1,6 +1,8 @@
 //! A leaving backend server gets no new work after a few seconds, and a
 //! planned stop cuts nothing off.
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 use rw_protocol::HostState;
@@ -8,7 +10,7 @@
 use rw_standins::client::wait_for;
 use rw_standins::cluster::Cluster;
 use rw_standins::engine::{Behaviour, Records};
-use rw_standins::layout::Layout;
+use rw_standins::layout::{intent, Layout};
 use rw_standins::plain::unix_ms;
 use rw_standins::platform::Faults;
 use rw_tests::{serve_v1, unanswered, Load};
@@ -150,3 +152,82 @@
         unanswered(&outcomes)
     );
 }
+
+// A caller that reads slowly still gets its whole answer from an entry that
+// stops meanwhile.
+#[test]
+fn a_slow_reader_gets_its_whole_answer_from_a_stopping_entry() {
+    let mut cluster = start("slow-reader");
+    let addr = cluster.daemon("entry-0").caller_listen.clone();
+    let mut conn = TcpStream::connect(addr).expect("the entry listens");
+    let body = rw_standins::caller::draft_body("shop|slow", 2000, true).to_string();
+    let head = "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nx-team: arima\r\n";
+    write!(conn, "{head}content-length: {}\r\n\r\n{body}", body.len()).expect("sent");
+    let mut buf = vec![0; 16 << 10];
+    let mut text = Vec::new();
+    let mut told = false;
+    loop {
+        let len = conn.read(&mut buf).expect("the entry goes on");
+        if len == 0 {
+            break;
+        }
+        text.extend_from_slice(&buf[..len]);
+        if !told {
+            cluster.signal("entry-0", "TERM");
+            told = true;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let text = String::from_utf8_lossy(&text);
+    assert!(
+        text.contains("-1999 ") && text.contains("[DONE]"),
+        "cut after {} bytes",
+        text.len()
+    );
+    assert_eq!(cluster.wait_exit("entry-0"), Some(0));
+}
+
+// While the table is down no host can be ordered, so none stops serving the
+// version before.
+#[test]
+fn a_version_confirmed_before_an_outage_of_the_table_stops_nobody() {
+    let cluster = start("outage-switch");
+    cluster.set_platform(&Faults {
+        origin_bytes_per_s: 200_000,
+        ..Faults::default()
+    });
+    cluster.apply("entry-0", &intent("v2", ENGINES, 1));
+    cluster.set_platform(&Faults {
+        table_down: true,
+        ..Faults::default()
+    });
+    let whole = |at: usize| {
+        let line = "ragworttack_events_total{event=\"TransferComplete\"}";
+        cluster.metric(&format!("engine-{at}"), line) >= 2.0
+    };
+    wait_for("v2 is here", || (0..ENGINES).all(whole).then_some(()));
+    let served = |at: usize| {
+        let line = "ragworttack_events_total{event=\"RunnerServing\"}";
+        cluster.metric(&format!("engine-{at}"), line)
+    };
+    let before: Vec<f64> = (0..ENGINES).map(served).collect();
+    let load = Load::start(&cluster, 4);
+    wait_for("calls go on", || (load.count() > 400).then_some(()));
+    let outcomes = load.stop();
+    let after: Vec<f64> = (0..ENGINES).map(served).collect();
+    assert_eq!(before, after, "a host stopped serving and began again");
+    // Charges need the table; drafts do not.
+    let drafts: Vec<_> = unanswered(&outcomes)
+        .into_iter()
+        .filter(|(id, _)| !is_charge(id))
+        .collect();
+    assert!(drafts.is_empty(), "{drafts:?}");
+    cluster.set_platform(&Faults::default());
+    cluster.wait_fulfilled("entry-0", "cuts", "v2");
+}
+
+// Every fourth call of a caller is a charge.
+fn is_charge(id: &str) -> bool {
+    let number = id.rsplit('-').next().and_then(|n| n.parse::<u32>().ok());
+    number.is_some_and(|n| n.is_multiple_of(4))
+}
