Take chunks from the platform's weight store while the origin is down

Cause: the platform offers a rate-limited weight store beside the origin; nothing used it, so a model that no host held yet could not spread while the origin was down.

Ruled out: asking the store first (it refuses above its rate, the origin's link only slows down).

Change: trait WeightStore and its HTTP adapter; a chunk that the origin does not give is asked there and verified like any other; a stand-in that refuses above 20 chunks a second; contract test.

--- a/crates/rw-daemon/src/host/transfer.rs
+++ b/crates/rw-daemon/src/host/transfer.rs
@@ -7,7 +7,7 @@
 use rw_coord::Backoff;
 use rw_intent::Duty;
 use rw_observe::Event;
-use rw_platform::{ObjectStore, Origin};
+use rw_platform::{ObjectStore, Origin, WeightStore};
 use rw_protocol::{
     manifest_id, Blob, ChunkRequest, HostState, Manifest, ManifestRequest, Name, PeerReply,
     PeerRequest,
@@ -326,8 +326,11 @@
 
 async fn from_origin(cx: &Arc<Context>, duty: &Duty, chunk: u32) -> Got {
     let (cx, duty) = (cx.clone(), duty.clone());
-    let read =
-        tokio::task::spawn_blocking(move || cx.platform.chunk(&duty.model, &duty.version, chunk));
+    let read = tokio::task::spawn_blocking(move || {
+        let (model, version) = (&duty.model, &duty.version);
+        let origin = cx.platform.chunk(model, version, chunk);
+        origin.or_else(|_| cx.platform.stored_chunk(model, version, chunk))
+    });
     match read.await {
         Ok(Ok(body)) => Got::Chunk(Blob::from(body)),
         _ => Got::Failed,
--- a/crates/rw-platform/src/http.rs
+++ b/crates/rw-platform/src/http.rs
@@ -1,7 +1,10 @@
 use rw_protocol::{HostListing, Manifest};
 use serde::de::DeserializeOwned;
 
-use crate::{Commit, Error, HostList, ObjectStore, Origin, Result, Row, TableService, Transaction};
+use crate::{
+    Commit, Error, HostList, ObjectStore, Origin, Result, Row, TableService, Transaction,
+    WeightStore,
+};
 
 /// What the library says when a connection ended before any answer.
 const NO_STATUS_LINE: &str = "Server did not provide a status line";
@@ -157,12 +160,30 @@
     }
 
     fn chunk(&self, model: &str, version: &str, chunk: u32) -> Result<Vec<u8>> {
-        let path = format!(
-            "/origin/chunk?model={}&version={}&chunk={chunk}",
-            escape(model),
-            escape(version)
+        let url = format!(
+            "{}/origin/chunk?{}",
+            self.origin_url,
+            chunk_query(model, version, chunk)
         );
-        let req = minreq::get(format!("{}{path}", self.origin_url));
-        send(req, ORIGIN_TIMEOUT_S).map(minreq::Response::into_bytes)
+        send(minreq::get(url), ORIGIN_TIMEOUT_S).map(minreq::Response::into_bytes)
+    }
+}
+
+impl WeightStore for HttpPlatform {
+    fn stored_chunk(&self, model: &str, version: &str, chunk: u32) -> Result<Vec<u8>> {
+        let url = format!(
+            "{}/weights/chunk?{}",
+            self.url,
+            chunk_query(model, version, chunk)
+        );
+        send(minreq::get(url), ORIGIN_TIMEOUT_S).map(minreq::Response::into_bytes)
     }
 }
+
+fn chunk_query(model: &str, version: &str, chunk: u32) -> String {
+    format!(
+        "model={}&version={}&chunk={chunk}",
+        escape(model),
+        escape(version)
+    )
+}
--- a/crates/rw-platform/src/lib.rs
+++ b/crates/rw-platform/src/lib.rs
@@ -7,5 +7,5 @@
 pub use http::HttpPlatform;
 pub use types::{
     Commit, Condition, Error, HostList, ObjectStore, Origin, Put, Result, Row, TableService,
-    Transaction,
+    Transaction, WeightStore,
 };
--- a/crates/rw-platform/src/types.rs
+++ b/crates/rw-platform/src/types.rs
@@ -103,6 +103,12 @@
     fn hosts(&self, since: u64) -> Result<HostListing>;
 }
 
+/// The rate-limited weight store; it stands in for an origin that is down.
+pub trait WeightStore: Send + Sync + 'static {
+    /// Bytes of one chunk; the caller verifies them. Refused above the rate.
+    fn stored_chunk(&self, model: &str, version: &str, chunk: u32) -> Result<Vec<u8>>;
+}
+
 /// The origin of weights.
 pub trait Origin: Send + Sync + 'static {
     /// Manifest of a model's version.
--- a/crates/rw-platform/tests/contract.rs
+++ b/crates/rw-platform/tests/contract.rs
@@ -6,7 +6,7 @@
 use rstest::rstest;
 use rw_platform::{
     Commit, Condition, Error, HostList, HttpPlatform, ObjectStore, Origin, Put, TableService,
-    Transaction,
+    Transaction, WeightStore,
 };
 use rw_protocol::{manifest_id, verify_chunk};
 use rw_standins::cluster::Cluster;
@@ -157,6 +157,21 @@
     ));
 }
 
+#[test]
+fn the_weight_store_offers_the_same_chunks_and_refuses_above_its_rate() {
+    let bench = bench();
+    let platform = &bench.platform;
+    let Some(cluster) = &bench.cluster else {
+        return;
+    };
+    cluster.add_model("m", "1", 1000, 10);
+    let manifest = platform.manifest("m", "1").expect("offered");
+    let body = platform.stored_chunk("m", "1", 7).expect("offered");
+    assert!(verify_chunk(&manifest, 7, &body));
+    let refused = (0..1000).find_map(|n| platform.stored_chunk("m", "1", n % 100).err());
+    assert!(matches!(refused, Some(Error::Refused(_))), "{refused:?}");
+}
+
 #[test]
 fn the_host_list_tells_what_changed_and_lags() {
     let Bench { platform, cluster } = bench();
--- a/crates/rw-standins/src/platform.rs
+++ b/crates/rw-standins/src/platform.rs
@@ -10,6 +10,10 @@
 use crate::model;
 use crate::server::{serve, Request};
 
+const STORE_WINDOW: Duration = Duration::from_secs(1);
+/// Chunks that the weight store sends in one window.
+const STORE_CHUNKS: u32 = 20;
+
 /// Faults that tests switch on.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -106,6 +110,8 @@
     faults: Faults,
     records: Records,
     origin_free_at: Option<Instant>,
+    // Start of the weight store's current window, and chunks sent in it.
+    store_window: Option<(Instant, u32)>,
     chunks_sent: u64,
 }
 
@@ -132,6 +138,7 @@
             "/hosts" => self.list(req),
             _ if path.starts_with("/table/") => self.table(req),
             _ if path.starts_with("/origin/") => self.origin(req),
+            "/weights/chunk" => self.stored(req),
             _ => req.reply(404, &"no such path"),
         }
     }
@@ -307,6 +314,29 @@
         self.chunk(req, &found);
     }
 
+    // The store refuses above its rate, where the origin's link only slows down.
+    fn stored(&self, req: Request) {
+        let mut state = self.state();
+        let now = Instant::now();
+        let window = state.store_window.get_or_insert((now, 0));
+        if now.duration_since(window.0) >= STORE_WINDOW {
+            *window = (now, 0);
+        }
+        window.1 += 1;
+        let busy = window.1 > STORE_CHUNKS;
+        let (model, version) = (req.arg("model"), req.arg("version"));
+        let mut models = state.models.iter();
+        let found = models
+            .find(|m| m.model == model && m.version == version)
+            .cloned();
+        drop(state);
+        match found {
+            _ if busy => req.reply(429, &"above the store's rate"),
+            Some(found) => self.chunk(req, &found),
+            None => req.reply(404, &"no such model or version"),
+        }
+    }
+
     fn chunk(&self, req: Request, found: &Model) {
         let number: u32 = req.arg("chunk").parse().unwrap_or(0);
         let len = model::chunk_len(found.length, found.chunk_bytes, number);
--- a/tests/weights.rs
+++ b/tests/weights.rs
@@ -176,6 +176,23 @@
     check_loads(&cluster);
 }
 
+// The origin goes down before any chunk left it; the weight store has the rest.
+#[test]
+fn with_the_origin_down_the_weight_store_stands_in() {
+    let cluster = layout().start("weight-store");
+    cluster.add_model("cutlist", "v1", MODEL_BYTES, CHUNK_BYTES);
+    let (status, plan) = cluster.plan("entry-0", &intent("v1", ENGINES, 2));
+    assert_eq!(status, 200, "{plan}");
+    cluster.set_platform(&Faults {
+        origin_down: true,
+        ..Faults::default()
+    });
+    let (status, answer) = cluster.confirm("entry-0", plan["id"].as_str().expect("an id"));
+    assert_eq!(status, 200, "{answer}");
+    cluster.wait_fulfilled("entry-0", "cuts", "v1");
+    check_loads(&cluster);
+}
+
 // Somebody else orders an engine to load something: no call reaches it until
 // it holds the confirmed version again.
 #[rstest]
