--- a/crates/rw-engine/src/types.rs
+++ b/crates/rw-engine/src/types.rs
@@ -29,7 +29,8 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// What an engine has loaded.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct BackendState {
     /// Loaded model; empty when none.
@@ -45,7 +46,8 @@
 }
 
 /// Orders an engine to load a model.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LoadOrder {
     /// Model to load.
     pub model: Name,
--- a/crates/rw-platform/src/types.rs
+++ b/crates/rw-platform/src/types.rs
@@ -29,7 +29,8 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// A row must have this version for the transaction to commit; 0 is absent.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Condition {
     /// Key of the row.
     pub key: String,
@@ -38,7 +39,8 @@
 }
 
 /// One row to write.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Put {
     /// Key of the row.
     pub key: String,
@@ -47,7 +49,8 @@
 }
 
 /// Writes that take effect together, or not at all.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Transaction {
     /// What must hold.
     pub conditions: Vec<Condition>,
@@ -58,7 +61,8 @@
 }
 
 /// How a transaction ended.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Commit {
     /// Whether the writes took effect.
     pub committed: bool,
@@ -69,7 +73,8 @@
 }
 
 /// One row as stored.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Row {
     /// Key of the row.
     pub key: String,
--- a/crates/rw-protocol/src/name.rs
+++ b/crates/rw-protocol/src/name.rs
@@ -11,7 +11,8 @@
 /// let name = rw_protocol::Name::from("north-1");
 /// assert_eq!(&*name, "north-1");
 /// ```
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Name(Arc<str>);
 
--- a/crates/rw-standins/src/engine.rs
+++ b/crates/rw-standins/src/engine.rs
@@ -14,7 +14,8 @@
 use crate::server::{serve, Request};
 
 /// How an engine behaves; tests change it while it runs.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct Behaviour {
     /// Calls that run at once; others wait.
@@ -51,7 +52,8 @@
 }
 
 /// One load order that took effect.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Loaded {
     /// Model loaded.
     pub model: String,
@@ -64,7 +66,8 @@
 }
 
 /// One generation that ran.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Run {
     /// Request id.
     pub request_id: String,
@@ -83,7 +86,8 @@
 }
 
 /// What an engine recorded.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Records {
     /// Loads in order.
     pub loads: Vec<Loaded>,
--- a/crates/rw-standins/src/lib.rs
+++ b/crates/rw-standins/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod platform;
 pub mod proxy;
 pub mod server;
+mod table;
--- a/crates/rw-standins/src/plain.rs
+++ b/crates/rw-standins/src/plain.rs
@@ -10,7 +10,8 @@
 use crate::server::{serve, Request};
 
 /// How a service behaves.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct Behaviour {
     /// Time of one call in milliseconds.
@@ -22,7 +23,8 @@
 }
 
 /// One call that ran.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Ran {
     /// Operation.
     pub operation: String,
--- a/crates/rw-standins/src/platform.rs
+++ b/crates/rw-standins/src/platform.rs
@@ -9,13 +9,15 @@
 
 use crate::model;
 use crate::server::{serve, Request};
+use crate::table::{Row, Table, Transaction};
 
 const STORE_WINDOW: Duration = Duration::from_secs(1);
 /// Chunks that the weight store sends in one window.
 const STORE_CHUNKS: u32 = 20;
 
 /// Faults that tests switch on.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct Faults {
     /// Refuse table calls with 503.
@@ -37,7 +39,8 @@
 }
 
 /// A model that the origin offers.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Model {
     /// Name of the model.
     pub model: String,
@@ -53,7 +56,8 @@
 }
 
 /// What the stand-in counted.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct Records {
     /// Table commits.
@@ -66,43 +70,9 @@
     pub list_calls: u64,
 }
 
-#[derive(Deserialize)]
-struct Condition {
-    key: String,
-    version: u64,
-}
-
-#[derive(Deserialize)]
-struct Put {
-    key: String,
-    value: String,
-}
-
-#[derive(Deserialize)]
-struct Transaction {
-    conditions: Vec<Condition>,
-    puts: Vec<Put>,
-    deletes: Vec<String>,
-}
-
-#[derive(Serialize)]
-struct Commit {
-    committed: bool,
-    version: u64,
-    conflicts: Vec<String>,
-}
-
-#[derive(Clone, Serialize)]
-struct Row {
-    key: String,
-    value: String,
-    version: u64,
-}
-
 #[derive(Default)]
 struct State {
-    rows: BTreeMap<String, Row>,
-    last_version: u64,
+    table: Table,
     objects: BTreeMap<String, Vec<u8>>,
     hosts: BTreeMap<String, (Instant, HostEntry)>,
     list_version: u64,
@@ -249,7 +219,7 @@
         let mut state = self.state();
         state.records.commits += 1;
         let lose = faults.lose_every > 0 && state.records.commits.is_multiple_of(faults.lose_every);
-        let commit = apply(&mut state, txn);
+        let commit = state.table.apply(txn);
         drop(state);
         if lose {
             return req.abandon();
@@ -261,7 +231,7 @@
     fn row(&self, req: Request) {
         let mut state = self.state();
         state.records.reads += 1;
-        let row = state.rows.get(req.arg("key")).cloned();
+        let row = state.table.rows.get(req.arg("key")).cloned();
         drop(state);
         match row {
             Some(row) => req.reply(200, &row),
@@ -275,6 +245,7 @@
         let limit = req.arg("limit").parse().unwrap_or(1);
         let (prefix, after) = (req.arg("prefix"), req.arg("after"));
         let rows: Vec<Row> = state
+            .table
             .rows
             .range(prefix.to_string()..)
             .take_while(|(key, _)| key.starts_with(prefix))
@@ -373,40 +344,6 @@
     }
 }
 
-fn apply(state: &mut State, txn: Transaction) -> Commit {
-    let version_of = |key: &str| state.rows.get(key).map_or(0, |row| row.version);
-    let failed = txn
-        .conditions
-        .iter()
-        .filter(|c| version_of(&c.key) != c.version);
-    let conflicts: Vec<String> = failed.map(|c| c.key.clone()).collect();
-    if !conflicts.is_empty() {
-        return Commit {
-            committed: false,
-            version: 0,
-            conflicts,
-        };
-    }
-    state.last_version += 1;
-    let version = state.last_version;
-    for Put { key, value } in txn.puts {
-        let row = Row {
-            key: key.clone(),
-            value,
-            version,
-        };
-        state.rows.insert(key, row);
-    }
-    for key in txn.deletes {
-        state.rows.remove(&key);
-    }
-    Commit {
-        committed: true,
-        version,
-        conflicts,
-    }
-}
-
 /// Runs the platform until the process ends.
 pub fn run(addr: &str) -> std::io::Result<()> {
     let platform = Arc::new(Platform {
--- a/crates/rw-standins/src/proxy.rs
+++ b/crates/rw-standins/src/proxy.rs
@@ -15,7 +15,8 @@
 const STALL_CHECK: Duration = Duration::from_millis(10);
 
 /// What happens to one route's bytes.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct Fault {
     /// Close connections and refuse new ones.
@@ -34,7 +35,8 @@
 }
 
 /// One route.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Route {
     /// IP and port to listen on.
     pub listen: String,
