Bring weights back sooner after a loss of power

Change: an address belongs to the server that wrote last; hosts read the store at their start; a host without a chunk says so; a holder is waited for 150 ms. Callers that find no server with the weights are told two seconds, about what bringing them back takes, in place of half a second.

Ruled out: the origin's link (24 chunks from each of four hosts in 2.7 s).

--- a/crates/rw-fleet/src/beliefs.rs
+++ b/crates/rw-fleet/src/beliefs.rs
@@ -323,6 +323,15 @@
                 }
             }
             Fact::Server(server) => {
+                // An address belongs to the server that wrote last; the entry
+                // of one that died there lapses later.
+                let same = |old: &BackendServer| old.addr == server.addr && old.id != server.id;
+                let newer =
+                    |old: &&Arc<BackendServer>| same(old) && old.written_at > server.written_at;
+                if view.servers.values().any(|old| newer(&old)) {
+                    return;
+                }
+                view.servers.retain(|_, old| !same(old));
                 self.note_server(view, &server);
                 view.servers.insert(server.id.clone(), Arc::new(server));
             }
--- a/crates/rw-fleet/src/configuration.rs
+++ b/crates/rw-fleet/src/configuration.rs
@@ -165,6 +165,8 @@
     pub weights: u64,
     /// How many layers of them it holds.
     pub layers: u32,
+    /// Version of the store at which it last wrote its entry.
+    pub written_at: u64,
 }
 
 /// A daemon that others may reach.
--- a/crates/rw-fleet/src/entry/stream.rs
+++ b/crates/rw-fleet/src/entry/stream.rs
@@ -34,8 +34,9 @@
 const STALL_PAUSES: u32 = 3;
 /// Remaining time below which another try is not worth its cost.
 const MIN_LEFT: Duration = Duration::from_millis(500);
-/// Pause for callers when no backend server serves the model.
-const NO_SERVER_RETRY: Duration = Duration::from_millis(500);
+/// Pause for callers when no backend server serves the model; bringing weights
+/// back takes some seconds, and most callers come back only once.
+const NO_SERVER_RETRY: Duration = Duration::from_secs(2);
 /// Shortest pause for callers that were refused for want of a place.
 const MIN_RETRY: Duration = Duration::from_millis(100);
 
--- a/crates/rw-fleet/src/follow.rs
+++ b/crates/rw-fleet/src/follow.rs
@@ -162,6 +162,8 @@
 async fn follow_entries<S: TableFeed, D: Dialect>(cx: Arc<Cx<D>>, store: S) {
     let mut backoff = Backoff::new(FIRST_RETRY, LAST_RETRY, rank("rows", &cx.site.name));
     let mut turn = 0;
+    // Seeds may be dark, and a new host cannot wait for them.
+    read_all(&cx, &store).await;
     loop {
         let entries = known_entries(&cx);
         let mut served = false;
--- a/crates/rw-fleet/src/host/collect.rs
+++ b/crates/rw-fleet/src/host/collect.rs
@@ -23,6 +23,8 @@
 const WINDOW: usize = 8;
 /// Time after which a chunk is asked for elsewhere.
 const CHUNK_TIMEOUT: Duration = Duration::from_millis(1200);
+/// Wait for a chunk at a host that should hold it; it may have been restarted.
+const HOLDER_WAIT: Duration = Duration::from_millis(150);
 /// Time after which an overdue chunk is asked for at a second source too; a
 /// full window takes a quarter of a second of a thin link, and a chunk that
 /// comes twice costs the link twice.
@@ -31,7 +33,7 @@
 const AVOID: Duration = Duration::from_secs(2);
 /// Time for the origin to send one chunk while others share its link.
 const ORIGIN_LIMIT: Duration = Duration::from_secs(2);
-const MANIFEST_TIMEOUT: Duration = Duration::from_millis(500);
+const MANIFEST_TIMEOUT: Duration = Duration::from_millis(250);
 const FIRST_RETRY: Duration = Duration::from_millis(50);
 const LAST_RETRY: Duration = Duration::from_millis(500);
 /// Chunks from the origin that failed their digest after which the digests
@@ -75,6 +77,7 @@
         let manifest = collector.manifest().await;
         let name = version_name(&wanted.model, wanted.version);
         let id = shelf.open(&name, manifest.clone());
+        shelf.set_collecting(Some(id.clone()));
         if collector.chunks(&id, &manifest).await {
             return (id, manifest);
         }
@@ -105,7 +108,11 @@
         let site = &self.cx.site;
         let mut peers = vec![self.me.clone()];
         let mut holders = Vec::new();
-        for server in view.servers.values().filter(|s| s.service == site.service) {
+        for server in view
+            .servers
+            .values()
+            .filter(|s| s.service == site.service && s.ready)
+        {
             let addr = SocketAddr::new(server.addr.ip(), site.host_peer_port);
             let peer = Peer {
                 region: site.region_of(&server.zone),
@@ -218,7 +225,8 @@
                 layout = self.layout();
             }
             for fetch in transfer.next(&layout, self.cx.now()) {
-                self.spawn(&mut fetches, id, fetch, tx.clone());
+                let wait = wait_at(&layout, &fetch.source);
+                self.spawn(&mut fetches, id, fetch, wait, tx.clone());
             }
             tokio::select! {
                 got = rx.recv_async() => {
@@ -273,6 +281,7 @@
         fetches: &mut JoinSet<()>,
         id: &Name,
         fetch: Fetch,
+        wait: Duration,
         tx: flume::Sender<(Fetch, Got)>,
     ) {
         let (cx, shelf, id) = (self.cx.clone(), self.shelf.clone(), id.clone());
@@ -280,7 +289,7 @@
         fetches.spawn(async move {
             let got = match &fetch.source {
                 Source::Origin => from_origin(&origin, &wanted, fetch.chunk).await,
-                Source::Peer(addr) => from_peer(&cx, addr, &id, fetch.chunk).await,
+                Source::Peer(addr) => from_peer(&cx, addr, &id, fetch.chunk, wait).await,
             };
             if let Got::Chunk(body) = &got {
                 shelf.pace_download(body.as_ref().len() as u64).await;
@@ -304,11 +313,25 @@
     }
 }
 
-async fn from_peer<D: Dialect>(cx: &Cx<D>, addr: &Name, id: &Name, chunk: u32) -> Got {
+// A holder has every chunk or none; others may be waiting for it themselves.
+fn wait_at(layout: &Layout, source: &Source) -> Duration {
+    match source {
+        Source::Peer(name) if layout.is_holder(name) => HOLDER_WAIT,
+        _ => CHUNK_TIMEOUT,
+    }
+}
+
+async fn from_peer<D: Dialect>(
+    cx: &Cx<D>,
+    addr: &Name,
+    id: &Name,
+    chunk: u32,
+    wait: Duration,
+) -> Got {
     let req = PeerRequest::Chunk(ChunkRequest {
         manifest: id.clone(),
         chunk,
-        wait_ms: CHUNK_TIMEOUT.as_millis() as u64,
+        wait_ms: wait.as_millis() as u64,
     });
     match cx.pool.ask(addr, &req, CHUNK_TIMEOUT * 3).await {
         Ok(PeerReply::Chunk(got)) if got.chunk == chunk => Got::Chunk(got.body),
--- a/crates/rw-fleet/src/host/keeper.rs
+++ b/crates/rw-fleet/src/host/keeper.rs
@@ -103,6 +103,7 @@
         let work = collect(&cx, &shelf, &origin, &wanted);
         tokio::select! {
             _ = work => {
+                shelf.set_collecting(None);
                 progress.collected.store(wanted.version, Ordering::Relaxed);
                 let kept = [wanted.version, wanted.version.saturating_sub(1), loaded];
                 shelf.keep(&kept.map(|version| version_name(&wanted.model, version)));
@@ -379,27 +380,34 @@
 impl<D: Dialect, R: Runner, O: OriginClient> Reader<D, R, O> {
     async fn run(self, reads: flume::Receiver<StageRead>) {
         while let Ok(read) = reads.recv_async().await {
-            self.read(read).await;
+            let found = self.read(&read).await;
+            if read.done.send(found).is_err() {
+                log::debug!("nobody waits for staged chunk {} any more", read.chunk);
+            }
         }
     }
 
-    async fn read(&self, read: StageRead) {
+    async fn read(&self, read: &StageRead) -> bool {
         let Some(wanted) = self.loaded().await else {
-            return;
+            return false;
         };
         let Some(manifest) = self.manifest(&wanted).await else {
-            return;
+            return false;
         };
         let id = rw_protocol::manifest_id(&manifest);
-        if id != read.manifest || self.shelf.chunk(&id, read.chunk).is_some() {
-            return;
+        if id != read.manifest {
+            return false;
+        }
+        if self.shelf.chunk(&id, read.chunk).is_some() {
+            return true;
         }
         let body = timeout(LOCAL_LIMIT, self.runner.staged(&wanted.model, read.chunk)).await;
-        if let Ok(Ok(body)) = body {
-            if let Err(err) = self.shelf.insert(&id, read.chunk, body.into()) {
-                log::debug!("staged chunk {}: {err}", read.chunk);
-            }
+        let Ok(Ok(body)) = body else { return false };
+        let kept = self.shelf.insert(&id, read.chunk, body.into());
+        if let Err(err) = &kept {
+            log::debug!("staged chunk {}: {err}", read.chunk);
         }
+        kept.is_ok()
     }
 
     // What the server has loaded lies staged, too.
--- a/crates/rw-fleet/src/host/shelf.rs
+++ b/crates/rw-fleet/src/host/shelf.rs
@@ -6,9 +6,11 @@
 use rw_weights::{ChunkStore, Result};
 use tokio::time::Instant;
 
-/// Share of the host's link that weights may take each way; live requests
-/// have the rest, and an event waits for little else on it.
-const LINK_SHARE: f64 = 0.93;
+/// Share of the host's uplink that weights may take; events of live streams
+/// have the rest and wait for little else.
+const UPLINK_SHARE: f64 = 0.93;
+/// Share of the downlink, on which live requests are small.
+const DOWNLINK_SHARE: f64 = 0.97;
 /// Time to send before the link's limit is felt; about one chunk.
 const BURST: Duration = Duration::from_millis(30);
 /// Longest wait for a chunk that another host may ask for.
@@ -23,12 +25,15 @@
     pub manifest: Name,
     /// Its number.
     pub chunk: u32,
+    /// Told whether the chunk could be read.
+    pub done: flume::Sender<bool>,
 }
 
 /// Verified weights that a host holds for others.
 pub struct Shelf {
     store: Mutex<ChunkStore>,
     named: Mutex<Vec<(Name, Name)>>,
+    collecting: Mutex<Option<Name>>,
     arrived: Signal,
     uplink: Mutex<TokenBucket>,
     downlink: Mutex<TokenBucket>,
@@ -48,15 +53,18 @@
 impl Shelf {
     /// An empty shelf on a link of so many bytes a second; 0 is unlimited.
     pub fn new(link_bytes_per_s: u64, reads: flume::Sender<StageRead>) -> Arc<Self> {
-        let rate = (link_bytes_per_s as f64 * LINK_SHARE) as u64;
-        let burst = (rate as f64 * BURST.as_secs_f64()) as u64;
-        let bucket = || Mutex::new(TokenBucket::new(rate, burst));
+        let bucket = |share: f64| {
+            let rate = link_bytes_per_s as f64 * share;
+            let burst = rate * BURST.as_secs_f64();
+            Mutex::new(TokenBucket::new(rate as u64, burst as u64))
+        };
         Arc::new(Shelf {
             store: Mutex::default(),
             named: Mutex::default(),
+            collecting: Mutex::default(),
             arrived: Signal::default(),
-            uplink: bucket(),
-            downlink: bucket(),
+            uplink: bucket(UPLINK_SHARE),
+            downlink: bucket(DOWNLINK_SHARE),
             reads,
             started: Instant::now(),
         })
@@ -122,21 +130,13 @@
     pub async fn serve_chunk(&self, req: &ChunkRequest) -> PeerReply {
         let arrived = self.arrived.subscribe();
         let until = Instant::now() + Duration::from_millis(req.wait_ms).min(MAX_WAIT);
-        let mut asked = false;
+        if !self.is_expected(&req.manifest) && !self.read_back(req, until).await {
+            return missing();
+        }
         let body = loop {
             if let Some(body) = self.chunk(&req.manifest, req.chunk) {
                 break body;
             }
-            if !std::mem::replace(&mut asked, true) {
-                let read = StageRead {
-                    manifest: req.manifest.clone(),
-                    chunk: req.chunk,
-                };
-                // A full queue of reads only means that others come first.
-                if let Err(err) = self.reads.try_send(read) {
-                    log::debug!("stage read dropped: {err}");
-                }
-            }
             if tokio::time::timeout_at(until, arrived.recv_async())
                 .await
                 .is_err()
@@ -152,6 +152,39 @@
         })
     }
 
+    // Whether chunks of a manifest are being collected, or all here.
+    fn is_expected(&self, manifest: &str) -> bool {
+        lock(&self.collecting).as_deref() == Some(manifest)
+            || lock(&self.store)
+                .get(manifest)
+                .is_some_and(|held| held.is_complete())
+    }
+
+    // Reads a chunk back from where the backend server loads it. Without a
+    // reader's answer in time there is none.
+    async fn read_back(&self, req: &ChunkRequest, until: Instant) -> bool {
+        if self.chunk(&req.manifest, req.chunk).is_some() {
+            return true;
+        }
+        let (done, read) = flume::bounded(1);
+        let asked = self.reads.try_send(StageRead {
+            manifest: req.manifest.clone(),
+            chunk: req.chunk,
+            done,
+        });
+        if let Err(err) = asked {
+            log::debug!("stage read dropped: {err}");
+            return false;
+        }
+        let read = tokio::time::timeout_at(until, read.recv_async()).await;
+        matches!(read, Ok(Ok(true)))
+    }
+
+    /// Says which manifest's chunks are being collected.
+    pub fn set_collecting(&self, manifest: Option<Name>) {
+        *lock(&self.collecting) = manifest;
+    }
+
     /// Answers a host that asks for the manifest of a named version.
     pub fn serve_manifest(&self, req: &ManifestRequest) -> PeerReply {
         match self.manifest(&req.manifest) {
--- a/crates/rw-weights/src/layout.rs
+++ b/crates/rw-weights/src/layout.rs
@@ -98,6 +98,11 @@
         self
     }
 
+    /// Whether a host was named as one that holds every chunk.
+    pub fn is_holder(&self, name: &str) -> bool {
+        self.holders.iter().any(|p| *p.name == *name)
+    }
+
     // Holders as near as any, spread over the chunks so that each sends a part.
     fn holder_sources(&self, chunk: u32, me: &Peer) -> Vec<Name> {
         let key = format!("{chunk}/{}", me.name);
