Let few entries read the store, and let few hosts pull from the origin

Change: at most six importers a region; four entries follow the store, others follow two of them, hosts follow an entry; large rows travel compressed.

--- a/crates/rw-fleet/src/beliefs.rs
+++ b/crates/rw-fleet/src/beliefs.rs
@@ -31,6 +31,8 @@
     pub before_start: bool,
 }
 
+/// Size from which rows are compressed, in bytes; below it little is saved.
+const PACK_BYTES: usize = 4096;
 /// Versions kept of a model's names; older ones have long been in force.
 const NAMES_KEPT: usize = 8;
 
@@ -216,6 +218,7 @@
                 rows.push(StoredRow {
                     version,
                     deleted: true,
+                    packed: false,
                     value: Vec::new().into(),
                     ..old.clone()
                 });
@@ -267,9 +270,10 @@
         {
             return false;
         }
+        let row = pack(row);
         let fact = match row.deleted {
             true => Ok(Fact::Other),
-            false => self.dialect.decode(&row),
+            false => self.dialect.decode(&unpack(&row)),
         };
         match fact {
             Ok(fact) => self.learn(view, &row, fact, first),
@@ -370,6 +374,38 @@
     }
 }
 
+// Large rows are kept and passed on compressed.
+fn pack(row: StoredRow) -> StoredRow {
+    if row.packed || row.value.as_ref().len() < PACK_BYTES {
+        return row;
+    }
+    let value = lz4_flex::compress_prepend_size(row.value.as_ref());
+    StoredRow {
+        value: value.into(),
+        packed: true,
+        ..row
+    }
+}
+
+// A value that cannot be unpacked fails to decode as it is.
+fn unpack(row: &StoredRow) -> StoredRow {
+    let value = match row.packed {
+        true => lz4_flex::decompress_size_prepended(row.value.as_ref()),
+        false => return row.clone(),
+    };
+    match value {
+        Ok(value) => StoredRow {
+            value: value.into(),
+            packed: false,
+            ..row.clone()
+        },
+        Err(err) => {
+            log::warn!("row {} of {}: {err}", row.key, row.table);
+            row.clone()
+        }
+    }
+}
+
 fn prune(state: &mut State) {
     let gone = state.rows.values().filter(|row| row.deleted);
     let mut versions: Vec<u64> = gone.map(|row| row.version).collect();
--- a/crates/rw-fleet/src/entry/stream.rs
+++ b/crates/rw-fleet/src/entry/stream.rs
@@ -43,7 +43,8 @@
 /// A stream whose first event is here.
 struct Started {
     ticket: Ticket,
-    conn: Connection,
+    // Open for as long as the stream runs.
+    _conn: Connection,
     body: Incoming,
     head: HeaderMap,
     weights: Option<u64>,
@@ -84,6 +85,8 @@
         tx,
         tried,
         sent,
+        first_event: call.age(),
+        longest_pause: Duration::ZERO,
     };
     tokio::spawn(relay.run(started));
     Ok(res.map(|()| Either::Right(body)))
@@ -259,7 +262,7 @@
         let ended = first.is_none();
         Ok(Opened::Stream(Box::new(Started {
             ticket,
-            conn,
+            _conn: conn,
             body,
             head: head.headers,
             weights,
@@ -315,6 +318,9 @@
     tx: EventTx,
     tried: Vec<Name>,
     sent: u32,
+    // Time to the first event, and the longest pause between two.
+    first_event: Duration,
+    longest_pause: Duration,
 }
 
 enum Ended {
@@ -361,7 +367,7 @@
         }
     }
 
-    async fn pass_on(&self, current: &mut Started) -> Ended {
+    async fn pass_on(&mut self, current: &mut Started) -> Ended {
         let first = std::mem::take(&mut current.first);
         if !first.is_empty() && !self.tx.send(first).await {
             return Ended::CallerLeft;
@@ -371,6 +377,7 @@
         }
         let stall = self.call.route.max_pause * STALL_PAUSES;
         let deadline = self.call.deadline;
+        let mut last = Instant::now();
         loop {
             let limit = match self.may_resume() {
                 true => (Instant::now() + stall).min(deadline),
@@ -386,13 +393,14 @@
                 Ok(Err(failure)) => return Ended::Failed(failure),
                 Ok(Ok(None)) => return Ended::Whole,
                 Ok(Ok(Some(events))) => {
+                    self.longest_pause = self.longest_pause.max(last.elapsed());
+                    last = Instant::now();
                     let sent = timeout(self.call.left(), self.tx.send(events)).await;
                     if sent != Ok(true) {
                         return Ended::CallerLeft;
                     }
                 }
             }
-            debug_assert!(current.conn.is_open() || current.reader.last() > 0);
         }
     }
 
@@ -425,7 +433,8 @@
     }
 
     fn note(&self, event: Event, server: &Name, more: &str) {
-        self.entry
-            .note_call(&self.call, event, &format!("server={server} {more}"));
+        let (first, pause) = (self.first_event.as_millis(), self.longest_pause.as_millis());
+        let detail = format!("server={server} first_ms={first} pause_ms={pause} {more}");
+        self.entry.note_call(&self.call, event, &detail);
     }
 }
--- a/crates/rw-fleet/src/follow.rs
+++ b/crates/rw-fleet/src/follow.rs
@@ -1,7 +1,8 @@
-//! Keeps a daemon's beliefs up to date: from the platform's store, or from
-//! other daemons while the store cannot be reached.
+//! Keeps a daemon's beliefs up to date. A few entries follow the platform's
+//! store; the other entries and the hosts follow them, so that calls to the
+//! store grow neither with entries nor with hosts.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,56 +11,100 @@
 use rw_platform::{FeedError, TableFeed};
 use rw_protocol::{rank, Name, PeerReply, PeerRequest, RowsReply, RowsRequest, TableVersion};
 
-use crate::{Cx, Dialect, FleetRole};
+use crate::{Cx, Daemon, Dialect, FleetRole};
 
+/// Entries that follow the store; with several of them in several zones a
+/// follower has always one left that knows the newest.
+const READERS: usize = 4;
+/// Readers that one entry follows at once.
+const FOLLOWED: usize = 2;
 /// Longest wait for a change at the store; each renewal is a priced call.
 const STORE_WAIT: Duration = Duration::from_secs(15);
+/// Pause after a change, so that changes in a row come in one answer; a small
+/// part of the time in which they have to be in force.
+const CHANGE_PAUSE: Duration = Duration::from_millis(60);
 /// Time that an answer may take beyond the wait.
 const ANSWER_SLACK: Duration = Duration::from_millis(1500);
+/// Time for a whole table, which may have to cross a thin link.
+const TABLE_LIMIT: Duration = Duration::from_secs(5);
 /// Longest wait for a change at another daemon.
 const PEER_WAIT: Duration = Duration::from_secs(5);
+/// Time for the names of entries from a seed, which may be dark.
+const SEED_LIMIT: Duration = Duration::from_millis(400);
+/// Time for which an entry reads the store itself after its readers failed.
+const FALLBACK: Duration = Duration::from_secs(5);
+/// Time after its start for which a host asks entries only: all of a fleet may
+/// start at once, and the store's links could not carry every table to each.
+const HOST_PATIENCE: Duration = Duration::from_secs(2);
 const FIRST_RETRY: Duration = Duration::from_millis(50);
 /// Longest pause between tries, well within the time in which changes have to
 /// be in force after an outage.
 const LAST_RETRY: Duration = Duration::from_millis(500);
 /// Pause between questions to other daemons while the store is away.
 const OUTAGE_POLL: Duration = Duration::from_millis(300);
-/// Daemons that are asked in turn before the store is.
+/// Entries that a host asks in turn before it turns to the store.
 const MAX_PEERS_ASKED: usize = 3;
 
-/// Which tables follow the store at the moment.
+/// Where a daemon's news come from at the moment.
 #[derive(Debug, Default)]
-pub struct StoreTouch([AtomicBool; 3]);
+pub struct StoreTouch {
+    tables: [AtomicBool; 3],
+    // Readers that answer this entry's questions.
+    readers: AtomicU64,
+    // Milliseconds of the daemon's clock until which it reads the store.
+    fallback_until: AtomicU64,
+}
 
 impl StoreTouch {
-    /// Whether every followed table gets its changes from the store.
+    /// Whether every table gets its changes from the store, or through a
+    /// daemon that does.
     pub fn is_whole(&self) -> bool {
-        self.0.iter().all(|t| t.load(Ordering::Relaxed))
+        self.readers.load(Ordering::Relaxed) > 0 || self.follows_store()
+    }
+
+    fn follows_store(&self) -> bool {
+        self.tables.iter().all(|t| t.load(Ordering::Relaxed))
     }
 
     // Says whether the state changed.
     fn set(&self, at: usize, up: bool) -> bool {
-        self.0[at].swap(up, Ordering::Relaxed) != up
+        self.tables[at].swap(up, Ordering::Relaxed) != up
     }
 }
 
 /// Starts the tasks that follow the platform's tables.
 pub fn start<S: TableFeed, D: Dialect>(cx: &Arc<Cx<D>>, store: S) {
+    if cx.site.role == FleetRole::Host {
+        tokio::spawn(follow_entries(cx.clone(), store));
+        return;
+    }
     let tables = cx.dialect.tables();
-    for (at, table) in [tables.operator, tables.servers, tables.daemons]
-        .into_iter()
-        .enumerate()
-    {
-        let (cx, store) = (cx.clone(), store.clone());
-        match cx.site.role {
-            FleetRole::Entry => drop(tokio::spawn(follow_store(cx, store, at, table))),
-            FleetRole::Host if at == 0 => drop(tokio::spawn(follow_entries(cx, store))),
-            FleetRole::Host => {}
-        }
+    let tables = [tables.operator, tables.servers, tables.daemons];
+    for (at, table) in tables.into_iter().enumerate() {
+        tokio::spawn(follow_store(cx.clone(), store.clone(), at, table));
+    }
+    for place in 0..FOLLOWED {
+        tokio::spawn(follow_reader(cx.clone(), place));
     }
-    if cx.site.role == FleetRole::Entry {
-        tokio::spawn(ask_while_away(cx.clone()));
+    tokio::spawn(ask_while_away(cx.clone()));
+}
+
+/// Entries that follow the store, by rank; every entry works out the same ones.
+fn readers<D: Dialect>(cx: &Cx<D>) -> Vec<Daemon> {
+    let view = cx.beliefs.view();
+    let mut all: Vec<Daemon> = view.daemons.values().cloned().collect();
+    all.sort_by_key(|d| rank("reader", &d.name));
+    all.truncate(READERS);
+    all
+}
+
+fn reads_store<D: Dialect>(cx: &Cx<D>) -> bool {
+    let fallback = cx.touch.fallback_until.load(Ordering::Relaxed);
+    if cx.now().as_millis() < u128::from(fallback) {
+        return true;
     }
+    let readers = readers(cx);
+    readers.len() < READERS || readers.iter().any(|d| d.name == cx.site.name)
 }
 
 async fn follow_store<S: TableFeed, D: Dialect>(
@@ -70,8 +115,14 @@
 ) {
     let mut backoff = Backoff::new(FIRST_RETRY, LAST_RETRY, rank(table, &cx.site.name));
     let name = Name::from(table);
+    // The first read tells an entry who the readers are.
     let mut read = false;
     loop {
+        if read && !reads_store(&cx) {
+            cx.touch.set(at, false);
+            tokio::time::sleep(OUTAGE_POLL).await;
+            continue;
+        }
         let done = match read {
             false => read_whole(&cx, &store, &name).await,
             true => read_changes(&cx, &store, &name).await,
@@ -81,6 +132,7 @@
                 read = true;
                 backoff.reset();
                 note_touch(&cx, at, table, true, "");
+                tokio::time::sleep(CHANGE_PAUSE).await;
             }
             Err(FeedError::HistoryGone) => {
                 cx.recorder
@@ -112,7 +164,7 @@
     store: &S,
     table: &Name,
 ) -> Result<(), FeedError> {
-    let read = tokio::time::timeout(ANSWER_SLACK, store.read_table(table)).await;
+    let read = tokio::time::timeout(TABLE_LIMIT, store.read_table(table)).await;
     let read = read.map_err(|_| timed_out())?.map_err(FeedError::Failed)?;
     cx.beliefs.replace(table, read.rows, read.version);
     Ok(())
@@ -139,6 +191,42 @@
     FeedError::Failed(rw_platform::Error::Unknown("no answer in time".to_string()))
 }
 
+// Follows one of the readers; `place` says which of the nearest. When none
+// answers, the entry reads the store itself for a while.
+async fn follow_reader<D: Dialect>(cx: Arc<Cx<D>>, place: usize) {
+    let mut failures = 0;
+    loop {
+        let readers = nearest(&cx, readers(&cx));
+        if readers.is_empty() || reads_store(&cx) && failures == 0 {
+            tokio::time::sleep(OUTAGE_POLL).await;
+            continue;
+        }
+        let addr = &readers[(place + failures) % readers.len()];
+        cx.touch
+            .readers
+            .fetch_add(u64::from(failures == 0), Ordering::Relaxed);
+        let answer = ask_rows(&cx, addr, PEER_WAIT).await;
+        cx.touch
+            .readers
+            .fetch_sub(u64::from(failures == 0), Ordering::Relaxed);
+        match answer {
+            Ok(reply) if reply.in_touch => failures = 0,
+            answer => {
+                if let Err(err) = answer {
+                    log::debug!("rows from {addr}: {err}");
+                }
+                failures += 1;
+                let until = (cx.now() + FALLBACK).as_millis() as u64;
+                cx.touch.fallback_until.fetch_max(until, Ordering::Relaxed);
+                tokio::time::sleep(OUTAGE_POLL).await;
+            }
+        }
+        if failures > readers.len() {
+            failures = 0;
+        }
+    }
+}
+
 // An entry cut off from the store learns from the others what they learn.
 async fn ask_while_away<D: Dialect>(cx: Arc<Cx<D>>) {
     let ticks = cx.timer.subscribe(OUTAGE_POLL);
@@ -158,13 +246,13 @@
     }
 }
 
-// Hosts learn through an entry, which keeps their number off the store.
 async fn follow_entries<S: TableFeed, D: Dialect>(cx: Arc<Cx<D>>, store: S) {
     let mut backoff = Backoff::new(FIRST_RETRY, LAST_RETRY, rank("rows", &cx.site.name));
     let mut turn = 0;
-    // Seeds may be dark, and a new host cannot wait for them.
-    read_all(&cx, &store).await;
     loop {
+        if cx.beliefs.view().daemons.is_empty() {
+            find_entries(&cx).await;
+        }
         let entries = known_entries(&cx);
         let mut served = false;
         for _ in 0..MAX_PEERS_ASKED.min(entries.len()) {
@@ -185,11 +273,42 @@
             backoff.reset();
             continue;
         }
-        read_all(&cx, &store).await;
+        if cx.now() > HOST_PATIENCE {
+            read_all(&cx, &store).await;
+        }
         tokio::time::sleep(backoff.next_delay()).await;
     }
 }
 
+// Learns only which entries there are, so that the rest comes from a near one.
+async fn find_entries<D: Dialect>(cx: &Arc<Cx<D>>) {
+    let tables = cx.dialect.tables();
+    let beyond = |table: &str| TableVersion {
+        table: Name::from(table),
+        version: u64::MAX,
+    };
+    let req = PeerRequest::Rows(RowsRequest {
+        known: vec![beyond(tables.operator), beyond(tables.servers)],
+        wait_ms: 0,
+    });
+    let (tx, rx) = flume::bounded(cx.site.seeds.len().max(1));
+    for seed in &cx.site.seeds {
+        let (cx, seed, req, tx) = (cx.clone(), seed.clone(), req.clone(), tx.clone());
+        tokio::spawn(async move {
+            match cx.pool.ask(&seed, &req, SEED_LIMIT).await {
+                // The first answer is enough; later ones find no receiver.
+                Ok(PeerReply::Rows(reply)) => drop(tx.send(reply.rows)),
+                Ok(_) => log::debug!("seed {seed} answered something else"),
+                Err(err) => log::debug!("seed {seed}: {err}"),
+            }
+        });
+    }
+    drop(tx);
+    if let Ok(rows) = rx.recv_async().await {
+        cx.beliefs.apply(rows, &[]);
+    }
+}
+
 async fn read_all<S: TableFeed, D: Dialect>(cx: &Cx<D>, store: &S) {
     let tables = cx.dialect.tables();
     for table in [tables.operator, tables.servers, tables.daemons] {
@@ -200,21 +319,28 @@
     }
 }
 
-/// Addresses of entries: those registered, the nearest first, then the seeds.
-pub fn known_entries<D: Dialect>(cx: &Cx<D>) -> Vec<Name> {
-    let view = cx.beliefs.view();
-    let others = view.daemons.values().filter(|d| d.name != cx.site.name);
-    let mut near: Vec<(bool, u64, Name)> = others
+// Addresses of the others among some daemons, the nearest first.
+fn nearest<D: Dialect>(cx: &Cx<D>, daemons: impl IntoIterator<Item = Daemon>) -> Vec<Name> {
+    let others = daemons.into_iter().filter(|d| d.name != cx.site.name);
+    let mut near: Vec<(bool, bool, u64, Name)> = others
         .map(|d| {
+            let away = cx.site.region_of(&d.zone) != cx.site.region;
             (
+                away,
                 d.zone != cx.site.zone,
                 rank(&cx.site.name, &d.name),
-                d.addr.clone(),
+                d.addr,
             )
         })
         .collect();
     near.sort();
-    let mut out: Vec<Name> = near.into_iter().map(|(_, _, addr)| addr).collect();
+    near.into_iter().map(|(_, _, _, addr)| addr).collect()
+}
+
+/// Addresses of entries: those registered, the nearest first, then the seeds.
+pub fn known_entries<D: Dialect>(cx: &Cx<D>) -> Vec<Name> {
+    let view = cx.beliefs.view();
+    let mut out = nearest(cx, view.daemons.values().cloned());
     let own = cx.site.peer_addr.to_string();
     for seed in cx.site.seeds.iter().filter(|seed| ***seed != *own) {
         if !out.contains(seed) {
@@ -233,7 +359,7 @@
         known: cx.beliefs.known(),
         wait_ms: wait.as_millis() as u64,
     });
-    match cx.pool.ask(addr, &req, wait + ANSWER_SLACK).await? {
+    match cx.pool.ask(addr, &req, wait + TABLE_LIMIT).await? {
         PeerReply::Rows(reply) => {
             cx.beliefs.apply(reply.rows.clone(), &reply.known);
             Ok(reply)
--- a/crates/rw-fleet/src/host/collect.rs
+++ b/crates/rw-fleet/src/host/collect.rs
@@ -32,7 +32,7 @@
 /// Time for which a failed source is avoided.
 const AVOID: Duration = Duration::from_secs(2);
 /// Time for the origin to send one chunk while others share its link.
-const ORIGIN_LIMIT: Duration = Duration::from_secs(2);
+const ORIGIN_LIMIT: Duration = Duration::from_secs(4);
 const MANIFEST_TIMEOUT: Duration = Duration::from_millis(250);
 const FIRST_RETRY: Duration = Duration::from_millis(50);
 const LAST_RETRY: Duration = Duration::from_millis(500);
--- a/crates/rw-fleet/src/peers.rs
+++ b/crates/rw-fleet/src/peers.rs
@@ -9,6 +9,8 @@
     LoadNews, Missing, Name, Noted, PeerReply, PeerRequest, RowsReply, RowsRequest, RunnerNotice,
 };
 
+use tokio::time::Instant;
+
 use crate::entry::Board;
 use crate::follow;
 use crate::host::Shelf;
@@ -20,6 +22,8 @@
 /// Rounds after which unchanged news are sent again, within their life.
 const REPEAT_ROUNDS: u32 = 5;
 const NEWS_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time between two looks at whether this daemon is still in touch.
+const TOUCH_CHECK: Duration = Duration::from_millis(500);
 /// Longest wait for rows that another daemon may ask for.
 const MAX_ROWS_WAIT: Duration = Duration::from_secs(10);
 
@@ -63,12 +67,16 @@
         let beliefs = &self.cx.beliefs;
         let changed = beliefs.subscribe();
         let wait = Duration::from_millis(req.wait_ms).min(MAX_ROWS_WAIT);
-        let news = async {
-            while !beliefs.is_ahead_of(&req.known) && changed.recv_async().await.is_ok() {}
-        };
-        // Without news in time the answer says only who is in touch.
-        if wait > Duration::ZERO && tokio::time::timeout(wait, news).await.is_err() {
-            log::debug!("no news within {wait:?}");
+        let until = Instant::now() + wait;
+        // A daemon that is out of touch says so at once.
+        while !beliefs.is_ahead_of(&req.known) && self.cx.touch.is_whole() && Instant::now() < until
+        {
+            let step = until.min(Instant::now() + TOUCH_CHECK);
+            let changed = tokio::time::timeout_at(step, changed.recv_async()).await;
+            if let Ok(Err(err)) = changed {
+                log::debug!("beliefs ended: {err}");
+                break;
+            }
         }
         RowsReply {
             rows: beliefs.rows_since(&req.known),
--- a/crates/rw-protocol/src/generated.rs
+++ b/crates/rw-protocol/src/generated.rs
@@ -937,6 +937,8 @@
     ///Whether the row was removed.
     pub deleted: bool,
     pub key: crate::Name,
+    ///Whether the value is compressed by LZ4 behind its length.
+    pub packed: bool,
     pub table: crate::Name,
     pub value: crate::Blob,
     ///Version of the store at which the row was written.
--- a/crates/rw-protocol/tests/frames.rs
+++ b/crates/rw-protocol/tests/frames.rs
@@ -101,6 +101,7 @@
         key: "k".into(),
         version: 12,
         deleted: true,
+        packed: true,
         value: vec![0, 255].into(),
     }
 }
--- a/crates/rw-weights/src/layout.rs
+++ b/crates/rw-weights/src/layout.rs
@@ -2,6 +2,9 @@
 
 use rw_protocol::{rank, Name};
 
+/// Hosts of one region that take chunks in from outside it. More of them would
+/// share the origin's link so thinly that chunks time out on it.
+const MAX_IMPORTERS: usize = 6;
 /// Children of one host in a chunk's tree.
 const FANOUT: usize = 2;
 /// Earlier hosts that are tried when every ancestor failed.
@@ -214,7 +217,8 @@
         hosts.sort_by_key(|host| std::cmp::Reverse(rank(manifest, host)));
         hosts
     };
-    let importers = by_rank(&|_| true);
+    let mut importers = by_rank(&|_| true);
+    importers.truncate(MAX_IMPORTERS);
     let zones = zone_names
         .into_iter()
         .map(|zone| Zone {
