Give the last free slots turns, and let callers that waited yield

A third of the capacity went to callers that came back after a refusal, whose answers were late in any case.

Change: the better of two random engines; turns for slots that are nearly gone; callers whose remaining time says that they waited get only what is spare, and are told two seconds. The line of an answered stream says what was believed. Requests insist on named weights 1.3 s before the bound (one had waited 1 s in a server's queue and began 47 ms past it).

--- a/crates/rw-fleet/src/beliefs.rs
+++ b/crates/rw-fleet/src/beliefs.rs
@@ -11,9 +11,10 @@
 
 use crate::{BackendServer, Bounds, Configuration, Daemon, Dialect, Fact};
 
-/// Part of the time for newly named weights after which requests insist on
-/// them, so that none begins on older ones past the bound.
-const INSIST_SHARE: f64 = 0.93;
+/// Time before the bound for newly named weights from which requests insist on
+/// them: a request that is sent may wait so long in a server's queue before it
+/// begins.
+const INSIST_MARGIN: Duration = Duration::from_millis(1300);
 /// Part of the time for newly named weights within which a later name makes
 /// an earlier one not worth loading: the rest is what loading takes.
 const PASS_OVER_SHARE: f64 = 0.25;
@@ -102,7 +103,7 @@
             return (loaded == 0).then_some(1);
         };
         let close = bounds.weights_in_force.mul_f64(PASS_OVER_SHARE);
-        let late = bounds.weights_in_force.mul_f64(INSIST_SHARE);
+        let late = bounds.weights_in_force.saturating_sub(INSIST_MARGIN);
         let passed_over = |at: usize| {
             let (Some(named), Some(next)) = (names.get(at), names.get(at + 1)) else {
                 return false;
@@ -119,7 +120,7 @@
     /// Oldest version on which a request may begin: the newest that was named
     /// so long ago that it has to be in force.
     pub fn oldest_allowed(&self, model: &str, bounds: &Bounds, uptime: Duration) -> u64 {
-        let in_force = bounds.weights_in_force.mul_f64(INSIST_SHARE);
+        let in_force = bounds.weights_in_force.saturating_sub(INSIST_MARGIN);
         let names = self.weights.get(model).into_iter().flatten();
         let due = names.filter(|named| {
             let age = uptime.saturating_sub(named.since);
--- a/crates/rw-fleet/src/entry/board.rs
+++ b/crates/rw-fleet/src/entry/board.rs
@@ -5,10 +5,14 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use rand::seq::SliceRandom;
 use rand::Rng;
 use rw_coord::Signal;
 use rw_protocol::{LoadNews, Name, ServerLoad};
-use rw_routing::{place, Circuit, Demand, EngineCandidate, EngineLoad, Placed, WindowBudget};
+use rw_routing::{
+    place, Circuit, Demand, EngineCandidate, EngineLoad, Placed, Sharer, SlotTurns, WindowBudget,
+};
+use tokio::time::Instant;
 
 use crate::{BackendServer, Bounds, Engine, Snapshot};
 
@@ -18,13 +22,14 @@
 const REFUSED_PAUSE: Duration = Duration::from_millis(150);
 /// Requests beyond its slots that an engine may hold, so that a slot that
 /// frees up is filled without waiting for the next request.
-const EXTRA_PER_ENGINE: u32 = 1;
+const EXTRA_PER_ENGINE: u32 = 0;
 /// Requests beyond its slots that a plain server may hold, per slot.
 const PLAIN_QUEUE_PER_SLOT: u32 = 2;
 
 #[derive(Default)]
 struct Known {
     own: EngineLoad,
+    turns: SlotTurns,
     circuit: Circuit,
     closed_until: Duration,
 }
@@ -38,6 +43,9 @@
 
 /// Load on backend servers as far as one entry knows it.
 pub struct Board {
+    // Name of this entry.
+    name: Name,
+    started: Instant,
     state: Mutex<State>,
     bounds: Bounds,
     freed: Signal,
@@ -45,8 +53,10 @@
 
 impl Board {
     /// An empty board.
-    pub fn new(bounds: Bounds) -> Arc<Self> {
+    pub fn new(name: Name, bounds: Bounds) -> Arc<Self> {
         Arc::new(Board {
+            name,
+            started: Instant::now(),
             state: Mutex::default(),
             bounds,
             freed: Signal::default(),
@@ -57,6 +67,10 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
     /// Receives a signal when a place frees up.
     pub fn subscribe(&self) -> flume::Receiver<()> {
         self.freed.subscribe()
@@ -69,12 +83,17 @@
         servers: &[Arc<BackendServer>],
         demand: &Demand,
         is_remote: impl Fn(&BackendServer) -> bool,
-        now: Duration,
     ) -> std::result::Result<Ticket, Placed> {
+        let now = self.now();
         let mut state = self.state();
         let loads: Vec<(EngineLoad, u32)> = servers
             .iter()
-            .map(|s| (state.load(&s.id, now), state.allowed(&s.id, s.slots, now)))
+            .map(|s| {
+                (
+                    state.load(&s.id, now),
+                    state.allowed_in_turn(s, &self.name, now),
+                )
+            })
             .collect();
         let mut candidates: Vec<EngineCandidate<'_>> = servers
             .iter()
@@ -88,15 +107,16 @@
                 allowed: *allowed,
             })
             .collect();
-        // Equal forecasts are decided by the order, which differs each time so
-        // that entries do not all pick the same server.
-        if !candidates.is_empty() {
-            let at = rand::rng().random_range(0..candidates.len());
-            candidates.rotate_left(at);
-        }
+        candidates.shuffle(&mut rand::rng());
         match place(demand, &candidates, EXTRA_PER_ENGINE) {
-            Placed::At(id) => match servers.iter().find(|s| s.id == id) {
-                Some(server) => Ok(self.ticket(&mut state, server, demand.prompt_tokens)),
+            Placed::At(id, forecast) => match servers.iter().find(|s| s.id == id) {
+                Some(server) => {
+                    let load = state.load(&server.id, now);
+                    let mut ticket = self.ticket(&mut state, server, demand.prompt_tokens);
+                    ticket.load = load;
+                    ticket.forecast = forecast;
+                    Ok(ticket)
+                }
                 None => Err(Placed::Nowhere),
             },
             other => Err(other),
@@ -104,11 +124,8 @@
     }
 
     /// Takes a plain server with few requests under way.
-    pub fn place_plain(
-        self: &Arc<Self>,
-        servers: &[Arc<BackendServer>],
-        now: Duration,
-    ) -> Option<Ticket> {
+    pub fn place_plain(self: &Arc<Self>, servers: &[Arc<BackendServer>]) -> Option<Ticket> {
+        let now = self.now();
         let mut state = self.state();
         let mut rng = rand::rng();
         let best = servers
@@ -134,36 +151,43 @@
         let known = state.servers.entry(server.id.clone()).or_default();
         known.own.running += 1;
         known.own.unread_tokens += unread;
+        known.turns.on_taken(clock(), self.now());
         Ticket {
             board: self.clone(),
             server: server.clone(),
+            load: EngineLoad::default(),
+            forecast: Duration::ZERO,
             unread,
         }
     }
 
     /// Counts a request of a service for its retry budget.
-    pub fn count_request(&self, service: &Name, entries: usize, now: Duration) {
+    pub fn count_request(&self, service: &Name, entries: usize) {
+        let now = self.now();
         self.state()
             .budget(service, &self.bounds, entries)
             .on_request(now);
     }
 
     /// Takes one repeat out of a service's retry budget.
-    pub fn take_repeat(&self, service: &Name, entries: usize, now: Duration) -> bool {
+    pub fn take_repeat(&self, service: &Name, entries: usize) -> bool {
+        let now = self.now();
         self.state()
             .budget(service, &self.bounds, entries)
             .take(now)
     }
 
     /// A server answered as it should.
-    pub fn on_success(&self, server: &Name, now: Duration) {
+    pub fn on_success(&self, server: &Name) {
+        let now = self.now();
         if let Some(known) = self.state().servers.get_mut(server) {
             known.circuit.on_success(now);
         }
     }
 
     /// A server failed a request; says whether its circuit opened just now.
-    pub fn on_failure(&self, server: &Name, now: Duration) -> bool {
+    pub fn on_failure(&self, server: &Name) -> bool {
+        let now = self.now();
         let mut state = self.state();
         state
             .servers
@@ -174,7 +198,8 @@
     }
 
     /// A server said that it takes no request now.
-    pub fn on_refused(&self, server: &Name, now: Duration) {
+    pub fn on_refused(&self, server: &Name) {
+        let now = self.now();
         let mut state = self.state();
         state
             .servers
@@ -184,7 +209,8 @@
     }
 
     /// Takes in what another entry has under way.
-    pub fn on_news(&self, news: LoadNews, now: Duration) {
+    pub fn on_news(&self, news: LoadNews) {
+        let now = self.now();
         let loads = news.loads.into_iter().map(|l| {
             let load = EngineLoad {
                 running: l.running,
@@ -217,7 +243,38 @@
     }
 }
 
+// Time of day, which entries roughly share.
+fn clock() -> Duration {
+    Duration::from_millis(rw_coord::unix_ms())
+}
+
 impl State {
+    // This entry's place among those whose news are fresh.
+    fn sharer(&self, own: &Name, now: Duration) -> Sharer {
+        let fresh = self
+            .news
+            .iter()
+            .filter(|(_, (at, _))| now < *at + NEWS_LIFE);
+        let names = fresh.map(|(name, _)| name);
+        Sharer {
+            index: names.clone().filter(|name| *name < own).count(),
+            count: names.count() + 1,
+        }
+    }
+
+    // Requests that an engine may hold, if it is this entry's turn to send one.
+    fn allowed_in_turn(&self, server: &BackendServer, own: &Name, now: Duration) -> u32 {
+        let allowed = self.allowed(&server.id, server.slots, now);
+        let running = self.load(&server.id, now).running;
+        let free = allowed.saturating_sub(running);
+        let known = self.servers.get(&server.id);
+        let turns = known.map_or_else(SlotTurns::default, |k| k.turns.clone());
+        match turns.may_take(&server.id, free, self.sharer(own, now), clock(), now) {
+            true => allowed,
+            false => running.min(allowed),
+        }
+    }
+
     fn load(&self, server: &Name, now: Duration) -> EngineLoad {
         let own = self
             .servers
@@ -252,6 +309,10 @@
     board: Arc<Board>,
     /// The server.
     pub server: Arc<BackendServer>,
+    /// Load of the server as it was known when the place was taken.
+    pub load: EngineLoad,
+    /// Time to the first event that was forecast then.
+    pub forecast: Duration,
     unread: u32,
 }
 
@@ -272,6 +333,7 @@
         let mut state = self.board.state();
         if let Some(known) = state.servers.get_mut(&self.server.id) {
             known.own.running = known.own.running.saturating_sub(1);
+            known.turns.on_left(self.board.now());
         }
         drop(state);
         self.board.freed.notify();
--- a/crates/rw-fleet/src/entry/call.rs
+++ b/crates/rw-fleet/src/entry/call.rs
@@ -8,6 +8,10 @@
 
 use crate::{Configuration, Route};
 
+/// Share of a route's time limit below which what a caller has left says that
+/// it was refused before.
+const FIRST_TRY_SHARE: f64 = 0.8;
+
 /// A checked request of a caller.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -52,6 +56,16 @@
         self.arrived.elapsed()
     }
 
+    /// Whether its caller seems to have been waiting before this try, so that
+    /// its answer is late in any case. Callers name what is left of their time,
+    /// which is close to the route's limit on their first try.
+    pub fn has_waited(&self) -> bool {
+        let limit = self.route.timeout;
+        let patience = self.deadline.saturating_duration_since(self.arrived);
+        patience < limit.mul_f64(FIRST_TRY_SHARE)
+            && limit.saturating_sub(patience) > self.route.objective
+    }
+
     /// Whether it may run more than once.
     pub fn may_repeat(&self) -> bool {
         match self.route.kind {
--- a/crates/rw-fleet/src/entry/listener.rs
+++ b/crates/rw-fleet/src/entry/listener.rs
@@ -156,9 +156,7 @@
             return Ok(answer::refusal(&refused, id.as_ref(), names));
         }
     };
-    entry
-        .board
-        .count_request(&call.service, entry.entries(), entry.cx.now());
+    entry.board.count_request(&call.service, entry.entries());
     let served = serve(entry, &call).await;
     Ok(match served {
         Ok(res) => res,
--- a/crates/rw-fleet/src/entry/plain.rs
+++ b/crates/rw-fleet/src/entry/plain.rs
@@ -62,11 +62,7 @@
             if repeats && !self.entry.take_repeat(self.call) {
                 return failed_answer.ok_or(fallback);
             }
-            let Some(ticket) = self
-                .entry
-                .board
-                .place_plain(&self.servers(), self.entry.cx.now())
-            else {
+            let Some(ticket) = self.entry.board.place_plain(&self.servers()) else {
                 return failed_answer.ok_or(fallback);
             };
             let done = self.attempt(&ticket).await;
@@ -171,23 +167,21 @@
     /// Takes a repeat of a call out of its service's budget.
     pub fn take_repeat(&self, call: &Call) -> bool {
         let entries = self.entries();
-        self.board
-            .take_repeat(&call.service, entries, self.cx.now())
+        self.board.take_repeat(&call.service, entries)
     }
 
     /// Notes how a try ended, for the server's circuit and the log.
     pub fn note_attempt<T>(&self, call: &Call, server: &Name, done: &attempt::Result<T>) {
-        let now = self.cx.now();
         let opened = match done {
             Ok(_) => {
-                self.board.on_success(server, now);
+                self.board.on_success(server);
                 return;
             }
             Err(Failure::NotRun(_)) => {
-                self.board.on_refused(server, now);
+                self.board.on_refused(server);
                 false
             }
-            Err(_) => self.board.on_failure(server, now),
+            Err(_) => self.board.on_failure(server),
         };
         let Err(failure) = done else { return };
         let detail = format!(
--- a/crates/rw-fleet/src/entry/stream.rs
+++ b/crates/rw-fleet/src/entry/stream.rs
@@ -37,7 +37,10 @@
 /// Pause for callers when no backend server serves the model; bringing weights
 /// back takes some seconds, and most callers come back only once.
 const NO_SERVER_RETRY: Duration = Duration::from_secs(2);
-/// Shortest pause for callers that were refused for want of a place.
+/// Pause for callers that were refused for want of a place. Those that come
+/// back sooner only take the places of others, whose answers could be on time.
+const FULL_RETRY: Duration = Duration::from_secs(2);
+/// Pause for callers whose request met an unlucky choice of servers.
 const MIN_RETRY: Duration = Duration::from_millis(100);
 
 /// A stream whose first event is here.
@@ -51,6 +54,7 @@
     reader: EventReader,
     first: Bytes,
     ended: bool,
+    placed: String,
 }
 
 enum Opened {
@@ -87,6 +91,7 @@
         sent,
         first_event: call.age(),
         longest_pause: Duration::ZERO,
+        placed: started.placed.clone(),
     };
     tokio::spawn(relay.run(started));
     Ok(res.map(|()| Either::Right(body)))
@@ -167,9 +172,7 @@
         let (entry, call) = (self.entry, self.call);
         let service = call.cfg.service(&call.service);
         let Some(engine) = service.and_then(|s| s.engine.clone()) else {
-            let ticket = entry
-                .board
-                .place_plain(&entry.servers(&call.service), entry.cx.now());
+            let ticket = entry.board.place_plain(&entry.servers(&call.service));
             return ticket.ok_or(self.not_run("no backend server", NO_SERVER_RETRY));
         };
         let until = call.arrived + call.route.objective.mul_f64(HOLD_SHARE);
@@ -178,10 +181,9 @@
             let servers = self.servers(&engine);
             let site = &entry.cx.site;
             let is_remote = |s: &BackendServer| site.region_of(&s.zone) != site.region;
-            let now = entry.cx.now();
             let placed = entry
                 .board
-                .place(&engine, &servers, &self.demand(), is_remote, now);
+                .place(&engine, &servers, &self.demand(), is_remote);
             let wait = match placed {
                 Ok(ticket) => return Ok(ticket),
                 Err(Placed::Full(wait)) => wait,
@@ -194,14 +196,14 @@
                 until
             };
             if timeout_at(until, freed.recv_async()).await.is_err() {
-                return Err(self.not_run("every engine is full", wait.max(MIN_RETRY)));
+                return Err(self.not_run("every engine is full", FULL_RETRY));
             }
         }
     }
 
     fn demand(&self) -> Demand {
         let call = self.call;
-        let late = call.age() > call.route.objective;
+        let late = call.has_waited() || call.age() > call.route.objective;
         Demand {
             prompt_tokens: call.prompt_tokens,
             first_event: call.route.objective.saturating_sub(call.age()),
@@ -239,6 +241,15 @@
             call.left()
         };
         let until = Instant::now() + limit;
+        let placed = format!(
+            "placed_ms={} patience_ms={} forecast_ms={} running={} unread={} prompt={}",
+            call.age().as_millis(),
+            (call.age() + call.left()).as_millis(),
+            ticket.forecast.as_millis(),
+            ticket.load.running,
+            ticket.load.unread_tokens,
+            call.prompt_tokens
+        );
         let particular = Try {
             last_event,
             weights: self.weights,
@@ -269,6 +280,7 @@
             reader,
             first: first.unwrap_or_default(),
             ended,
+            placed,
         })))
     }
 }
@@ -321,6 +333,8 @@
     // Time to the first event, and the longest pause between two.
     first_event: Duration,
     longest_pause: Duration,
+    // What was believed when the first server was chosen.
+    placed: String,
 }
 
 enum Ended {
@@ -340,7 +354,7 @@
             drop(current);
             let failure = match ended {
                 Ended::Whole => {
-                    self.entry.board.on_success(&server, self.entry.cx.now());
+                    self.entry.board.on_success(&server);
                     return self.note(Event::CallAnswered, &server, "");
                 }
                 Ended::CallerLeft => return self.note(Event::CallCancelled, &server, ""),
@@ -434,7 +448,10 @@
 
     fn note(&self, event: Event, server: &Name, more: &str) {
         let (first, pause) = (self.first_event.as_millis(), self.longest_pause.as_millis());
-        let detail = format!("server={server} first_ms={first} pause_ms={pause} {more}");
+        let detail = format!(
+            "server={server} first_ms={first} pause_ms={pause} {} {more}",
+            self.placed
+        );
         self.entry.note_call(&self.call, event, &detail);
     }
 }
--- a/crates/rw-fleet/src/host/keeper.rs
+++ b/crates/rw-fleet/src/host/keeper.rs
@@ -144,6 +144,7 @@
         let Some(report) = whole_report(&self.runner, &engine).await else {
             return;
         };
+        self.shelf.set_live(report.weights > 0);
         self.tell(
             &engine.model,
             report.weights,
--- a/crates/rw-fleet/src/host/shelf.rs
+++ b/crates/rw-fleet/src/host/shelf.rs
@@ -1,3 +1,4 @@
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -6,11 +7,12 @@
 use rw_weights::{ChunkStore, Result};
 use tokio::time::Instant;
 
-/// Share of the host's uplink that weights may take; events of live streams
-/// have the rest and wait for little else.
-const UPLINK_SHARE: f64 = 0.93;
-/// Share of the downlink, on which live requests are small.
-const DOWNLINK_SHARE: f64 = 0.97;
+/// Share of the host's link that weights may take each way while the backend
+/// server answers requests, whose events would wait behind chunks. Packet
+/// headers take a twentieth more.
+const LIVE_SHARE: f64 = 0.8;
+/// The same while it answers none.
+const IDLE_SHARE: f64 = 0.95;
 /// Time to send before the link's limit is felt; about one chunk.
 const BURST: Duration = Duration::from_millis(30);
 /// Longest wait for a chunk that another host may ask for.
@@ -37,6 +39,7 @@
     arrived: Signal,
     uplink: Mutex<TokenBucket>,
     downlink: Mutex<TokenBucket>,
+    live: AtomicBool,
     reads: flume::Sender<StageRead>,
     started: Instant,
 }
@@ -53,18 +56,17 @@
 impl Shelf {
     /// An empty shelf on a link of so many bytes a second; 0 is unlimited.
     pub fn new(link_bytes_per_s: u64, reads: flume::Sender<StageRead>) -> Arc<Self> {
-        let bucket = |share: f64| {
-            let rate = link_bytes_per_s as f64 * share;
-            let burst = rate * BURST.as_secs_f64();
-            Mutex::new(TokenBucket::new(rate as u64, burst as u64))
-        };
+        let rate = link_bytes_per_s as f64 * IDLE_SHARE;
+        let burst = rate * BURST.as_secs_f64();
+        let bucket = || Mutex::new(TokenBucket::new(rate as u64, burst as u64));
         Arc::new(Shelf {
             store: Mutex::default(),
             named: Mutex::default(),
             collecting: Mutex::default(),
             arrived: Signal::default(),
-            uplink: bucket(UPLINK_SHARE),
-            downlink: bucket(DOWNLINK_SHARE),
+            uplink: bucket(),
+            downlink: bucket(),
+            live: AtomicBool::new(false),
             reads,
             started: Instant::now(),
         })
@@ -120,9 +122,22 @@
         lock(&self.store).get(id).map(|held| held.manifest.clone())
     }
 
+    /// Says whether the backend server answers requests.
+    pub fn set_live(&self, live: bool) {
+        self.live.store(live, Ordering::Relaxed);
+    }
+
+    // Bytes that a chunk counts for; live requests make it cost more.
+    fn cost(&self, bytes: u64) -> u64 {
+        match self.live.load(Ordering::Relaxed) {
+            true => (bytes as f64 * IDLE_SHARE / LIVE_SHARE) as u64,
+            false => bytes,
+        }
+    }
+
     /// Waits until the downlink allows so many received bytes.
     pub async fn pace_download(&self, bytes: u64) {
-        let wait = lock(&self.downlink).take(bytes, self.started.elapsed());
+        let wait = lock(&self.downlink).take(self.cost(bytes), self.started.elapsed());
         tokio::time::sleep(wait).await;
     }
 
@@ -144,7 +159,8 @@
                 return missing();
             }
         };
-        let wait = lock(&self.uplink).take(body.as_ref().len() as u64, self.started.elapsed());
+        let cost = self.cost(body.as_ref().len() as u64);
+        let wait = lock(&self.uplink).take(cost, self.started.elapsed());
         tokio::time::sleep(wait).await;
         PeerReply::Chunk(Chunk {
             chunk: req.chunk,
--- a/crates/rw-fleet/src/peers.rs
+++ b/crates/rw-fleet/src/peers.rs
@@ -42,7 +42,7 @@
         match req {
             PeerRequest::Load(news) => {
                 if let Some(board) = &self.board {
-                    board.on_news(news, self.cx.now());
+                    board.on_news(news);
                 }
                 PeerReply::Noted(Noted {})
             }
--- a/crates/rw-fleet/src/run.rs
+++ b/crates/rw-fleet/src/run.rs
@@ -105,7 +105,7 @@
         .ready_addr
         .ok_or(Error::Missing("address for readiness"))?;
     let (callers, ready) = (listen(callers).await?, listen(ready).await?);
-    let board = Board::new(cx.site.bounds);
+    let board = Board::new(cx.site.name.clone(), cx.site.bounds);
     let port = PeerPort {
         cx: cx.clone(),
         board: Some(board.clone()),
--- a/crates/rw-routing/src/lib.rs
+++ b/crates/rw-routing/src/lib.rs
@@ -7,6 +7,7 @@
 mod queue;
 mod retry;
 mod router;
+mod sharing;
 mod window;
 
 pub use circuit::Circuit;
@@ -16,4 +17,5 @@
 pub use queue::{FairQueue, Refusal, Waiting};
 pub use retry::RetryBudget;
 pub use router::{Pick, Router, Want};
+pub use sharing::{Sharer, SlotTurns};
 pub use window::WindowBudget;
--- a/crates/rw-routing/src/placement.rs
+++ b/crates/rw-routing/src/placement.rs
@@ -14,6 +14,10 @@
 /// bytes that it would cost on the link between them; about half a prompt.
 const REMOTE_PENALTY_MS: f64 = 25.0;
 
+/// Engines of the own region, and of others, that are compared; two keep the
+/// load almost as even as all would, without the rush to one.
+const SAMPLE: usize = 2;
+
 /// What a generation request needs of an engine.
 #[derive(Clone, Copy, Debug)]
 pub struct Demand {
@@ -47,16 +51,18 @@
 /// Where a generation request goes.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Placed {
-    /// To this server.
-    At(Name),
+    /// To this server, which is forecast to send the first event after so long.
+    At(Name, Duration),
     /// Every engine is full; a place frees up after about so long.
     Full(Duration),
     /// No engine can take it.
     Nowhere,
 }
 
-/// Picks the engine that is forecast to send the first event soonest, among
-/// those that can keep the pauses of the streams they write.
+/// Picks an engine that is forecast to be on time and can keep the pauses of
+/// the streams it writes: the better of the first few of each kind. Engines
+/// come in a random order, so that entries that do not see each other's latest
+/// requests do not all send theirs to the one that looks emptiest.
 ///
 /// ```
 /// use std::time::Duration;
@@ -82,15 +88,20 @@
         let away = if e.remote { REMOTE_PENALTY_MS } else { 0.0 };
         e.profile.first_event_ms(e.load, demand.prompt_tokens) * e.slowness + away
     };
-    let best = engines
+    let in_time = demand.first_event.as_secs_f64() * 1e3;
+    let able = engines
         .iter()
         .filter(fits)
         .map(|e| (forecast(e), e))
-        .min_by(|a, b| a.0.total_cmp(&b.0));
-    let in_time = demand.first_event.as_secs_f64() * 1e3;
-    match best {
-        Some((ms, engine)) if demand.late || ms <= in_time => Placed::At(engine.server.clone()),
-        _ => full(engines),
+        .filter(|(ms, _)| demand.late || *ms <= in_time);
+    let (near, away): (Vec<_>, Vec<_>) = able.partition(|(_, e)| !e.remote);
+    let sample = near
+        .into_iter()
+        .take(SAMPLE)
+        .chain(away.into_iter().take(SAMPLE));
+    match sample.min_by(|a, b| a.0.total_cmp(&b.0)) {
+        Some((ms, engine)) => Placed::At(engine.server.clone(), Duration::from_secs_f64(ms / 1e3)),
+        None => full(engines),
     }
 }
 
