--- a/crates/rw-fleet/src/entry/board.rs
+++ b/crates/rw-fleet/src/entry/board.rs
@@ -161,6 +161,30 @@
         }
     }
 
+    /// What is believed of some servers, for the log: how many there are, their
+    /// requests and slots, how many take none now, and the age of the oldest
+    /// news that counts.
+    pub fn summary(&self, servers: &[Arc<BackendServer>]) -> String {
+        let now = self.now();
+        let state = self.state();
+        let running: u32 = servers.iter().map(|s| state.load(&s.id, now).running).sum();
+        let slots: u32 = servers.iter().map(|s| s.slots).sum();
+        let closed = servers
+            .iter()
+            .filter(|s| state.allowed(&s.id, s.slots, now) == 0);
+        let ages = state.news.values().map(|(at, _)| now.saturating_sub(*at));
+        let oldest = ages
+            .filter(|age| *age < NEWS_LIFE)
+            .max()
+            .unwrap_or_default();
+        format!(
+            "servers={} running={running} slots={slots} closed={} news_ms={}",
+            servers.len(),
+            closed.count(),
+            oldest.as_millis()
+        )
+    }
+
     /// Counts a request of a service for its retry budget.
     pub fn count_request(&self, service: &Name, entries: usize) {
         let now = self.now();
--- a/crates/rw-fleet/src/entry/listener.rs
+++ b/crates/rw-fleet/src/entry/listener.rs
@@ -162,9 +162,10 @@
         Ok(res) => res,
         Err(refused) => {
             let detail = format!(
-                "status={} reason={:?}",
+                "status={} reason={:?} {}",
                 refused.status().as_u16(),
-                refused.reason()
+                refused.reason(),
+                refused.believed()
             );
             entry.note_call(&call, Event::CallRefused, &detail);
             answer::refusal(&refused, id.as_ref(), names)
--- a/crates/rw-fleet/src/entry/plain.rs
+++ b/crates/rw-fleet/src/entry/plain.rs
@@ -48,6 +48,7 @@
         let mut fallback = Refusal::NotRun {
             reason: "no backend server",
             retry_after: NO_SERVER_RETRY,
+            believed: self.entry.board.summary(&self.servers()),
         };
         let mut failed_answer = None;
         loop {
--- a/crates/rw-fleet/src/entry/refusal.rs
+++ b/crates/rw-fleet/src/entry/refusal.rs
@@ -21,6 +21,8 @@
         reason: &'static str,
         /// When coming back is worthwhile.
         retry_after: Duration,
+        /// What was believed of the backend servers, for the log.
+        believed: String,
     },
     /// The backend server failed; whether the request ran is not known.
     Failed(&'static str),
@@ -47,6 +49,14 @@
         }
     }
 
+    /// What was believed of the backend servers, for the log.
+    pub fn believed(&self) -> &str {
+        match self {
+            Refusal::NotRun { believed, .. } => believed,
+            _ => "",
+        }
+    }
+
     /// Reason for logs and the answer's body.
     pub fn reason(&self) -> &'static str {
         match self {
--- a/crates/rw-fleet/src/entry/request.rs
+++ b/crates/rw-fleet/src/entry/request.rs
@@ -37,6 +37,7 @@
     let cfg = cx.beliefs.view().cfg.clone().ok_or(Refusal::NotRun {
         reason: "no configuration yet",
         retry_after: NO_CONFIGURATION_RETRY,
+        believed: String::new(),
     })?;
     let host = text(&head.headers, &HOST).unwrap_or_default();
     let route = cfg
--- a/crates/rw-fleet/src/entry/stream.rs
+++ b/crates/rw-fleet/src/entry/stream.rs
@@ -155,9 +155,16 @@
     }
 
     fn not_run(&self, reason: &'static str, retry_after: Duration) -> Refusal {
+        let service = self.call.cfg.service(&self.call.service);
+        let engine = service.and_then(|s| s.engine.as_ref());
+        let servers = match engine {
+            Some(engine) => self.servers(engine),
+            None => self.entry.servers(&self.call.service),
+        };
         Refusal::NotRun {
             reason,
             retry_after,
+            believed: self.entry.board.summary(&servers),
         }
     }
 
--- a/crates/rw-weights/tests/layout.rs
+++ b/crates/rw-weights/tests/layout.rs
@@ -275,11 +275,15 @@
         .flat_map(|region| (0..10).map(move |n| peer(region, n)))
         .collect();
     let holders: Vec<Peer> = (0..5).map(|n| peer("central", n)).collect();
-    let layout = Layout::new("m", "central", all.clone(), Policy::Tree).with_holders(holders.clone());
+    let layout =
+        Layout::new("m", "central", all.clone(), Policy::Tree).with_holders(holders.clone());
     for chunk in 0..40 {
         for region in ["north", "south"] {
             let asking = all.iter().filter(|me| &*me.region == region).filter(|me| {
-                let first = layout.sources(chunk, me, &BTreeSet::new()).into_iter().next();
+                let first = layout
+                    .sources(chunk, me, &BTreeSet::new())
+                    .into_iter()
+                    .next();
                 matches!(first, Some(Source::Peer(name)) if holders.iter().any(|h| h.name == name))
             });
             assert_eq!(asking.count(), 1, "chunk {chunk} of {region}");
