Pause before a host that lacks a chunk is asked again

Cause: a trial with a line for each chunk showed a host asking three others for the same chunk every millisecond until one of them began to collect it. Test: the answer of such a host names a pause.

--- a/crates/rw-fleet/src/host/collect.rs
+++ b/crates/rw-fleet/src/host/collect.rs
@@ -25,6 +25,8 @@
 const CHUNK_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Wait for a chunk at a host that should hold it; it may have been restarted.
 const HOLDER_WAIT: Duration = Duration::from_millis(150);
+/// Longest pause after a host said that it lacks a chunk.
+const MISSING_PAUSE: Duration = Duration::from_millis(200);
 /// Time after which an overdue chunk is asked for at a second source too; a
 /// full window takes a quarter of a second of a thin link, and a chunk that
 /// comes twice costs the link twice.
@@ -335,7 +337,12 @@
     });
     match cx.pool.ask(addr, &req, CHUNK_TIMEOUT * 3).await {
         Ok(PeerReply::Chunk(got)) if got.chunk == chunk => Got::Chunk(got.body),
-        Ok(PeerReply::Missing(_)) => Got::Missing,
+        // Asking at once again would only keep both hosts busy.
+        Ok(PeerReply::Missing(missing)) => {
+            let pause = Duration::from_millis(missing.retry_after_ms).min(MISSING_PAUSE);
+            tokio::time::sleep(pause).await;
+            Got::Missing
+        }
         Ok(_) => Got::Failed,
         Err(err) => {
             log::debug!("chunk {chunk} from {addr}: {err}");
--- /dev/null
+++ b/crates/rw-fleet/tests/shelf.rs
@@ -0,0 +1,71 @@
+//! Chunks that a host holds for others.
+
+use rw_fleet::host::Shelf;
+use rw_protocol::{chunk_hash, ChunkRequest, Manifest, PeerReply};
+
+fn manifest() -> Manifest {
+    Manifest {
+        model: "m".into(),
+        version: "2".into(),
+        length: 4,
+        chunk_bytes: 2,
+        chunks: vec![chunk_hash(b"ab"), chunk_hash(b"cd")],
+    }
+}
+
+fn request(id: &str, chunk: u32) -> ChunkRequest {
+    ChunkRequest {
+        manifest: id.into(),
+        chunk,
+        wait_ms: 2000,
+    }
+}
+
+#[tokio::test]
+async fn a_host_that_collects_sends_a_chunk_once_it_is_here() {
+    let (reads, _wanted) = flume::bounded(4);
+    let shelf = Shelf::new(0, reads);
+    let id = shelf.open(&"m@2".into(), manifest());
+    shelf.set_collecting(Some(id.clone()));
+    let (asked, name) = (shelf.clone(), id.clone());
+    let waiting = tokio::spawn(async move { asked.serve_chunk(&request(&name, 1)).await });
+    tokio::task::yield_now().await;
+    assert!(
+        shelf.insert(&id, 1, b"xx".to_vec().into()).is_err(),
+        "damaged bytes"
+    );
+    shelf
+        .insert(&id, 1, b"cd".to_vec().into())
+        .expect("whole bytes");
+    let reply = waiting.await.expect("no panic");
+    assert!(matches!(reply, PeerReply::Chunk(got) if got.body.as_ref() == b"cd"));
+    assert!(!shelf.is_complete("m@2"));
+    shelf
+        .insert(&id, 0, b"ab".to_vec().into())
+        .expect("whole bytes");
+    assert!(shelf.is_complete("m@2"));
+}
+
+/// A host that neither holds nor collects a version would keep others waiting.
+#[tokio::test]
+async fn a_host_that_will_not_have_a_chunk_says_so_with_a_pause() {
+    let (reads, wanted) = flume::bounded::<rw_fleet::host::StageRead>(4);
+    let shelf = Shelf::new(0, reads);
+    let reader = tokio::spawn(async move {
+        let read = wanted.recv_async().await.expect("a question");
+        read.done.send(false).expect("an asker");
+    });
+    let reply = shelf.serve_chunk(&request("unknown", 0)).await;
+    assert!(matches!(reply, PeerReply::Missing(missing) if missing.retry_after_ms > 0));
+    reader.await.expect("no panic");
+}
+
+#[test]
+fn versions_that_are_not_kept_are_gone() {
+    let (reads, _wanted) = flume::bounded(4);
+    let shelf = Shelf::new(0, reads);
+    let id = shelf.open(&"m@2".into(), manifest());
+    shelf.keep(&["m@3".into()]);
+    assert!(shelf.manifest("m@2").is_none());
+    assert!(shelf.insert(&id, 0, b"ab".to_vec().into()).is_err());
+}
