Split the fleet's largest files, and let a pause lapse when its daemon falls silent

A daemon that told entries that its server takes no requests and then died kept that server out for as long as its entry stood. A pause now counts for six seconds, three times the period of its repeats; the test was written first and failed to compile without the age. Fields that nothing read are gone; the head of a request is bounded by the configuration.

--- a/crates/rw-fleet/src/configuration.rs
+++ b/crates/rw-fleet/src/configuration.rs
@@ -33,8 +33,6 @@
     pub objective: Duration,
     /// Longest pause between events that is on time.
     pub max_pause: Duration,
-    /// Rank; 0 is the most urgent.
-    pub priority: u32,
     /// Services with the weights by which requests are split.
     pub services: Vec<(Name, u32)>,
     /// Backend servers that one request may be sent to.
@@ -67,8 +65,6 @@
     pub layers: u32,
     /// Chunks of its weights.
     pub chunks: u32,
-    /// Time of loading.
-    pub load_time: Duration,
 }
 
 /// Origin of weights.
@@ -96,8 +92,6 @@
     pub head_bytes: usize,
     /// Bytes of a request's body.
     pub body_bytes: usize,
-    /// Time for the head to arrive.
-    pub head_time: Duration,
     /// Time for which an idle connection stays open.
     pub idle: Duration,
 }
--- a/crates/rw-fleet/src/entry/call.rs
+++ b/crates/rw-fleet/src/entry/call.rs
@@ -39,8 +39,6 @@
     pub deadline: Instant,
     /// Tokens of its prompt; 0 when it says none.
     pub prompt_tokens: u32,
-    /// Most tokens of its answer; 0 when it says none.
-    pub answer_tokens: u32,
     /// Last event of the stream that the caller has seen; 0 is none.
     pub last_event: u64,
 }
--- a/crates/rw-fleet/src/entry/listener.rs
+++ b/crates/rw-fleet/src/entry/listener.rs
@@ -1,7 +1,7 @@
 //! The callers' port, and the small port for the balancer and metrics.
 
 use std::convert::Infallible;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,74 +15,20 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::answer::{self, AnswerBody, Served};
-use super::{plain, request, stream, Board, Call, Refusal};
-use crate::beliefs::Snapshot;
+use super::{plain, request, stream, Call, Entry, Refusal};
 use crate::connect::watch_silence;
-use crate::{CallKind, Cx, Dialect, Engine};
+use crate::{CallKind, Dialect};
 
-/// Largest head of a request before the configuration says otherwise, and
-/// room for its lines in memory.
-const MAX_HEAD_BYTES: usize = 32 * 1024;
+/// Largest head of a request, in bytes, where the configuration names none.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// Least that the HTTP library takes for it, in bytes.
+const MIN_HEAD_BYTES: usize = 8 * 1024;
 /// Longest idle time of a connection, where the configuration names none.
 const IDLE_LIMIT: Duration = Duration::from_secs(15);
 /// Time by which idle connections outlive the configured limit, so that a
 /// caller's last request does not cross the close.
 const IDLE_SLACK: Duration = Duration::from_secs(2);
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// What every request at an entry uses.
-pub struct Entry<D> {
-    /// Shared state of the daemon.
-    pub cx: Arc<Cx<D>>,
-    /// Load on backend servers.
-    pub board: Arc<Board>,
-    open: AtomicUsize,
-}
-
-impl<D: Dialect> Entry<D> {
-    /// An entry without requests.
-    pub fn new(cx: Arc<Cx<D>>, board: Arc<Board>) -> Arc<Self> {
-        Arc::new(Entry {
-            cx,
-            board,
-            open: AtomicUsize::new(0),
-        })
-    }
-
-    /// Connections of callers that are open.
-    pub fn open(&self) -> usize {
-        self.open.load(Ordering::Relaxed)
-    }
-
-    /// Entries that share the retry budget.
-    pub fn entries(&self) -> usize {
-        self.cx.beliefs.view().daemons.len().max(1)
-    }
-
-    /// Whether the balancer may send callers here.
-    pub fn is_ready(&self) -> bool {
-        let view = self.cx.beliefs.view();
-        !self.cx.is_leaving() && view.cfg.is_some() && !view.servers.is_empty()
-    }
-
-    /// Oldest version of a model's weights on which a request may begin.
-    pub fn oldest_weights(&self, view: &Snapshot, engine: &Engine) -> u64 {
-        view.oldest_allowed(&engine.model, &self.cx.site.bounds, rw_coord::uptime())
-    }
-
-    /// Writes the one line that a call leaves in the log.
-    pub fn note_call(&self, call: &Call, event: Event, more: &str) {
-        let detail = format!(
-            "request={} route={} service={} age_ms={} configuration={} {more}",
-            call.id,
-            call.route.name,
-            call.service,
-            call.age().as_millis(),
-            call.cfg.version
-        );
-        self.cx.recorder.emit(event, detail.trim_end());
-    }
-}
-
 /// Accepts callers until `stop` is closed; connections then finish what they
 /// have and end.
 pub async fn serve_callers<D: Dialect>(
@@ -118,7 +64,9 @@
         return;
     }
     let cfg = entry.cx.beliefs.view().cfg.clone();
-    let idle = cfg.map_or(IDLE_LIMIT, |cfg| cfg.limits.idle) + IDLE_SLACK;
+    let limits = cfg.map(|cfg| cfg.limits);
+    let idle = limits.map_or(IDLE_LIMIT, |limits| limits.idle) + IDLE_SLACK;
+    let head = limits.map_or(MAX_HEAD_BYTES, |limits| limits.head_bytes);
     let service = service_fn(|req| {
         let entry = entry.clone();
         async move { handle(&entry, req).await }
@@ -126,7 +74,7 @@
     let conn = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
-        .max_buf_size(MAX_HEAD_BYTES)
+        .max_buf_size(head.max(MIN_HEAD_BYTES))
         .serve_connection(TokioIo::new(conn), service);
     tokio::pin!(conn);
     let ended = tokio::select! {
--- a/crates/rw-fleet/src/entry/mod.rs
+++ b/crates/rw-fleet/src/entry/mod.rs
@@ -9,10 +9,13 @@
 mod plain;
 mod refusal;
 mod request;
+mod search;
+mod shared;
 mod stream;
 
 pub use board::{Board, Ticket};
 pub use call::Call;
 pub use events::EventReader;
-pub use listener::{serve_callers, serve_probe, Entry};
+pub use listener::{serve_callers, serve_probe};
 pub use refusal::Refusal;
+pub use shared::Entry;
--- a/crates/rw-fleet/src/entry/plain.rs
+++ b/crates/rw-fleet/src/entry/plain.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use http::StatusCode;
-use rw_observe::Event;
 use rw_protocol::Name;
 
 use super::attempt::{self, Failure, Try};
@@ -153,49 +152,3 @@
             | StatusCode::MISDIRECTED_REQUEST
     )
 }
-
-impl<D: Dialect> Entry<D> {
-    /// Servers of a service that take new requests.
-    pub fn servers(&self, service: &str) -> Vec<Arc<BackendServer>> {
-        let view = self.cx.beliefs.view();
-        let of_service = view
-            .servers
-            .values()
-            .filter(|s| *s.service == *service && s.ready);
-        of_service.cloned().collect()
-    }
-
-    /// Takes a repeat of a call out of its service's budget.
-    pub fn take_repeat(&self, call: &Call) -> bool {
-        let entries = self.entries();
-        self.board.take_repeat(&call.service, entries)
-    }
-
-    /// Notes how a try ended, for the server's circuit and the log.
-    pub fn note_attempt<T>(&self, call: &Call, server: &Name, done: &attempt::Result<T>) {
-        let opened = match done {
-            Ok(_) => {
-                self.board.on_success(server);
-                return;
-            }
-            Err(Failure::NotRun(_)) => {
-                self.board.on_refused(server);
-                false
-            }
-            Err(_) => self.board.on_failure(server),
-        };
-        let Err(failure) = done else { return };
-        let detail = format!(
-            "request={} server={server} failure={failure:?} age_ms={} left_ms={}",
-            call.id,
-            call.age().as_millis(),
-            call.left().as_millis()
-        );
-        self.cx.recorder.emit(Event::AttemptFailed, &detail);
-        if opened {
-            self.cx
-                .recorder
-                .emit(Event::HostCircuitOpen, &format!("host={server}"));
-        }
-    }
-}
--- a/crates/rw-fleet/src/entry/request.rs
+++ b/crates/rw-fleet/src/entry/request.rs
@@ -52,7 +52,7 @@
         _ => None,
     };
     let id = text(&head.headers, &names.attempt).ok_or(Refusal::BadRequest("no attempt id"))?;
-    let (prompt_tokens, answer_tokens) = tokens(&head.headers, &names.tokens);
+    let prompt_tokens = prompt_tokens(&head.headers, &names.tokens);
     let wait = waits.map_or(route.timeout, |waits| waits.min(route.timeout));
     Ok(Call {
         id: Name::from(id),
@@ -64,7 +64,6 @@
         arrived,
         deadline: arrived + wait,
         prompt_tokens,
-        answer_tokens,
         last_event: number(&head.headers, &names.last_event).unwrap_or(0),
         headers: headers_to_pass_on(cx, head.headers),
         route,
@@ -129,12 +128,11 @@
     text(headers, name)?.trim().parse().ok()
 }
 
-fn tokens(headers: &HeaderMap, name: &HeaderName) -> (u32, u32) {
-    let parsed = text(headers, name).and_then(|text| {
-        let (prompt, answer) = text.split_once(',')?;
-        Some((prompt.trim().parse().ok()?, answer.trim().parse().ok()?))
-    });
-    parsed.unwrap_or((0, 0))
+fn prompt_tokens(headers: &HeaderMap, name: &HeaderName) -> u32 {
+    let prompt = text(headers, name).and_then(|text| text.split(',').next());
+    prompt
+        .and_then(|prompt| prompt.trim().parse().ok())
+        .unwrap_or(0)
 }
 
 fn key<'a>(headers: &'a HeaderMap, scheme: &str) -> Option<&'a str> {
--- a/crates/rw-fleet/src/host/keeper.rs
+++ b/crates/rw-fleet/src/host/keeper.rs
@@ -9,6 +9,7 @@
 use tokio::time::timeout;
 
 use super::collect::{collect, Wanted};
+use super::reader::Reader;
 use super::shelf::version_name;
 use super::{LoadOrder, Ordered, OriginClient, Runner, RunnerReport, Shelf, StageRead};
 use crate::{peers, Cx, Dialect, Engine};
@@ -16,7 +17,7 @@
 /// Time between two looks at the backend server.
 const LOOK_PERIOD: Duration = Duration::from_millis(100);
 /// Time for one call to the backend server on the same machine.
-const LOCAL_LIMIT: Duration = Duration::from_secs(2);
+pub(super) const LOCAL_LIMIT: Duration = Duration::from_secs(2);
 /// Time that the longest streams of a server usually take to end, which a
 /// load waits for.
 const DRAIN_TIME: Duration = Duration::from_secs(3);
@@ -330,7 +331,7 @@
 }
 
 // Weights of which layers are missing count as none.
-async fn whole_report<R: Runner>(runner: &R, engine: &Engine) -> Option<RunnerReport> {
+pub(super) async fn whole_report<R: Runner>(runner: &R, engine: &Engine) -> Option<RunnerReport> {
     match timeout(LOCAL_LIMIT, runner.report()).await {
         Ok(Ok(report)) if report.layers < engine.layers => Some(RunnerReport {
             weights: 0,
@@ -345,12 +346,12 @@
     }
 }
 
-fn own_engine<D: Dialect>(cx: &Cx<D>) -> Option<Arc<Engine>> {
+pub(super) fn own_engine<D: Dialect>(cx: &Cx<D>) -> Option<Arc<Engine>> {
     let view = cx.beliefs.view();
     view.cfg.as_ref()?.service(&cx.site.service)?.engine.clone()
 }
 
-fn wanted<D: Dialect>(cx: &Cx<D>, version: u64) -> Option<Wanted> {
+pub(super) fn wanted<D: Dialect>(cx: &Cx<D>, version: u64) -> Option<Wanted> {
     let engine = own_engine(cx)?;
     let view = cx.beliefs.view();
     Some(Wanted {
@@ -362,84 +363,10 @@
 }
 
 // The version to bring to a server, or to collect, after the one it has.
-fn next<D: Dialect>(cx: &Cx<D>, after: u64) -> Option<Wanted> {
+pub(super) fn next<D: Dialect>(cx: &Cx<D>, after: u64) -> Option<Wanted> {
     let engine = own_engine(cx)?;
     let view = cx.beliefs.view();
     let uptime = rw_coord::uptime();
     let version = view.next_weights(&engine.model, after, &cx.site.bounds, uptime)?;
     wanted(cx, version)
 }
-
-/// Reads chunks back from the backend server when other hosts ask for them.
-struct Reader<D, R, O> {
-    cx: Arc<Cx<D>>,
-    shelf: Arc<Shelf>,
-    runner: R,
-    origin: O,
-}
-
-impl<D: Dialect, R: Runner, O: OriginClient> Reader<D, R, O> {
-    async fn run(self, reads: flume::Receiver<StageRead>) {
-        while let Ok(read) = reads.recv_async().await {
-            let found = self.read(&read).await;
-            if read.done.send(found).is_err() {
-                log::debug!("nobody waits for staged chunk {} any more", read.chunk);
-            }
-        }
-    }
-
-    async fn read(&self, read: &StageRead) -> bool {
-        let Some(wanted) = self.loaded().await else {
-            return false;
-        };
-        let Some(manifest) = self.manifest(&wanted).await else {
-            return false;
-        };
-        let id = rw_protocol::manifest_id(&manifest);
-        if id != read.manifest {
-            return false;
-        }
-        if self.shelf.chunk(&id, read.chunk).is_some() {
-            return true;
-        }
-        let body = timeout(LOCAL_LIMIT, self.runner.staged(&wanted.model, read.chunk)).await;
-        let Ok(Ok(body)) = body else { return false };
-        let kept = self.shelf.insert(&id, read.chunk, body.into());
-        if let Err(err) = &kept {
-            log::debug!("staged chunk {}: {err}", read.chunk);
-        }
-        kept.is_ok()
-    }
-
-    // What the server has loaded lies staged, too.
-    async fn loaded(&self) -> Option<Wanted> {
-        let engine = own_engine(&self.cx)?;
-        let report = whole_report(&self.runner, &engine).await?;
-        match report.weights {
-            0 => None,
-            version => wanted(&self.cx, version),
-        }
-    }
-
-    async fn manifest(&self, wanted: &Wanted) -> Option<Manifest> {
-        let name = version_name(&wanted.model, wanted.version);
-        if let Some(manifest) = self.shelf.manifest(&name) {
-            return Some(manifest);
-        }
-
-        let read = self
-            .origin
-            .manifest(&wanted.origin, &wanted.model, wanted.version);
-        match timeout(LOCAL_LIMIT, read).await {
-            Ok(Ok(manifest)) => {
-                self.shelf.open(&name, manifest.clone());
-                Some(manifest)
-            }
-            Ok(Err(err)) => {
-                log::debug!("digests of {name}: {err}");
-                None
-            }
-            Err(_) => None,
-        }
-    }
-}
--- a/crates/rw-fleet/src/host/mod.rs
+++ b/crates/rw-fleet/src/host/mod.rs
@@ -3,6 +3,7 @@
 
 mod collect;
 mod keeper;
+mod reader;
 mod runner;
 mod shelf;
 
--- a/crates/rw-fleet/src/lib.rs
+++ b/crates/rw-fleet/src/lib.rs
@@ -15,8 +15,9 @@
 mod peers;
 mod run;
 mod site;
+mod snapshot;
 
-pub use beliefs::{Beliefs, NamedWeights, Snapshot};
+pub use beliefs::Beliefs;
 pub use configuration::{
     BackendServer, CallKind, CallerLimits, Configuration, Daemon, Engine, Origin, Route, Service,
     Team,
@@ -27,3 +28,4 @@
 pub use error::{Error, Result};
 pub use run::{run, Outside};
 pub use site::{Bounds, FleetRole, Site};
+pub use snapshot::{NamedWeights, Noticed, Snapshot};
--- a/crates/rw-fleet/tests/beliefs.rs
+++ b/crates/rw-fleet/tests/beliefs.rs
@@ -9,7 +9,7 @@
     BackendServer, Beliefs, Bounds, Daemon, Dialect, Fact, Headers, NamedWeights, Snapshot, Tables,
 };
 use rw_observe::{Metrics, Recorder};
-use rw_protocol::{StoredRow, TableVersion};
+use rw_protocol::{RunnerNotice, StoredRow, TableVersion};
 
 /// Rows of a few words: `server ADDR`, `weights N`, anything else is broken.
 struct Words(Headers);
@@ -251,3 +251,24 @@
         next
     );
 }
+
+/// A host's daemon that said "busy" and fell silent.
+#[test]
+fn a_server_is_paused_only_while_its_daemon_says_so() {
+    let beliefs = beliefs();
+    beliefs.notice(RunnerNotice {
+        server: "a".into(),
+        model: "m".into(),
+        weights: 1,
+        accepting: false,
+        sequence: 5,
+    });
+    let now = rw_coord::uptime();
+    let paused = |s| {
+        beliefs
+            .view()
+            .is_paused(&"a".into(), now + Duration::from_secs(s))
+    };
+    assert!(paused(0) && paused(4));
+    assert!(!paused(7));
+}
