Let an entry that falls behind learn from the news of another

A call that was swallowed during the silence ends only after its whole wait, so an entry, or the one it follows, stays behind without an error.

Change: load news say how far their entry knows the tables; an entry that is behind for 300 ms asks it.

--- a/crates/rw-fleet/src/follow.rs
+++ b/crates/rw-fleet/src/follow.rs
@@ -9,13 +9,13 @@
 use rw_coord::Backoff;
 use rw_observe::Event;
 use rw_platform::{FeedError, TableFeed};
-use rw_protocol::{rank, Name, PeerReply, PeerRequest, RowsReply, RowsRequest, TableVersion};
+use rw_protocol::{
+    rank, LoadNews, Name, PeerReply, PeerRequest, RowsReply, RowsRequest, TableVersion,
+};
 
-use crate::{Cx, Daemon, Dialect, FleetRole};
+use crate::neighbours::{known_entries, nearest, readers, READERS};
+use crate::{Cx, Dialect, FleetRole};
 
-/// Entries that follow the store; with several of them in several zones a
-/// follower has always one left that knows the newest.
-const READERS: usize = 4;
 /// Readers that one entry follows at once.
 const FOLLOWED: usize = 2;
 /// Longest wait for a change at the store; each renewal is a priced call.
@@ -42,6 +42,11 @@
 const LAST_RETRY: Duration = Duration::from_millis(500);
 /// Pause between questions to other daemons while the store is away.
 const OUTAGE_POLL: Duration = Duration::from_millis(300);
+/// Time for which another entry has to be ahead before it is asked; a change
+/// takes less to arrive by itself.
+const BEHIND_LIMIT_MS: u64 = 300;
+/// Time after which an earlier lag no longer counts.
+const BEHIND_FORGOTTEN_MS: u64 = 1500;
 /// Entries that a host asks in turn before it turns to the store.
 const MAX_PEERS_ASKED: usize = 3;
 
@@ -53,6 +58,8 @@
     readers: AtomicU64,
     // Milliseconds of the daemon's clock until which it reads the store.
     fallback_until: AtomicU64,
+    // Since when another entry was seen to know more; 0 is never.
+    behind_since_ms: AtomicU64,
 }
 
 impl StoreTouch {
@@ -89,15 +96,6 @@
     tokio::spawn(ask_while_away(cx.clone()));
 }
 
-/// Entries that follow the store, by rank; every entry works out the same ones.
-fn readers<D: Dialect>(cx: &Cx<D>) -> Vec<Daemon> {
-    let view = cx.beliefs.view();
-    let mut all: Vec<Daemon> = view.daemons.values().cloned().collect();
-    all.sort_by_key(|d| rank("reader", &d.name));
-    all.truncate(READERS);
-    all
-}
-
 fn reads_store<D: Dialect>(cx: &Cx<D>) -> bool {
     let fallback = cx.touch.fallback_until.load(Ordering::Relaxed);
     if cx.now().as_millis() < u128::from(fallback) {
@@ -246,6 +244,37 @@
     }
 }
 
+/// Asks an entry for rows when its news show for a while that it knows more: a
+/// call to the store may go unanswered without an error.
+pub fn catch_up<D: Dialect>(cx: &Arc<Cx<D>>, news: &LoadNews) {
+    let is_ahead = |t: &TableVersion| t.version > cx.beliefs.known_version(&t.table);
+    if !news.known.iter().any(is_ahead) {
+        return;
+    }
+    let now = cx.now().as_millis() as u64;
+    let since = cx.touch.behind_since_ms.load(Ordering::Relaxed);
+    // What was seen long ago has been made good meanwhile.
+    let seen = since > 0 && now < since + BEHIND_FORGOTTEN_MS;
+    if !seen {
+        return cx
+            .touch
+            .behind_since_ms
+            .store(now.max(1), Ordering::Relaxed);
+    }
+    if now < since + BEHIND_LIMIT_MS {
+        return;
+    }
+    cx.touch.behind_since_ms.store(0, Ordering::Relaxed);
+    let daemon = cx.beliefs.view().daemons.get(&news.entry).cloned();
+    let Some(daemon) = daemon else { return };
+    let cx = cx.clone();
+    tokio::spawn(async move {
+        if let Err(err) = ask_rows(&cx, &daemon.addr, Duration::ZERO).await {
+            log::debug!("rows from {}: {err}", daemon.addr);
+        }
+    });
+}
+
 async fn follow_entries<S: TableFeed, D: Dialect>(cx: Arc<Cx<D>>, store: S) {
     let mut backoff = Backoff::new(FIRST_RETRY, LAST_RETRY, rank("rows", &cx.site.name));
     let mut turn = 0;
@@ -319,37 +348,6 @@
     }
 }
 
-// Addresses of the others among some daemons, the nearest first.
-fn nearest<D: Dialect>(cx: &Cx<D>, daemons: impl IntoIterator<Item = Daemon>) -> Vec<Name> {
-    let others = daemons.into_iter().filter(|d| d.name != cx.site.name);
-    let mut near: Vec<(bool, bool, u64, Name)> = others
-        .map(|d| {
-            let away = cx.site.region_of(&d.zone) != cx.site.region;
-            (
-                away,
-                d.zone != cx.site.zone,
-                rank(&cx.site.name, &d.name),
-                d.addr,
-            )
-        })
-        .collect();
-    near.sort();
-    near.into_iter().map(|(_, _, _, addr)| addr).collect()
-}
-
-/// Addresses of entries: those registered, the nearest first, then the seeds.
-pub fn known_entries<D: Dialect>(cx: &Cx<D>) -> Vec<Name> {
-    let view = cx.beliefs.view();
-    let mut out = nearest(cx, view.daemons.values().cloned());
-    let own = cx.site.peer_addr.to_string();
-    for seed in cx.site.seeds.iter().filter(|seed| ***seed != *own) {
-        if !out.contains(seed) {
-            out.push(seed.clone());
-        }
-    }
-    out
-}
-
 async fn ask_rows<D: Dialect>(
     cx: &Cx<D>,
     addr: &Name,
--- a/crates/rw-fleet/src/lib.rs
+++ b/crates/rw-fleet/src/lib.rs
@@ -12,6 +12,7 @@
 mod error;
 mod follow;
 pub mod host;
+mod neighbours;
 mod peers;
 mod run;
 mod site;
--- a/crates/rw-fleet/src/peers.rs
+++ b/crates/rw-fleet/src/peers.rs
@@ -12,8 +12,8 @@
 use tokio::time::Instant;
 
 use crate::entry::Board;
-use crate::follow;
 use crate::host::Shelf;
+use crate::{follow, neighbours};
 use crate::{Cx, Dialect};
 
 /// Time between two rounds of load news; an engine starts about one request in
@@ -41,6 +41,7 @@
     async fn answer(&self, req: PeerRequest) -> PeerReply {
         match req {
             PeerRequest::Load(news) => {
+                follow::catch_up(&self.cx, &news);
                 if let Some(board) = &self.board {
                     board.on_news(news);
                 }
@@ -101,19 +102,23 @@
 pub async fn spread_load<D: Dialect>(cx: Arc<Cx<D>>, board: Arc<Board>) {
     let ticks = cx.timer.subscribe(LOAD_PERIOD);
     let mut last = Vec::new();
+    let mut last_known = Vec::new();
     let mut quiet = 0;
     while ticks.recv_async().await.is_ok() {
         let mut loads = board.own_loads();
         loads.sort_by(|a, b| a.server.cmp(&b.server));
         quiet += 1;
-        if loads == last && quiet < REPEAT_ROUNDS {
+        let known = cx.beliefs.known();
+        if loads == last && known == last_known && quiet < REPEAT_ROUNDS {
             continue;
         }
         quiet = 0;
         last.clone_from(&loads);
+        last_known.clone_from(&known);
         let news = LoadNews {
             entry: cx.site.name.clone(),
             loads,
+            known,
         };
         let view = cx.beliefs.view();
         for daemon in view.daemons.values().filter(|d| d.name != cx.site.name) {
@@ -129,7 +134,7 @@
         notice.server, notice.weights, notice.accepting
     );
     cx.recorder.emit(Event::RunnerNoticed, &detail);
-    for addr in follow::known_entries(cx) {
+    for addr in neighbours::known_entries(cx) {
         tell(cx, addr, PeerRequest::Runner(notice.clone()));
     }
 }
--- a/crates/rw-protocol/src/generated.rs
+++ b/crates/rw-protocol/src/generated.rs
@@ -486,6 +486,8 @@
 #[serde(deny_unknown_fields)]
 pub struct LoadNews {
     pub entry: crate::Name,
+    ///How far the entry has followed the tables.
+    pub known: ::std::vec::Vec<TableVersion>,
     ///Servers with requests under way.
     pub loads: ::std::vec::Vec<ServerLoad>,
 }
--- a/crates/rw-protocol/tests/frames.rs
+++ b/crates/rw-protocol/tests/frames.rs
@@ -147,6 +147,7 @@
                 running: 3,
                 unread_tokens: u32::MAX,
             }],
+            known: known(),
         }),
         PeerRequest::Rows(RowsRequest {
             known: known(),
