Bring weights back sooner after all hosts lost them

Cause: own chunks that hosts take in for their region queued behind chunks that they wait for, two reads at a time from each of six hosts shared the origin's link, hosts asked other regions when one of their own only lacked a chunk yet, and staging began when all had arrived. Ruled out: size of the window (16 gains nothing more), wider trees (3, 4), fewer or more importers (3, 4, 10), direct import from the home region (loads its links more; a test of shares on links holds that). Change: imports have their own window, one read of the origin a host; hosts that stand in for one cut off; failing sources are tried one request at a time; chunks are staged as they arrive at a server that serves nothing; digests come from the tree, not all from the origin.

--- a/crates/rw-fleet/src/follow.rs
+++ b/crates/rw-fleet/src/follow.rs
@@ -29,8 +29,14 @@
 const TABLE_LIMIT: Duration = Duration::from_secs(5);
 /// Longest wait for a change at another daemon.
 const PEER_WAIT: Duration = Duration::from_secs(5);
+/// Time for which a seed that has just started may wait for the names of
+/// entries itself.
+const SEED_WAIT: Duration = Duration::from_millis(400);
 /// Time for the names of entries from a seed, which may be dark.
-const SEED_LIMIT: Duration = Duration::from_millis(400);
+const SEED_LIMIT: Duration = Duration::from_millis(600);
+/// Longest pause between tries of a host that knows nothing yet: a fleet that
+/// starts at once serves nothing until its hosts know what to load.
+const START_RETRY: Duration = Duration::from_millis(150);
 /// Time for which an entry reads the store itself after its readers failed.
 const FALLBACK: Duration = Duration::from_secs(5);
 /// Time after its start for which a host asks entries only: all of a fleet may
@@ -305,7 +311,9 @@
         if cx.now() > HOST_PATIENCE {
             read_all(&cx, &store).await;
         }
-        tokio::time::sleep(backoff.next_delay()).await;
+        let pause = backoff.next_delay();
+        let knows = cx.beliefs.view().cfg.is_some();
+        tokio::time::sleep(if knows { pause } else { pause.min(START_RETRY) }).await;
     }
 }
 
@@ -318,7 +326,7 @@
     };
     let req = PeerRequest::Rows(RowsRequest {
         known: vec![beyond(tables.operator), beyond(tables.servers)],
-        wait_ms: 0,
+        wait_ms: SEED_WAIT.as_millis() as u64,
     });
     let (tx, rx) = flume::bounded(cx.site.seeds.len().max(1));
     for seed in &cx.site.seeds {
--- a/crates/rw-fleet/src/host/collect.rs
+++ b/crates/rw-fleet/src/host/collect.rs
@@ -1,5 +1,6 @@
 //! Collects the chunks of one version from other hosts and the origin.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 };
 use rw_weights::{Fetch, Layout, Limits, Peer, Policy, Source, Transfer};
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 use super::shelf::version_name;
 use super::{OriginClient, RunnerError, Shelf};
@@ -21,6 +23,9 @@
 /// Chunks asked for at once; most of them wait at a source that has yet to
 /// get them, so that the tree stays filled.
 const WINDOW: usize = 8;
+/// The same while the backend server serves nothing, so that no request waits
+/// behind chunks.
+const DARK_WINDOW: usize = 12;
 /// Time after which a chunk is asked for elsewhere.
 const CHUNK_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Wait for a chunk at a host that should hold it; it may have been restarted.
@@ -35,7 +40,11 @@
 const AVOID: Duration = Duration::from_secs(2);
 /// Time for the origin to send one chunk while others share its link.
 const ORIGIN_LIMIT: Duration = Duration::from_secs(4);
+/// Time for one answer about digests.
 const MANIFEST_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time for which a host leaves the digests to those above it in the tree, so
+/// that not all of a fleet reads them over the origin's link.
+const MANIFEST_PATIENCE: Duration = Duration::from_secs(2);
 const FIRST_RETRY: Duration = Duration::from_millis(50);
 const LAST_RETRY: Duration = Duration::from_millis(500);
 /// Chunks from the origin that failed their digest after which the digests
@@ -149,24 +158,34 @@
         }
     }
 
-    // Only the first host of the tree asks the origin at once; the others
-    // give it a little time.
+    // The first host of the tree asks the origin at once and those that take
+    // chunks in for their region after a moment; the others leave it to them.
     async fn peer_manifest(&self, name: &Name) -> Option<Manifest> {
-        let sources = self.layout().sources(0, &self.me, &Default::default());
-        let Some(Source::Peer(addr)) = sources.first() else {
-            return None;
-        };
         let req = PeerRequest::Manifest(ManifestRequest {
             manifest: name.clone(),
         });
-        let until = tokio::time::Instant::now() + MANIFEST_TIMEOUT;
-        while tokio::time::Instant::now() < until {
+        let mut failed = BTreeSet::new();
+        let start = Instant::now();
+        for turn in 0.. {
+            // Hosts that start together learn of each other one by one.
+            let layout = self.layout();
+            let chunks = 0..self.wanted.engine.chunks;
+            let imports = chunks.into_iter().any(|c| layout.imports(c, &self.me));
+            let patience = if imports { MANIFEST_TIMEOUT } else { MANIFEST_PATIENCE };
+            let mut sources = layout.sources(0, &self.me, &failed);
+            sources.retain(|source| *source != Source::Origin);
+            if sources.is_empty() || start.elapsed() > patience {
+                break;
+            }
+            let Source::Peer(addr) = &sources[turn % sources.len()] else {
+                break;
+            };
             match self.cx.pool.ask(addr, &req, MANIFEST_TIMEOUT).await {
                 Ok(PeerReply::Manifest(manifest)) if self.fits(&manifest) => return Some(manifest),
                 Ok(_) => tokio::time::sleep(FIRST_RETRY).await,
                 Err(err) => {
                     log::debug!("digests from {addr}: {err}");
-                    return None;
+                    failed.insert(addr.clone());
                 }
             }
         }
@@ -199,7 +218,10 @@
     async fn chunks(&self, id: &Name, manifest: &Manifest) -> bool {
         let chunks = manifest.chunks.len() as u32;
         let limits = Limits {
-            window: WINDOW,
+            window: match self.shelf.is_live() {
+                true => WINDOW,
+                false => DARK_WINDOW,
+            },
             chunk_timeout: CHUNK_TIMEOUT,
             hedge_after: HEDGE_AFTER,
             avoid: AVOID,
@@ -227,7 +249,7 @@
                 layout = self.layout();
             }
             for fetch in transfer.next(&layout, self.cx.now()) {
-                let wait = wait_at(&layout, &fetch.source);
+                let wait = self.wait_at(&layout, &fetch);
                 self.spawn(&mut fetches, id, fetch, wait, tx.clone());
             }
             tokio::select! {
@@ -253,6 +275,19 @@
         true
     }
 
+    // A holder, or a host that stood in for this one, has a chunk or does not;
+    // others may be waiting for it themselves.
+    fn wait_at(&self, layout: &Layout, fetch: &Fetch) -> Duration {
+        let Source::Peer(name) = &fetch.source else {
+            return CHUNK_TIMEOUT;
+        };
+        let stood_in = layout.stand_in(fetch.chunk, &self.me);
+        match layout.is_holder(name) || stood_in.as_ref() == Some(name) {
+            true => HOLDER_WAIT,
+            false => CHUNK_TIMEOUT,
+        }
+    }
+
     // False when the origin sent damaged bytes.
     fn take(&self, transfer: &mut Transfer, id: &Name, fetch: Fetch, got: Got) -> bool {
         let detail = format!(
@@ -315,14 +350,6 @@
     }
 }
 
-// A holder has every chunk or none; others may be waiting for it themselves.
-fn wait_at(layout: &Layout, source: &Source) -> Duration {
-    match source {
-        Source::Peer(name) if layout.is_holder(name) => HOLDER_WAIT,
-        _ => CHUNK_TIMEOUT,
-    }
-}
-
 async fn from_peer<D: Dialect>(
     cx: &Cx<D>,
     addr: &Name,
--- a/crates/rw-fleet/src/host/keeper.rs
+++ b/crates/rw-fleet/src/host/keeper.rs
@@ -1,5 +1,6 @@
 //! Keeps the backend server beside a host on the weights that are wanted.
 
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -72,6 +73,7 @@
         runner,
         progress,
         last: None,
+        staged: (Name::from(""), BTreeSet::new()),
         sequence: rw_coord::unix_ms(),
         told_at: Duration::ZERO,
     };
@@ -132,6 +134,8 @@
     runner: R,
     progress: Arc<Progress>,
     last: Option<RunnerNotice>,
+    // Chunks of a manifest that were staged ahead.
+    staged: (Name, BTreeSet<u32>),
     // Starts at the time of day, so that a restarted daemon goes on higher.
     sequence: u64,
     told_at: Duration,
@@ -168,6 +172,10 @@
                     .collected
                     .store(report.weights, Ordering::Relaxed);
             }
+            // What a server that serves nothing has staged is of no use to it.
+            if report.weights == 0 {
+                self.stage_arrived(&wanted).await;
+            }
             return;
         }
         if let Some(manifest) = self.shelf.manifest(&name) {
@@ -212,10 +220,36 @@
         self.told_at = self.cx.now();
     }
 
+    // Stages chunks of a version that is still being collected.
+    async fn stage_arrived(&mut self, wanted: &Wanted) {
+        let name = version_name(&wanted.model, wanted.version);
+        let Some(manifest) = self.shelf.manifest(&name) else {
+            return;
+        };
+        let id = rw_protocol::manifest_id(&manifest);
+        if self.staged.0 != id {
+            self.staged = (id.clone(), BTreeSet::new());
+        }
+        for chunk in 0..manifest.chunks.len() as u32 {
+            let arrived = self.shelf.chunk(&id, chunk).is_some();
+            if !arrived || self.staged.1.contains(&chunk) {
+                continue;
+            }
+            if self.stage(wanted, &id, &manifest, chunk).await.is_none() {
+                return;
+            }
+            self.staged.1.insert(chunk);
+        }
+    }
+
     // `None` when the server went away.
     async fn stage_all(&self, wanted: &Wanted, manifest: &Manifest) -> Option<()> {
         let id = rw_protocol::manifest_id(manifest);
         for chunk in 0..manifest.chunks.len() as u32 {
+            // All are read back before the order, also those staged earlier.
+            if self.staged.0 == id && self.staged.1.contains(&chunk) {
+                continue;
+            }
             self.stage(wanted, &id, manifest, chunk).await?;
         }
         Some(())
--- a/crates/rw-fleet/src/host/shelf.rs
+++ b/crates/rw-fleet/src/host/shelf.rs
@@ -127,6 +127,11 @@
         self.live.store(live, Ordering::Relaxed);
     }
 
+    /// Whether the backend server answers requests.
+    pub fn is_live(&self) -> bool {
+        self.live.load(Ordering::Relaxed)
+    }
+
     // Bytes that a chunk counts for; live requests make it cost more.
     fn cost(&self, bytes: u64) -> u64 {
         match self.live.load(Ordering::Relaxed) {
--- a/crates/rw-fleet/src/peers.rs
+++ b/crates/rw-fleet/src/peers.rs
@@ -26,6 +26,8 @@
 const TOUCH_CHECK: Duration = Duration::from_millis(500);
 /// Longest wait for rows that another daemon may ask for.
 const MAX_ROWS_WAIT: Duration = Duration::from_secs(10);
+/// The same while this daemon knows nothing itself; another may know more.
+const FIRST_ROWS_WAIT: Duration = Duration::from_millis(500);
 
 /// Answers other daemons.
 pub struct PeerPort<D> {
@@ -67,10 +69,15 @@
     async fn rows(&self, req: &RowsRequest) -> RowsReply {
         let beliefs = &self.cx.beliefs;
         let changed = beliefs.subscribe();
-        let wait = Duration::from_millis(req.wait_ms).min(MAX_ROWS_WAIT);
+        let knows = || beliefs.view().cfg.is_some();
+        let longest = if knows() { MAX_ROWS_WAIT } else { FIRST_ROWS_WAIT };
+        let wait = Duration::from_millis(req.wait_ms).min(longest);
         let until = Instant::now() + wait;
-        // A daemon that is out of touch says so at once.
-        while !beliefs.is_ahead_of(&req.known) && self.cx.touch.is_whole() && Instant::now() < until
+        // A daemon that is out of touch says so at once, unless it has only
+        // just started.
+        while !beliefs.is_ahead_of(&req.known)
+            && (self.cx.touch.is_whole() || !knows())
+            && Instant::now() < until
         {
             let step = until.min(Instant::now() + TOUCH_CHECK);
             let changed = tokio::time::timeout_at(step, changed.recv_async()).await;
--- a/crates/rw-weights/src/layout.rs
+++ b/crates/rw-weights/src/layout.rs
@@ -136,7 +136,7 @@
     pub fn sources(&self, chunk: u32, me: &Peer, avoid: &BTreeSet<Name>) -> Vec<Source> {
         let mut peers = self.holder_sources(chunk, me);
         peers.extend(match self.policy {
-            Policy::Tree => self.tree_sources(chunk, me),
+            Policy::Tree => self.tree_sources(chunk, me, avoid),
             Policy::Origin => Vec::new(),
             Policy::Chain => self.chain_sources(me),
             Policy::Random => self.random_sources(chunk, me),
@@ -157,7 +157,16 @@
         region.and_then(|r| r.root(chunk)) == Some(&me.name)
     }
 
-    fn tree_sources(&self, chunk: u32, me: &Peer) -> Vec<Name> {
+    /// Host that takes a chunk in while `me`, whose part that is, cannot.
+    pub fn stand_in(&self, chunk: u32, me: &Peer) -> Option<Name> {
+        let region = self.regions.iter().find(|r| r.name == me.region)?;
+        match region.root(chunk) == Some(&me.name) {
+            true => region.stand_in(chunk).cloned(),
+            false => None,
+        }
+    }
+
+    fn tree_sources(&self, chunk: u32, me: &Peer, avoid: &BTreeSet<Name>) -> Vec<Name> {
         let Some(at) = self.regions.iter().position(|r| r.name == me.region) else {
             return Vec::new();
         };
@@ -165,9 +174,12 @@
         if region.root(chunk) == Some(&me.name) {
             return self.import_sources(chunk, at);
         }
-        let mut out = region.ancestors(chunk, &me.name);
-        out.extend(self.import_sources(chunk, at));
-        out
+        let near = region.ancestors(chunk, &me.name);
+        // A host of this region that lacks the chunk yet is waiting for it.
+        match near.iter().any(|name| !avoid.contains(name)) {
+            true => near,
+            false => self.import_sources(chunk, at),
+        }
     }
 
     // The home region's root asks the origin. Of the remote regions one leads
@@ -180,10 +192,11 @@
         let remote = self.regions.len() - 1;
         let lead = 1 + chunk as usize % remote;
         let order = if lead == at { vec![0] } else { vec![lead, 0] };
-        order
-            .into_iter()
-            .filter_map(|r| self.regions[r].root(chunk).cloned())
-            .collect()
+        let stand_ins = order
+            .iter()
+            .filter_map(|r| self.regions[*r].stand_in(chunk).cloned());
+        let roots = order.iter().filter_map(|r| self.regions[*r].root(chunk));
+        roots.cloned().chain(stand_ins).collect()
     }
 
     fn chain_sources(&self, me: &Peer) -> Vec<Name> {
@@ -242,6 +255,11 @@
             .get(chunk as usize % self.importers.len().max(1))
     }
 
+    // The first host of the tree below its root.
+    fn stand_in(&self, chunk: u32) -> Option<&Name> {
+        self.order(chunk).first()?.get(1).copied()
+    }
+
     // Hosts of each zone in the order of the chunk's tree; the root's zone
     // comes first and the root first in it.
     fn order(&self, chunk: u32) -> Vec<Vec<&Name>> {
--- a/crates/rw-weights/src/transfer.rs
+++ b/crates/rw-weights/src/transfer.rs
@@ -6,7 +6,11 @@
 use crate::{Layout, Peer, Source};
 
 /// Chunks that one host asks the origin for at once.
-const ORIGIN_WINDOW: usize = 2;
+const ORIGIN_WINDOW: usize = 1;
+/// Chunks that one host takes in for its region at once.
+const IMPORT_WINDOW: usize = 4;
+/// Times that the pause of a source that fails again and again doubles.
+const MAX_DOUBLINGS: u32 = 2;
 /// A host takes a chunk in for its region once it holds all but so many of the
 /// chunks before it, so that the origin sends few at a time and in order.
 const IMPORT_AHEAD: usize = 64;
@@ -38,6 +42,12 @@
     pub source: Source,
 }
 
+// A source that failed and has delivered nothing since.
+struct Suspect {
+    failures: u32,
+    avoid_until: Duration,
+}
+
 struct Ask {
     source: Source,
     since: Duration,
@@ -53,8 +63,10 @@
     pending: BTreeMap<u32, Vec<Ask>>,
     // How many sources of a chunk said that they do not hold it yet.
     misses: BTreeMap<u32, usize>,
-    avoid: BTreeMap<Name, Duration>,
+    suspects: BTreeMap<Name, Suspect>,
     origin_free_at: Duration,
+    // Whether any source failed so far.
+    has_failed: bool,
     // When each source, and any source, last delivered.
     delivered: BTreeMap<Source, Duration>,
     last_delivery: Duration,
@@ -85,8 +97,9 @@
             highest: 0,
             pending: BTreeMap::new(),
             misses: BTreeMap::new(),
-            avoid: BTreeMap::new(),
+            suspects: BTreeMap::new(),
             origin_free_at: Duration::ZERO,
+            has_failed: false,
             delivered: BTreeMap::new(),
             last_delivery: Duration::ZERO,
         }
@@ -105,7 +118,6 @@
     /// Requests to make now. Chunks that this host takes in for its region
     /// come first, the rest in the order in which they enter the region.
     pub fn next(&mut self, layout: &Layout, now: Duration) -> Vec<Fetch> {
-        self.avoid.retain(|_, until| *until > now);
         self.drop_stuck(now);
         let mut out = self.hedge(layout, now);
         let (own, other): (Vec<u32>, Vec<u32>) = self
@@ -115,14 +127,27 @@
             .partition(|chunk| layout.imports(**chunk, &self.me));
         let own = own.into_iter().filter(|chunk| self.may_import(*chunk, now));
         let own: Vec<u32> = own.collect();
-        for chunk in own.into_iter().chain(other) {
+        // Chunks that other hosts wait for do not queue behind those that
+        // this one waits for.
+        let importing = |chunk: &&u32| layout.imports(**chunk, &self.me);
+        let mut imports = self.pending.keys().filter(importing).count();
+        for chunk in own {
+            if imports >= IMPORT_WINDOW {
+                break;
+            }
+            let source = self.source(layout, chunk, now);
+            if source != Source::Origin || self.origin_is_free(now) {
+                out.push(self.ask(chunk, source, now));
+                imports += 1;
+            }
+        }
+        for chunk in other {
             if self.pending.len() >= self.limits.window {
                 break;
             }
-            if let Some(source) = self.source(layout, chunk) {
-                if source != Source::Origin || self.origin_is_free(now) {
-                    out.push(self.ask(chunk, source, now));
-                }
+            let source = self.source(layout, chunk, now);
+            if source != Source::Origin || self.origin_is_free(now) {
+                out.push(self.ask(chunk, source, now));
             }
         }
         out
@@ -144,22 +169,44 @@
         stalled || chunk as usize <= held + IMPORT_AHEAD
     }
 
-    fn peers(&self, layout: &Layout, chunk: u32) -> Vec<Source> {
-        let avoid: BTreeSet<Name> = self.avoid.keys().cloned().collect();
+    fn peers(&self, layout: &Layout, chunk: u32, now: Duration) -> Vec<Source> {
+        let suspects = self.suspects.keys();
+        let avoid: BTreeSet<Name> = suspects
+            .filter(|name| self.is_avoided(name, now))
+            .cloned()
+            .collect();
         let mut sources = layout.sources(chunk, &self.me, &avoid);
         sources.retain(|source| *source != Source::Origin);
         sources
     }
 
+    // One request at a time shows whether a suspect is back.
+    fn is_avoided(&self, peer: &Name, now: Duration) -> bool {
+        let suspect = self.suspects.get(peer);
+        suspect.is_some_and(|s| now < s.avoid_until || self.is_asked(peer))
+    }
+
+    fn is_asked(&self, peer: &Name) -> bool {
+        let mut asks = self.pending.values().flatten();
+        asks.any(|ask| matches!(&ask.source, Source::Peer(name) if name == peer))
+    }
+
     // A live source that lacks the chunk is waiting for it itself, so the
     // origin is asked only when no other source is left.
-    fn source(&self, layout: &Layout, chunk: u32) -> Option<Source> {
-        let peers = self.peers(layout, chunk);
+    fn source(&self, layout: &Layout, chunk: u32, now: Duration) -> Source {
+        let mut peers = self.peers(layout, chunk, now);
+        let misses = self.misses.get(&chunk).copied().unwrap_or(0);
         if peers.is_empty() {
-            return Some(Source::Origin);
+            // While this host was cut off another may have stood in for it.
+            let stand_in = layout.stand_in(chunk, &self.me);
+            let stand_in = stand_in.filter(|name| self.has_failed && !self.is_avoided(name, now));
+            return match stand_in {
+                Some(name) if misses == 0 => Source::Peer(name),
+                _ => Source::Origin,
+            };
         }
-        let at = self.misses.get(&chunk).copied().unwrap_or(0) % peers.len();
-        peers.get(at).cloned()
+        let at = misses % peers.len();
+        peers.swap_remove(at)
     }
 
     fn origin_is_free(&self, now: Duration) -> bool {
@@ -181,7 +228,7 @@
         let mut out = Vec::new();
         for chunk in overdue {
             let asked = &self.pending[&chunk][0].source;
-            let second = self.peers(layout, chunk).into_iter().find(|s| s != asked);
+            let second = self.peers(layout, chunk, now).into_iter().find(|s| s != asked);
             if let Some(source) = second {
                 out.push(self.ask(chunk, source, now));
             }
@@ -225,6 +272,9 @@
         self.highest = self.highest.max(fetch.chunk);
         self.last_delivery = now;
         self.delivered.insert(fetch.source.clone(), now);
+        if let Source::Peer(name) = &fetch.source {
+            self.suspects.remove(name);
+        }
     }
 
     /// The source does not hold the chunk yet; the next ancestor is asked.
@@ -239,9 +289,19 @@
         if !self.forget(fetch) {
             return;
         }
+        self.has_failed = true;
         match &fetch.source {
             Source::Peer(name) => {
-                self.avoid.insert(name.clone(), now + self.limits.avoid);
+                let suspect = self.suspects.entry(name.clone()).or_insert(Suspect {
+                    failures: 0,
+                    avoid_until: Duration::ZERO,
+                });
+                // Requests that fail together count once.
+                if now >= suspect.avoid_until {
+                    let longer = 1 << suspect.failures.min(MAX_DOUBLINGS);
+                    suspect.avoid_until = now + self.limits.avoid * longer;
+                    suspect.failures += 1;
+                }
             }
             Source::Origin => self.origin_free_at = now + self.limits.chunk_timeout / 4,
         }
