Do not ask hosts for chunks that they lost

Cause: entries in the servers' table still named the weights that servers had before the loss of power, and each such host was asked for each chunk, with a pause. One that lacks a chunk no longer counts as a holder.

--- a/crates/rw-fleet/src/host/collect.rs
+++ b/crates/rw-fleet/src/host/collect.rs
@@ -1,6 +1,6 @@
 //! Collects the chunks of one version from other hosts and the origin.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -30,8 +30,10 @@
 const CHUNK_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Wait for a chunk at a host that should hold it; it may have been restarted.
 const HOLDER_WAIT: Duration = Duration::from_millis(150);
-/// Longest pause after a host said that it lacks a chunk.
-const MISSING_PAUSE: Duration = Duration::from_millis(200);
+/// Time for which a host that lacked a chunk does not count as a holder.
+const EMPTY_FOR: Duration = Duration::from_secs(5);
+/// Pause after a host said that it lacks a chunk.
+const MISSING_PAUSE: Duration = Duration::from_millis(100);
 /// Time after which an overdue chunk is asked for at a second source too; a
 /// full window takes a quarter of a second of a thin link, and a chunk that
 /// comes twice costs the link twice.
@@ -113,8 +115,15 @@
 }
 
 impl<D: Dialect, O: OriginClient> Collector<'_, D, O> {
-    // Hosts of the service, and those that have the version loaded already.
     fn layout(&self) -> Layout {
+        self.layout_without(&mut BTreeMap::new())
+    }
+
+    // Hosts of the service, and those that have the version loaded already,
+    // but for the ones that lately said otherwise.
+    fn layout_without(&self, empty: &mut BTreeMap<Name, Instant>) -> Layout {
+        let now = Instant::now();
+        empty.retain(|_, until| *until > now);
         let view = self.cx.beliefs.view();
         let site = &self.cx.site;
         let mut peers = vec![self.me.clone()];
@@ -130,7 +139,8 @@
                 zone: server.zone.clone(),
                 name: Name::from(addr.to_string()),
             };
-            if view.loaded(server) == self.wanted.version && peer.name != self.me.name {
+            let holds = view.loaded(server) == self.wanted.version;
+            if holds && peer.name != self.me.name && !empty.contains_key(&peer.name) {
                 holders.push(peer.clone());
             }
             peers.push(peer);
@@ -244,9 +254,11 @@
         let mut fetches = JoinSet::new();
         let mut layout = self.layout();
         let mut damaged = 0;
+        // Entries of servers that lost their weights may still name them.
+        let mut empty = BTreeMap::new();
         while !transfer.is_complete() {
             if changed.try_recv().is_ok() {
-                layout = self.layout();
+                layout = self.layout_without(&mut empty);
             }
             for fetch in transfer.next(&layout, self.cx.now()) {
                 let wait = self.wait_at(&layout, &fetch);
@@ -255,6 +267,12 @@
             tokio::select! {
                 got = rx.recv_async() => {
                     if let Ok((fetch, got)) = got {
+                        if let (Source::Peer(name), Got::Missing) = (&fetch.source, &got) {
+                            if layout.is_holder(name) {
+                                empty.insert(name.clone(), Instant::now() + EMPTY_FOR);
+                                layout = self.layout_without(&mut empty);
+                            }
+                        }
                         damaged += u32::from(!self.take(&mut transfer, id, fetch, got));
                     }
                 }
@@ -328,6 +346,11 @@
                 Source::Origin => from_origin(&origin, &wanted, fetch.chunk).await,
                 Source::Peer(addr) => from_peer(&cx, addr, &id, fetch.chunk, wait).await,
             };
+            // Asking a host that waits for the chunk again at once would only
+            // keep both busy.
+            if matches!(got, Got::Missing) && wait > HOLDER_WAIT {
+                tokio::time::sleep(MISSING_PAUSE).await;
+            }
             if let Got::Chunk(body) = &got {
                 shelf.pace_download(body.as_ref().len() as u64).await;
             }
@@ -364,12 +387,7 @@
     });
     match cx.pool.ask(addr, &req, CHUNK_TIMEOUT * 3).await {
         Ok(PeerReply::Chunk(got)) if got.chunk == chunk => Got::Chunk(got.body),
-        // Asking at once again would only keep both hosts busy.
-        Ok(PeerReply::Missing(missing)) => {
-            let pause = Duration::from_millis(missing.retry_after_ms).min(MISSING_PAUSE);
-            tokio::time::sleep(pause).await;
-            Got::Missing
-        }
+        Ok(PeerReply::Missing(_)) => Got::Missing,
         Ok(_) => Got::Failed,
         Err(err) => {
             log::debug!("chunk {chunk} from {addr}: {err}");
