Continue streams past their objective; share failures and slowness

Cause: a call that goes on was placed as if its first event were still to be on time, which nothing can be once the objective has passed. Such calls now have what is left of their time and wait up to 0.5 s for a place.

--- a/crates/rw-fleet/src/entry/board.rs
+++ b/crates/rw-fleet/src/entry/board.rs
@@ -10,7 +10,8 @@
 use rw_coord::Signal;
 use rw_protocol::{LoadNews, Name, ServerLoad};
 use rw_routing::{
-    place, Circuit, Demand, EngineCandidate, EngineLoad, Placed, Sharer, SlotTurns, WindowBudget,
+    place, slowness, Circuit, Demand, EngineCandidate, EngineLoad, FirstEvents, Placed, Sharer,
+    SlotTurns, WindowBudget,
 };
 use tokio::time::Instant;
 
@@ -31,13 +32,21 @@
     own: EngineLoad,
     turns: SlotTurns,
     circuit: Circuit,
+    first_events: FirstEvents,
     closed_until: Duration,
 }
 
+// What another entry says of a server.
+struct Told {
+    load: EngineLoad,
+    failures: u32,
+    first_events: Option<f64>,
+}
+
 #[derive(Default)]
 struct State {
     servers: HashMap<Name, Known>,
-    news: BTreeMap<Name, (Duration, HashMap<Name, EngineLoad>)>,
+    news: BTreeMap<Name, (Duration, HashMap<Name, Told>)>,
     budgets: HashMap<Name, WindowBudget>,
 }
 
@@ -95,14 +104,19 @@
                 )
             })
             .collect();
+        let ratios: Vec<Option<f64>> = servers
+            .iter()
+            .map(|s| state.first_events(&s.id, now))
+            .collect();
+        let known: Vec<f64> = ratios.iter().copied().flatten().collect();
         let mut candidates: Vec<EngineCandidate<'_>> = servers
             .iter()
-            .zip(&loads)
-            .map(|(server, (load, allowed))| EngineCandidate {
+            .zip(loads.iter().zip(&ratios))
+            .map(|(server, ((load, allowed), ratio))| EngineCandidate {
                 server: &server.id,
                 profile: &engine.profile,
                 load: *load,
-                slowness: 1.0,
+                slowness: slowness(*ratio, &known),
                 remote: is_remote(server),
                 allowed: *allowed,
             })
@@ -157,6 +171,7 @@
             server: server.clone(),
             load: EngineLoad::default(),
             forecast: Duration::ZERO,
+            since: self.now(),
             unread,
         }
     }
@@ -240,7 +255,13 @@
                 running: l.running,
                 unread_tokens: l.unread_tokens,
             };
-            (l.server, load)
+            let ratio = f64::from(l.slowness_percent) / 100.0;
+            let told = Told {
+                load,
+                failures: l.failures,
+                first_events: (ratio > 0.0).then_some(ratio),
+            };
+            (l.server, told)
         });
         self.state().news.insert(news.entry, (now, loads.collect()));
         self.freed.notify();
@@ -248,14 +269,21 @@
 
     /// What this entry has under way.
     pub fn own_loads(&self) -> Vec<ServerLoad> {
+        let now = self.now();
         let state = self.state();
-        let busy = state.servers.iter().filter(|(_, k)| k.own.running > 0);
-        busy.map(|(server, known)| ServerLoad {
+        let loads = state.servers.iter().map(|(server, known)| ServerLoad {
             server: server.clone(),
             running: known.own.running,
             unread_tokens: known.own.unread_tokens,
-        })
-        .collect()
+            failures: known.circuit.recent_failures(now),
+            slowness_percent: known
+                .first_events
+                .ratio(now)
+                .map_or(0, |ratio| (ratio * 100.0) as u32),
+        });
+        loads
+            .filter(|l| l.running > 0 || l.failures > 0 || l.slowness_percent > 0)
+            .collect()
     }
 
     /// Forgets servers that are gone and have nothing under way.
@@ -304,15 +332,35 @@
             .servers
             .get(server)
             .map_or_else(EngineLoad::default, |k| k.own);
-        let fresh = self.news.values().filter(|(at, _)| now < *at + NEWS_LIFE);
-        let others = fresh.filter_map(|(_, loads)| loads.get(server));
-        others.fold(own, |sum, load| sum.plus(*load))
+        let others = self.told(server, now);
+        others.fold(own, |sum, told| sum.plus(told.load))
+    }
+
+    // What other entries said lately of a server.
+    fn told<'a>(&'a self, server: &'a Name, now: Duration) -> impl Iterator<Item = &'a Told> {
+        let fresh = self
+            .news
+            .values()
+            .filter(move |(at, _)| now < *at + NEWS_LIFE);
+        fresh.filter_map(move |(_, told)| told.get(server))
+    }
+
+    // Mean over all entries that saw first events of a server lately.
+    fn first_events(&self, server: &Name, now: Duration) -> Option<f64> {
+        let own = self.servers.get(server);
+        let own = own.and_then(|k| k.first_events.ratio(now));
+        let others = self.told(server, now).filter_map(|t| t.first_events);
+        let all: Vec<f64> = own.into_iter().chain(others).collect();
+        (!all.is_empty()).then(|| all.iter().sum::<f64>() / all.len() as f64)
     }
 
     fn allowed(&self, server: &Name, limit: u32, now: Duration) -> u32 {
+        let failures = || self.told(server, now).map(|t| t.failures).sum();
         match self.servers.get(server) {
             Some(known) if now < known.closed_until => 0,
-            Some(known) => known.circuit.allowed(limit + EXTRA_PER_ENGINE, now),
+            Some(known) => known
+                .circuit
+                .allowed_among(limit + EXTRA_PER_ENGINE, failures(), now),
             None => limit + EXTRA_PER_ENGINE,
         }
     }
@@ -337,12 +385,23 @@
     pub load: EngineLoad,
     /// Time to the first event that was forecast then.
     pub forecast: Duration,
+    since: Duration,
     unread: u32,
 }
 
 impl Ticket {
-    /// The server has read the prompt.
-    pub fn prompt_read(&mut self) {
+    /// The first event is here.
+    pub fn on_first_event(&mut self) {
+        let now = self.board.now();
+        let took = now.saturating_sub(self.since);
+        if let Some(known) = self.board.state().servers.get_mut(&self.server.id) {
+            known.first_events.on_first_event(self.forecast, took, now);
+        }
+        self.prompt_read();
+    }
+
+    // The server has read the prompt.
+    fn prompt_read(&mut self) {
         let mut state = self.board.state();
         if let Some(known) = state.servers.get_mut(&self.server.id) {
             known.own.unread_tokens = known.own.unread_tokens.saturating_sub(self.unread);
--- a/crates/rw-fleet/src/entry/search.rs
+++ b/crates/rw-fleet/src/entry/search.rs
@@ -25,6 +25,9 @@
 const MAX_NOT_RUN: u32 = 4;
 /// Share of the objective for which a call waits for a place here.
 const HOLD_SHARE: f64 = 0.12;
+/// Time for which a call that goes on elsewhere waits for a place: each engine
+/// frees one in less.
+const GOES_ON_WAIT: Duration = Duration::from_millis(500);
 /// Time within which a server has to send the first event of a stream that
 /// may go on elsewhere; most callers leave after twice of it.
 const FIRST_EVENT_LIMIT: Duration = Duration::from_millis(1500);
@@ -144,6 +147,7 @@
             return ticket.ok_or(self.not_run("no backend server", NO_SERVER_RETRY));
         };
         let until = call.arrived + call.route.objective.mul_f64(HOLD_SHARE);
+        let goes_on_until = Instant::now() + GOES_ON_WAIT.min(call.left() / 3);
         let freed = entry.board.subscribe();
         loop {
             let servers = self.servers(&engine);
@@ -152,16 +156,14 @@
             let placed = entry
                 .board
                 .place(&engine, &servers, &self.demand(), is_remote);
-            let wait = match placed {
+            match placed {
                 Ok(ticket) => return Ok(ticket),
-                Err(Placed::Full(wait)) => wait,
+                Err(Placed::Full(_)) => {}
                 Err(_) => return Err(self.not_run("no backend server", NO_SERVER_RETRY)),
-            };
-            let resumed = !self.tried.is_empty();
-            let until = if resumed {
-                until.max(Instant::now() + wait * 2)
-            } else {
-                until
+            }
+            let until = match self.tried.is_empty() {
+                true => until,
+                false => until.max(goes_on_until),
             };
             if timeout_at(until, freed.recv_async()).await.is_err() {
                 return Err(self.not_run("every engine is full", FULL_RETRY));
@@ -172,11 +174,16 @@
     fn demand(&self) -> Demand {
         let call = self.call;
         let late = call.has_waited() || call.age() > call.route.objective;
+        // Part of an answer that goes on elsewhere is with the caller already.
+        let goes_on = !self.tried.is_empty();
         Demand {
             prompt_tokens: call.prompt_tokens,
-            first_event: call.route.objective.saturating_sub(call.age()),
+            first_event: match goes_on {
+                true => call.left(),
+                false => call.route.objective.saturating_sub(call.age()),
+            },
             pause: call.route.max_pause,
-            late: late && self.tried.is_empty(),
+            late: late && !goes_on,
         }
     }
 
@@ -237,7 +244,7 @@
         let mut reader = EventReader::after(last_event);
         let first = timeout_at(until, next_events(&mut body, &mut reader)).await;
         let first = first.map_err(|_| Failure::Timeout)??;
-        ticket.prompt_read();
+        ticket.on_first_event();
         let ended = first.is_none();
         Ok(Opened::Stream(Box::new(Started {
             ticket,
--- a/crates/rw-protocol/src/generated.rs
+++ b/crates/rw-protocol/src/generated.rs
@@ -877,9 +877,13 @@
 #[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServerLoad {
+    ///Requests that failed lately, one after the other.
+    pub failures: u32,
     ///Requests sent and not finished.
     pub running: u32,
     pub server: crate::Name,
+    ///Time to first events in percent of their forecasts; 0 is not known.
+    pub slowness_percent: u32,
     ///Prompt tokens that the server has not read yet.
     pub unread_tokens: u32,
 }
--- a/crates/rw-protocol/tests/frames.rs
+++ b/crates/rw-protocol/tests/frames.rs
@@ -146,6 +146,8 @@
                 server: "s".into(),
                 running: 3,
                 unread_tokens: u32::MAX,
+                failures: 2,
+                slowness_percent: 150,
             }],
             known: known(),
         }),
--- a/crates/rw-routing/src/circuit.rs
+++ b/crates/rw-routing/src/circuit.rs
@@ -1,6 +1,9 @@
 use std::time::Duration;
 
 const FAILURES_TO_OPEN: u32 = 3;
+/// Time for which failures count beside those of other observers; a call that
+/// a silent host holds takes half of it to fail.
+const FAILURE_LIFE: Duration = Duration::from_secs(3);
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
 const LONGEST_PAUSE: Duration = Duration::from_secs(8);
 /// Time over which a host that came back returns to its full share.
@@ -14,6 +17,7 @@
     failures: u32,
     pause: Duration,
     open_until: Option<Duration>,
+    last_failure: Duration,
     recovering_since: Option<Duration>,
 }
 
@@ -36,6 +40,7 @@
     /// A call failed; says whether the circuit opened just now.
     pub fn on_failure(&mut self, now: Duration) -> bool {
         self.failures += 1;
+        self.last_failure = now;
         let probing = self.open_until.is_some_and(|until| now >= until);
         let opens = probing || (self.open_until.is_none() && self.failures >= FAILURES_TO_OPEN);
         if opens {
@@ -46,6 +51,35 @@
         opens
     }
 
+    /// Calls that failed one after the other, unless the last is long ago.
+    pub fn recent_failures(&self, now: Duration) -> u32 {
+        match now < self.last_failure + FAILURE_LIFE {
+            true => self.failures,
+            false => 0,
+        }
+    }
+
+    /// Calls that the host may hold now, when other observers count failures of
+    /// it too: each alone sees few of them at a host that went silent. One that
+    /// fails for some observers only stays open to those it answers.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let (mut circuit, now) = (rw_routing::Circuit::default(), Duration::from_secs(1));
+    /// assert_eq!(circuit.allowed_among(10, 9, now), 10);
+    /// circuit.on_failure(now);
+    /// assert_eq!(circuit.allowed_among(10, 0, now), 10);
+    /// assert_eq!(circuit.allowed_among(10, 2, now), 1);
+    /// ```
+    pub fn allowed_among(&self, limit: u32, others: u32, now: Duration) -> u32 {
+        let own = self.recent_failures(now);
+        let suspect = own > 0 && own + others >= FAILURES_TO_OPEN;
+        match suspect {
+            true => self.allowed(limit, now).min(1),
+            false => self.allowed(limit, now),
+        }
+    }
+
     /// Calls that the host may hold now, out of its limit.
     ///
     /// ```
--- a/crates/rw-routing/src/lib.rs
+++ b/crates/rw-routing/src/lib.rs
@@ -8,6 +8,7 @@
 mod retry;
 mod router;
 mod sharing;
+mod slowness;
 mod window;
 
 pub use circuit::Circuit;
@@ -18,4 +19,5 @@
 pub use retry::RetryBudget;
 pub use router::{Pick, Router, Want};
 pub use sharing::{Sharer, SlotTurns};
+pub use slowness::{slowness, FirstEvents};
 pub use window::WindowBudget;
