--- a/crates/rw-fleet/src/entry/board.rs
+++ b/crates/rw-fleet/src/entry/board.rs
@@ -2,6 +2,7 @@
 //! way there itself.
 
 use std::collections::{BTreeMap, HashMap};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -27,6 +28,10 @@
 /// Requests beyond its slots that a plain server may hold, per slot.
 const PLAIN_QUEUE_PER_SLOT: u32 = 2;
 
+/// Late calls that may wait at an entry, per slot of its part of the engines; a
+/// full engine ends a request in each slot within about two seconds.
+const LATE_WAITING_SHARE: f64 = 0.25;
+
 #[derive(Default)]
 struct Known {
     own: EngineLoad,
@@ -58,6 +63,7 @@
     state: Mutex<State>,
     bounds: Bounds,
     freed: Signal,
+    late: AtomicUsize,
 }
 
 impl Board {
@@ -69,6 +75,7 @@
             state: Mutex::default(),
             bounds,
             freed: Signal::default(),
+            late: AtomicUsize::new(0),
         })
     }
 
@@ -137,6 +144,20 @@
         }
     }
 
+    /// Lets a call that is late already wait for a place, unless so many wait
+    /// that little would be left for it.
+    pub fn wait_late(
+        self: &Arc<Self>,
+        servers: &[Arc<BackendServer>],
+        entries: usize,
+    ) -> Option<LateWait> {
+        let slots: u32 = servers.iter().map(|s| s.slots).sum();
+        let own = f64::from(slots) / entries.max(1) as f64;
+        let most = (own * LATE_WAITING_SHARE) as usize;
+        let waiting = LateWait(self.clone());
+        (self.late.fetch_add(1, Ordering::Relaxed) < most).then_some(waiting)
+    }
+
     /// Takes a plain server with few requests under way.
     pub fn place_plain(self: &Arc<Self>, servers: &[Arc<BackendServer>]) -> Option<Ticket> {
         let now = self.now();
@@ -376,6 +397,15 @@
     }
 }
 
+/// A late call that waits for a place; dropping it ends the wait.
+pub struct LateWait(Arc<Board>);
+
+impl Drop for LateWait {
+    fn drop(&mut self) {
+        self.0.late.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// A place at a backend server; dropping it frees the place.
 pub struct Ticket {
     board: Arc<Board>,
--- a/crates/rw-fleet/src/follow.rs
+++ b/crates/rw-fleet/src/follow.rs
@@ -21,9 +21,12 @@
 const FOLLOWED: usize = 2;
 /// Longest wait for a change at the store; each renewal is a priced call.
 const STORE_WAIT: Duration = Duration::from_secs(15);
-/// Pause after a change, so that changes in a row come in one answer; a small
-/// part of the time in which they have to be in force.
+/// Pause after a change by operators, so that changes in a row come in one
+/// answer; a small part of the time in which they have to be in force.
 const CHANGE_PAUSE: Duration = Duration::from_millis(60);
+/// The same for servers and daemons, many of which change at once. Servers have
+/// seconds to drain, and their daemons tell entries of weights themselves.
+const MEMBER_CHANGE_PAUSE: Duration = Duration::from_millis(200);
 /// Time that an answer may take beyond the wait.
 const ANSWER_SLACK: Duration = Duration::from_millis(1500);
 /// Time for a whole table, which may have to cross a thin link.
@@ -137,7 +140,9 @@
                 read = true;
                 backoff.reset();
                 note_touch(&cx, at, table, true, "");
-                tokio::time::sleep(CHANGE_PAUSE).await;
+                let by_operators = table == cx.dialect.tables().operator;
+                let pause = if by_operators { CHANGE_PAUSE } else { MEMBER_CHANGE_PAUSE };
+                tokio::time::sleep(pause).await;
             }
             Err(FeedError::HistoryGone) => {
                 cx.recorder
--- a/crates/rw-fleet/src/host/keeper.rs
+++ b/crates/rw-fleet/src/host/keeper.rs
@@ -146,8 +146,9 @@
         let Some(engine) = own_engine(&self.cx) else {
             return;
         };
-        let Some(report) = whole_report(&self.runner, &engine).await else {
-            return;
+        let report = match whole_report(&self.runner, &engine).await {
+            Some(report) => report,
+            None => return self.expect_start(),
         };
         self.shelf.set_live(report.weights > 0);
         self.tell(
@@ -186,6 +187,20 @@
         }
     }
 
+    // A server that does not answer yet will start without weights; what it is
+    // to load can be collected meanwhile.
+    fn expect_start(&self) {
+        let unseen = self.progress.loaded.compare_exchange(
+            UNSEEN,
+            0,
+            Ordering::Relaxed,
+            Ordering::Relaxed,
+        );
+        if unseen.is_ok() {
+            log::debug!("the backend server does not answer yet");
+        }
+    }
+
     fn own_server(&self) -> Option<Name> {
         let view = self.cx.beliefs.view();
         let mine = view
--- a/crates/rw-routing/src/circuit.rs
+++ b/crates/rw-routing/src/circuit.rs
@@ -4,6 +4,9 @@
 /// Time for which failures count beside those of other observers; a call that
 /// a silent host holds takes half of it to fail.
 const FAILURE_LIFE: Duration = Duration::from_secs(3);
+/// Time for which an answer to this observer counts against failures that only
+/// others see; a few times a usual answer's time.
+const SUCCESS_LIFE: Duration = Duration::from_secs(1);
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
 const LONGEST_PAUSE: Duration = Duration::from_secs(8);
 /// Time over which a host that came back returns to its full share.
@@ -18,6 +21,7 @@
     pause: Duration,
     open_until: Option<Duration>,
     last_failure: Duration,
+    last_success: Option<Duration>,
     recovering_since: Option<Duration>,
 }
 
@@ -25,6 +29,7 @@
     /// A call ended well.
     pub fn on_success(&mut self, now: Duration) {
         self.failures = 0;
+        self.last_success = Some(now);
         if self.open_until.take().is_some() {
             self.recovering_since = Some(now);
         }
@@ -66,14 +71,17 @@
     /// ```
     /// use std::time::Duration;
     /// let (mut circuit, now) = (rw_routing::Circuit::default(), Duration::from_secs(1));
+    /// assert_eq!(circuit.allowed_among(10, 9, now), 1);
+    /// assert_eq!(circuit.allowed_among(10, 0, now), 10);
+    /// circuit.on_success(now);
     /// assert_eq!(circuit.allowed_among(10, 9, now), 10);
     /// circuit.on_failure(now);
-    /// assert_eq!(circuit.allowed_among(10, 0, now), 10);
     /// assert_eq!(circuit.allowed_among(10, 2, now), 1);
     /// ```
     pub fn allowed_among(&self, limit: u32, others: u32, now: Duration) -> u32 {
         let own = self.recent_failures(now);
-        let suspect = own > 0 && own + others >= FAILURES_TO_OPEN;
+        let answered = self.last_success.is_some_and(|at| now < at + SUCCESS_LIFE);
+        let suspect = (own > 0 || !answered) && own + others >= FAILURES_TO_OPEN;
         match suspect {
             true => self.allowed(limit, now).min(1),
             false => self.allowed(limit, now),
