Spread loads of new weights over all the time left; learn when they were named

Cause 1: hosts ordered all loads within 2.5 s, since the last was to be done 3 s before 0.85 of the bound; 363 requests met full engines at seconds 27 to 30. A server has only to be loading, not loaded, when requests insist: its old weights are of no use by then. Cause 2: an entry that restarted insisted on the newest weights after the settling time, since it could not know when they were named: 163 requests refused at one entry with 68 servers at work. Entries now tell each other. Ruled out: servers leaving (the entry's line says servers=0, version due).

Also here: a host whose collection of a version ended because a newer one was named, or its server turned out to have it, went on promising chunks that never came instead of reading them back. Ruled out by a run: too many reads at once at the holders (they are told from hosts that hold nothing now, and their askers come back after a pause).

--- a/crates/rw-fleet/src/beliefs.rs
+++ b/crates/rw-fleet/src/beliefs.rs
@@ -3,10 +3,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use rw_coord::{uptime, Signal};
 use rw_observe::{Event, Recorder};
-use rw_protocol::{Name, RunnerNotice, StoredRow, TableVersion};
+use rw_protocol::{Name, NamedAge, RunnerNotice, StoredRow, TableVersion};
 
 use crate::snapshot::Noticed;
 use crate::{BackendServer, Dialect, Fact, NamedWeights, Snapshot};
@@ -132,6 +133,55 @@
         !self.rows_since(known).is_empty()
     }
 
+    /// How long ago weights were named, as far as this daemon saw it happen and
+    /// it was no longer than `limit` ago.
+    pub fn named_ages(&self, limit: Duration) -> Vec<NamedAge> {
+        let now = uptime();
+        let view = self.view();
+        let seen = view.weights.iter().flat_map(|(model, names)| {
+            let seen = names.iter().filter(|named| !named.before_start);
+            seen.map(move |named| (model, named.version, now.saturating_sub(named.since)))
+        });
+        let recent = seen.filter(|(_, _, age)| *age <= limit);
+        recent
+            .map(|(model, version, age)| NamedAge {
+                model: model.clone(),
+                version,
+                age_ms: age.as_millis() as u64,
+            })
+            .collect()
+    }
+
+    /// Takes in when weights were named, from a daemon that saw it: this one may
+    /// have started only afterwards. The oldest word counts, since others may
+    /// have come late.
+    pub fn note_named(&self, ages: &[NamedAge]) {
+        let now = uptime();
+        let earlier = |view: &Snapshot, age: &NamedAge| {
+            let names = view.weights.get(&age.model).into_iter().flatten();
+            let since = now.saturating_sub(Duration::from_millis(age.age_ms));
+            let mut names = names.filter(|named| named.version == age.version);
+            names.any(|named| named.before_start || since < named.since)
+        };
+        let mut state = self.state();
+        if !ages.iter().any(|age| earlier(&state.view, age)) {
+            return;
+        }
+        let mut view = Snapshot::clone(&state.view);
+        for age in ages {
+            let since = now.saturating_sub(Duration::from_millis(age.age_ms));
+            let names = view.weights.get_mut(&age.model).into_iter().flatten();
+            for named in names.filter(|named| named.version == age.version) {
+                named.since = match named.before_start {
+                    true => since,
+                    false => named.since.min(since),
+                };
+                named.before_start = false;
+            }
+        }
+        state.view = Arc::new(view);
+    }
+
     /// Takes in what a daemon says of the backend server beside it.
     pub fn notice(&self, notice: RunnerNotice) {
         let mut state = self.state();
--- a/crates/rw-fleet/src/entry/board.rs
+++ b/crates/rw-fleet/src/entry/board.rs
@@ -1,8 +1,6 @@
 //! What an entry knows of the load on backend servers, and what it has under
 //! way there itself.
 
-use std::collections::{BTreeMap, HashMap};
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -10,51 +8,18 @@
 use rand::Rng;
 use rw_coord::Signal;
 use rw_protocol::{LoadNews, Name, ServerLoad};
-use rw_routing::{
-    place, slowness, Circuit, Demand, EngineCandidate, EngineLoad, FirstEvents, Placed, Sharer,
-    SlotTurns, WindowBudget,
-};
+use rw_routing::{place, slowness, Demand, EngineCandidate, EngineLoad, Placed};
 use tokio::time::Instant;
 
+use super::loads::{clock, State, Told, EXTRA_PER_ENGINE, NEWS_LIFE};
+use super::Ticket;
 use crate::{BackendServer, Bounds, Engine, Snapshot};
 
-/// Age at which another entry's news no longer count.
-const NEWS_LIFE: Duration = Duration::from_secs(1);
 /// Time for which a server that refused a request gets no other.
 const REFUSED_PAUSE: Duration = Duration::from_millis(150);
-/// Requests beyond its slots that an engine may hold, so that a slot that
-/// frees up is filled without waiting for the next request.
-const EXTRA_PER_ENGINE: u32 = 0;
 /// Requests beyond its slots that a plain server may hold, per slot.
 const PLAIN_QUEUE_PER_SLOT: u32 = 2;
 
-/// Late calls that may wait at an entry, per slot of its part of the engines; a
-/// full engine ends a request in each slot within about two seconds.
-const LATE_WAITING_SHARE: f64 = 0.25;
-
-#[derive(Default)]
-struct Known {
-    own: EngineLoad,
-    turns: SlotTurns,
-    circuit: Circuit,
-    first_events: FirstEvents,
-    closed_until: Duration,
-}
-
-// What another entry says of a server.
-struct Told {
-    load: EngineLoad,
-    failures: u32,
-    first_events: Option<f64>,
-}
-
-#[derive(Default)]
-struct State {
-    servers: HashMap<Name, Known>,
-    news: BTreeMap<Name, (Duration, HashMap<Name, Told>)>,
-    budgets: HashMap<Name, WindowBudget>,
-}
-
 /// Load on backend servers as far as one entry knows it.
 pub struct Board {
     // Name of this entry.
@@ -63,7 +28,6 @@
     state: Mutex<State>,
     bounds: Bounds,
     freed: Signal,
-    late: AtomicUsize,
 }
 
 impl Board {
@@ -75,7 +39,6 @@
             state: Mutex::default(),
             bounds,
             freed: Signal::default(),
-            late: AtomicUsize::new(0),
         })
     }
 
@@ -133,6 +96,7 @@
             Placed::At(id, forecast) => match servers.iter().find(|s| s.id == id) {
                 Some(server) => {
                     let load = state.load(&server.id, now);
+                    state.on_engine_taken(&server.id, now);
                     let mut ticket = self.ticket(&mut state, server, demand.prompt_tokens);
                     ticket.load = load;
                     ticket.forecast = forecast;
@@ -144,20 +108,6 @@
         }
     }
 
-    /// Lets a call that is late already wait for a place, unless so many wait
-    /// that little would be left for it.
-    pub fn wait_late(
-        self: &Arc<Self>,
-        servers: &[Arc<BackendServer>],
-        entries: usize,
-    ) -> Option<LateWait> {
-        let slots: u32 = servers.iter().map(|s| s.slots).sum();
-        let own = f64::from(slots) / entries.max(1) as f64;
-        let most = (own * LATE_WAITING_SHARE) as usize;
-        let waiting = LateWait(self.clone());
-        (self.late.fetch_add(1, Ordering::Relaxed) < most).then_some(waiting)
-    }
-
     /// Takes a plain server with few requests under way.
     pub fn place_plain(self: &Arc<Self>, servers: &[Arc<BackendServer>]) -> Option<Ticket> {
         let now = self.now();
@@ -187,16 +137,45 @@
         known.own.running += 1;
         known.own.unread_tokens += unread;
         known.turns.on_taken(clock(), self.now());
-        Ticket {
-            board: self.clone(),
-            server: server.clone(),
-            load: EngineLoad::default(),
-            forecast: Duration::ZERO,
-            since: self.now(),
-            unread,
+        Ticket::new(self.clone(), server.clone(), unread, self.now())
+    }
+
+    /// A server sent an event.
+    pub(super) fn on_event(&self, server: &Name) {
+        let now = self.now();
+        if let Some(known) = self.state().servers.get_mut(server) {
+            known.last_event = Some(now);
         }
     }
 
+    /// The first event of a request came, so that its prompt is read.
+    pub(super) fn on_first_event(&self, ticket: &Ticket) {
+        let now = self.now();
+        let took = now.saturating_sub(ticket.since);
+        if let Some(known) = self.state().servers.get_mut(&ticket.server.id) {
+            known
+                .first_events
+                .on_first_event(ticket.forecast, took, now);
+        }
+    }
+
+    /// A server has read so many tokens, or never will.
+    pub(super) fn on_prompt_read(&self, server: &Name, tokens: u32) {
+        if let Some(known) = self.state().servers.get_mut(server) {
+            known.own.unread_tokens = known.own.unread_tokens.saturating_sub(tokens);
+        }
+    }
+
+    /// A request left its place.
+    pub(super) fn on_left(&self, server: &Name) {
+        let now = self.now();
+        if let Some(known) = self.state().servers.get_mut(server) {
+            known.own.running = known.own.running.saturating_sub(1);
+            known.turns.on_left(now);
+        }
+        self.freed.notify();
+    }
+
     /// What is believed of some servers, for the log: how many there are, their
     /// requests and slots, how many take none now, and the age of the oldest
     /// news that counts.
@@ -296,7 +275,7 @@
             server: server.clone(),
             running: known.own.running,
             unread_tokens: known.own.unread_tokens,
-            failures: known.circuit.recent_failures(now),
+            failures: known.failures(now),
             slowness_percent: known
                 .first_events
                 .ratio(now)
@@ -315,140 +294,3 @@
             .retain(|id, k| k.own.running > 0 || view.servers.contains_key(id));
     }
 }
-
-// Time of day, which entries roughly share.
-fn clock() -> Duration {
-    Duration::from_millis(rw_coord::unix_ms())
-}
-
-impl State {
-    // This entry's place among those whose news are fresh.
-    fn sharer(&self, own: &Name, now: Duration) -> Sharer {
-        let fresh = self
-            .news
-            .iter()
-            .filter(|(_, (at, _))| now < *at + NEWS_LIFE);
-        let names = fresh.map(|(name, _)| name);
-        Sharer {
-            index: names.clone().filter(|name| *name < own).count(),
-            count: names.count() + 1,
-        }
-    }
-
-    // Requests that an engine may hold, if it is this entry's turn to send one.
-    fn allowed_in_turn(&self, server: &BackendServer, own: &Name, now: Duration) -> u32 {
-        let allowed = self.allowed(&server.id, server.slots, now);
-        let running = self.load(&server.id, now).running;
-        let free = allowed.saturating_sub(running);
-        let known = self.servers.get(&server.id);
-        let turns = known.map_or_else(SlotTurns::default, |k| k.turns.clone());
-        match turns.may_take(&server.id, free, self.sharer(own, now), clock(), now) {
-            true => allowed,
-            false => running.min(allowed),
-        }
-    }
-
-    fn load(&self, server: &Name, now: Duration) -> EngineLoad {
-        let own = self
-            .servers
-            .get(server)
-            .map_or_else(EngineLoad::default, |k| k.own);
-        let others = self.told(server, now);
-        others.fold(own, |sum, told| sum.plus(told.load))
-    }
-
-    // What other entries said lately of a server.
-    fn told<'a>(&'a self, server: &'a Name, now: Duration) -> impl Iterator<Item = &'a Told> {
-        let fresh = self
-            .news
-            .values()
-            .filter(move |(at, _)| now < *at + NEWS_LIFE);
-        fresh.filter_map(move |(_, told)| told.get(server))
-    }
-
-    // Mean over all entries that saw first events of a server lately.
-    fn first_events(&self, server: &Name, now: Duration) -> Option<f64> {
-        let own = self.servers.get(server);
-        let own = own.and_then(|k| k.first_events.ratio(now));
-        let others = self.told(server, now).filter_map(|t| t.first_events);
-        let all: Vec<f64> = own.into_iter().chain(others).collect();
-        (!all.is_empty()).then(|| all.iter().sum::<f64>() / all.len() as f64)
-    }
-
-    fn allowed(&self, server: &Name, limit: u32, now: Duration) -> u32 {
-        let failures = || self.told(server, now).map(|t| t.failures).sum();
-        match self.servers.get(server) {
-            Some(known) if now < known.closed_until => 0,
-            Some(known) => known
-                .circuit
-                .allowed_among(limit + EXTRA_PER_ENGINE, failures(), now),
-            None => limit + EXTRA_PER_ENGINE,
-        }
-    }
-
-    fn budget(&mut self, service: &Name, bounds: &Bounds, entries: usize) -> &mut WindowBudget {
-        let extra = bounds.retry_extra / entries.max(1) as f64;
-        let budget = self
-            .budgets
-            .entry(service.clone())
-            .or_insert_with(|| WindowBudget::new(bounds.retry_window, bounds.retry_ratio, extra));
-        budget.set_extra(extra);
-        budget
-    }
-}
-
-/// A late call that waits for a place; dropping it ends the wait.
-pub struct LateWait(Arc<Board>);
-
-impl Drop for LateWait {
-    fn drop(&mut self) {
-        self.0.late.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-/// A place at a backend server; dropping it frees the place.
-pub struct Ticket {
-    board: Arc<Board>,
-    /// The server.
-    pub server: Arc<BackendServer>,
-    /// Load of the server as it was known when the place was taken.
-    pub load: EngineLoad,
-    /// Time to the first event that was forecast then.
-    pub forecast: Duration,
-    since: Duration,
-    unread: u32,
-}
-
-impl Ticket {
-    /// The first event is here.
-    pub fn on_first_event(&mut self) {
-        let now = self.board.now();
-        let took = now.saturating_sub(self.since);
-        if let Some(known) = self.board.state().servers.get_mut(&self.server.id) {
-            known.first_events.on_first_event(self.forecast, took, now);
-        }
-        self.prompt_read();
-    }
-
-    // The server has read the prompt.
-    fn prompt_read(&mut self) {
-        let mut state = self.board.state();
-        if let Some(known) = state.servers.get_mut(&self.server.id) {
-            known.own.unread_tokens = known.own.unread_tokens.saturating_sub(self.unread);
-        }
-        self.unread = 0;
-    }
-}
-
-impl Drop for Ticket {
-    fn drop(&mut self) {
-        self.prompt_read();
-        let mut state = self.board.state();
-        if let Some(known) = state.servers.get_mut(&self.server.id) {
-            known.own.running = known.own.running.saturating_sub(1);
-            known.turns.on_left(self.board.now());
-        }
-        drop(state);
-        self.board.freed.notify();
-    }
-}
--- a/crates/rw-fleet/src/entry/search.rs
+++ b/crates/rw-fleet/src/entry/search.rs
@@ -14,7 +14,6 @@
 
 use super::answer::AnswerBody;
 use super::attempt::{self, Failure, Try};
-use super::board::LateWait;
 use super::{answer, Call, Entry, EventReader, Refusal, Ticket};
 use crate::connect::{read_whole, Connection};
 use crate::{BackendServer, Dialect, Engine};
@@ -26,11 +25,6 @@
 const MAX_NOT_RUN: u32 = 4;
 /// Share of the objective for which a call waits for a place here.
 const HOLD_SHARE: f64 = 0.12;
-/// Share of its caller's time for which a call that is late already waits for a
-/// place; the rest is for its answer.
-const LATE_HOLD_SHARE: f64 = 0.3;
-/// Time between two looks for a place of such a call.
-const LATE_RETRY: Duration = Duration::from_millis(100);
 /// Time for which a call that goes on elsewhere waits for a place: each engine
 /// frees one in less.
 const GOES_ON_WAIT: Duration = Duration::from_millis(500);
@@ -152,13 +146,9 @@
             let ticket = entry.board.place_plain(&entry.servers(&call.service));
             return ticket.ok_or(self.not_run("no backend server", NO_SERVER_RETRY));
         };
-        let late = self.late_wait(&engine);
-        let until = match &late {
-            Some(_) => Instant::now() + call.left().mul_f64(LATE_HOLD_SHARE),
-            None if self.tried.is_empty() => {
-                call.arrived + call.route.objective.mul_f64(HOLD_SHARE)
-            }
-            None => Instant::now() + GOES_ON_WAIT.min(call.left() / 3),
+        let until = match self.tried.is_empty() {
+            true => call.arrived + call.route.objective.mul_f64(HOLD_SHARE),
+            false => Instant::now() + GOES_ON_WAIT.min(call.left() / 3),
         };
         let freed = entry.board.subscribe();
         loop {
@@ -173,32 +163,12 @@
                 Err(Placed::Full(_)) => {}
                 Err(_) => return Err(self.not_run("no backend server", NO_SERVER_RETRY)),
             }
-            let woken = match &late {
-                // It looks now and then, and leaves freed places to others.
-                Some(_) => {
-                    tokio::time::sleep(LATE_RETRY).await;
-                    Instant::now() < until
-                }
-                None => timeout_at(until, freed.recv_async()).await.is_ok(),
-            };
-            if !woken {
+            if timeout_at(until, freed.recv_async()).await.is_err() {
                 return Err(self.not_run("every engine is full", FULL_RETRY));
             }
         }
     }
 
-    // A call whose caller came back is late in any case, and its caller does
-    // not come back once more: a few of them may wait.
-    fn late_wait(&self, engine: &Engine) -> Option<LateWait> {
-        match self.demand().late {
-            true => {
-                let board = &self.entry.board;
-                board.wait_late(&self.servers(engine), self.entry.entries())
-            }
-            false => None,
-        }
-    }
-
     fn demand(&self) -> Demand {
         let call = self.call;
         let late = call.has_waited() || call.age() > call.route.objective;
--- a/crates/rw-fleet/src/entry/stream.rs
+++ b/crates/rw-fleet/src/entry/stream.rs
@@ -140,6 +140,7 @@
                 Ok(Ok(Some(events))) => {
                     self.longest_pause = self.longest_pause.max(last.elapsed());
                     last = Instant::now();
+                    current.ticket.on_event();
                     let sent = timeout(self.call.left(), self.tx.send(events)).await;
                     if sent != Ok(true) {
                         return Ended::CallerLeft;
--- a/crates/rw-fleet/src/follow.rs
+++ b/crates/rw-fleet/src/follow.rs
@@ -6,16 +6,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::neighbours::{known_entries, nearest, readers, READERS};
+use crate::seeds::{find_entries, START_RETRY};
+use crate::{Cx, Dialect, FleetRole};
 use rw_coord::Backoff;
 use rw_observe::Event;
 use rw_platform::{FeedError, TableFeed};
 use rw_protocol::{
-    rank, LoadNews, Name, PeerReply, PeerRequest, RowsReply, RowsRequest, StoredRow, TableVersion,
+    rank, LoadNews, Name, PeerReply, PeerRequest, RowsReply, RowsRequest, TableVersion,
 };
-use tokio::time::Instant;
-
-use crate::neighbours::{known_entries, nearest, readers, READERS};
-use crate::{Cx, Dialect, FleetRole};
 
 /// Readers that one entry follows at once.
 const FOLLOWED: usize = 2;
@@ -33,14 +32,6 @@
 const TABLE_LIMIT: Duration = Duration::from_secs(5);
 /// Longest wait for a change at another daemon.
 const PEER_WAIT: Duration = Duration::from_secs(5);
-/// Time for one answer of a seed. A machine that is just starting does not
-/// answer a connection that was opened before, so another is opened soon.
-const SEED_TRY: Duration = Duration::from_millis(150);
-/// Time for the names of entries from the seeds, some of which may be dark.
-const SEED_LIMIT: Duration = Duration::from_millis(800);
-/// Pause between tries of a host that knows nothing yet: a fleet that starts at
-/// once serves nothing until its hosts know what to load.
-const START_RETRY: Duration = Duration::from_millis(50);
 /// Time for which an entry reads the store itself after its readers failed.
 const FALLBACK: Duration = Duration::from_secs(5);
 /// Time after its start for which a host asks entries only: all of a fleet may
@@ -141,7 +132,11 @@
                 backoff.reset();
                 note_touch(&cx, at, table, true, "");
                 let by_operators = table == cx.dialect.tables().operator;
-                let pause = if by_operators { CHANGE_PAUSE } else { MEMBER_CHANGE_PAUSE };
+                let pause = if by_operators {
+                    CHANGE_PAUSE
+                } else {
+                    MEMBER_CHANGE_PAUSE
+                };
                 tokio::time::sleep(pause).await;
             }
             Err(FeedError::HistoryGone) => {
@@ -323,51 +318,6 @@
     }
 }
 
-// Learns only which entries there are, so that the rest comes from a near one.
-async fn find_entries<D: Dialect>(cx: &Arc<Cx<D>>) {
-    let tables = cx.dialect.tables();
-    let beyond = |table: &str| TableVersion {
-        table: Name::from(table),
-        version: u64::MAX,
-    };
-    let req = PeerRequest::Rows(RowsRequest {
-        known: vec![beyond(tables.operator), beyond(tables.servers)],
-        wait_ms: (SEED_TRY / 2).as_millis() as u64,
-    });
-    let (tx, rx) = flume::bounded(cx.site.seeds.len().max(1));
-    for seed in &cx.site.seeds {
-        tokio::spawn(ask_seed(cx.clone(), seed.clone(), req.clone(), tx.clone()));
-    }
-    drop(tx);
-    if let Ok(rows) = rx.recv_async().await {
-        cx.beliefs.apply(rows, &[]);
-    }
-}
-
-// A seed may be about to start, as may all of the fleet.
-async fn ask_seed<D: Dialect>(
-    cx: Arc<Cx<D>>,
-    seed: Name,
-    req: PeerRequest,
-    tx: flume::Sender<Vec<StoredRow>>,
-) {
-    let until = Instant::now() + SEED_LIMIT;
-    while Instant::now() < until && !tx.is_disconnected() {
-        match cx.pool.ask(&seed, &req, SEED_TRY).await {
-            Ok(PeerReply::Rows(reply)) if !reply.rows.is_empty() => {
-                // The first answer is enough; later ones find no receiver.
-                if tx.send(reply.rows).is_err() {
-                    log::debug!("seed {seed} answered after another");
-                }
-                return;
-            }
-            Ok(_) => log::debug!("seed {seed} knows no entries yet"),
-            Err(err) => log::debug!("seed {seed}: {err}"),
-        }
-        tokio::time::sleep(START_RETRY).await;
-    }
-}
-
 async fn read_all<S: TableFeed, D: Dialect>(cx: &Cx<D>, store: &S) {
     let tables = cx.dialect.tables();
     for table in [tables.operator, tables.servers, tables.daemons] {
--- a/crates/rw-fleet/src/host/collect.rs
+++ b/crates/rw-fleet/src/host/collect.rs
@@ -1,22 +1,18 @@
 //! Collects the chunks of one version from other hosts and the origin.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use rw_coord::Backoff;
 use rw_observe::Event;
-use rw_protocol::{
-    manifest_fault, rank, Blob, ChunkRequest, Manifest, ManifestRequest, Name, PeerReply,
-    PeerRequest,
-};
+use rw_protocol::{Blob, ChunkRequest, Manifest, Name, PeerReply, PeerRequest};
 use rw_weights::{Fetch, Layout, Limits, Peer, Policy, Source, Transfer};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
-use super::shelf::version_name;
-use super::{OriginClient, RunnerError, Shelf};
+use super::shelf::{version_name, NOT_HELD};
+use super::{OriginClient, Shelf};
 use crate::{Cx, Dialect, Engine, Origin};
 
 const TICK: Duration = Duration::from_millis(50);
@@ -41,14 +37,7 @@
 /// Time for which a failed source is avoided.
 const AVOID: Duration = Duration::from_secs(2);
 /// Time for the origin to send one chunk while others share its link.
-const ORIGIN_LIMIT: Duration = Duration::from_secs(4);
-/// Time for one answer about digests.
-const MANIFEST_TIMEOUT: Duration = Duration::from_millis(250);
-/// Time for which a host leaves the digests to those above it in the tree, so
-/// that not all of a fleet reads them over the origin's link.
-const MANIFEST_PATIENCE: Duration = Duration::from_secs(2);
-const FIRST_RETRY: Duration = Duration::from_millis(50);
-const LAST_RETRY: Duration = Duration::from_millis(500);
+pub(super) const ORIGIN_LIMIT: Duration = Duration::from_secs(4);
 /// Chunks from the origin that failed their digest after which the digests
 /// are read again, since they may be what was damaged.
 const SUSPECT_DIGESTS: u32 = 3;
@@ -68,7 +57,10 @@
 
 enum Got {
     Chunk(Blob),
+    // Not there yet, or not to be had now.
     Missing,
+    // The source holds nothing of the version.
+    NotHeld,
     Failed,
 }
 
@@ -90,7 +82,7 @@
         let manifest = collector.manifest().await;
         let name = version_name(&wanted.model, wanted.version);
         let id = shelf.open(&name, manifest.clone());
-        shelf.set_collecting(Some(id.clone()));
+        let _collecting = shelf.collecting(id.clone());
         if collector.chunks(&id, &manifest).await {
             return (id, manifest);
         }
@@ -106,16 +98,16 @@
     }
 }
 
-struct Collector<'a, D, O> {
-    cx: &'a Arc<Cx<D>>,
-    shelf: &'a Arc<Shelf>,
-    origin: &'a O,
-    wanted: &'a Wanted,
-    me: Peer,
+pub(super) struct Collector<'a, D, O> {
+    pub(super) cx: &'a Arc<Cx<D>>,
+    pub(super) shelf: &'a Arc<Shelf>,
+    pub(super) origin: &'a O,
+    pub(super) wanted: &'a Wanted,
+    pub(super) me: Peer,
 }
 
 impl<D: Dialect, O: OriginClient> Collector<'_, D, O> {
-    fn layout(&self) -> Layout {
+    pub(super) fn layout(&self) -> Layout {
         self.layout_without(&mut BTreeMap::new())
     }
 
@@ -150,80 +142,6 @@
         Layout::new(&key, &home, peers, Policy::Tree).with_holders(holders)
     }
 
-    async fn manifest(&self) -> Manifest {
-        let name = version_name(&self.wanted.model, self.wanted.version);
-        if let Some(manifest) = self.shelf.manifest(&name) {
-            return manifest;
-        }
-        let mut backoff = Backoff::new(FIRST_RETRY, LAST_RETRY, rank(&name, &self.me.name));
-        loop {
-            if let Some(manifest) = self.peer_manifest(&name).await {
-                return manifest;
-            }
-            match self.origin_manifest().await {
-                Ok(manifest) => return manifest,
-                Err(err) => log::debug!("digests of {name}: {err}"),
-            }
-            tokio::time::sleep(backoff.next_delay()).await;
-        }
-    }
-
-    // The first host of the tree asks the origin at once and those that take
-    // chunks in for their region after a moment; the others leave it to them.
-    async fn peer_manifest(&self, name: &Name) -> Option<Manifest> {
-        let req = PeerRequest::Manifest(ManifestRequest {
-            manifest: name.clone(),
-        });
-        let mut failed = BTreeSet::new();
-        let start = Instant::now();
-        for turn in 0.. {
-            // Hosts that start together learn of each other one by one.
-            let layout = self.layout();
-            let chunks = 0..self.wanted.engine.chunks;
-            let imports = chunks.into_iter().any(|c| layout.imports(c, &self.me));
-            let patience = if imports { MANIFEST_TIMEOUT } else { MANIFEST_PATIENCE };
-            let mut sources = layout.sources(0, &self.me, &failed);
-            sources.retain(|source| *source != Source::Origin);
-            if sources.is_empty() || start.elapsed() > patience {
-                break;
-            }
-            let Source::Peer(addr) = &sources[turn % sources.len()] else {
-                break;
-            };
-            match self.cx.pool.ask(addr, &req, MANIFEST_TIMEOUT).await {
-                Ok(PeerReply::Manifest(manifest)) if self.fits(&manifest) => return Some(manifest),
-                Ok(_) => tokio::time::sleep(FIRST_RETRY).await,
-                Err(err) => {
-                    log::debug!("digests from {addr}: {err}");
-                    failed.insert(addr.clone());
-                }
-            }
-        }
-        None
-    }
-
-    async fn origin_manifest(&self) -> std::result::Result<Manifest, RunnerError> {
-        let wanted = self.wanted;
-        let read = self
-            .origin
-            .manifest(&wanted.origin, &wanted.model, wanted.version);
-        let read = tokio::time::timeout(ORIGIN_LIMIT, read).await;
-        let manifest = read.map_err(|_| RunnerError::Failed("timed out".to_string()))??;
-        match self.fits(&manifest) {
-            true => Ok(manifest),
-            false => Err(RunnerError::Failed(
-                "digests do not fit the model".to_string(),
-            )),
-        }
-    }
-
-    fn fits(&self, manifest: &Manifest) -> bool {
-        manifest_fault(manifest).is_none()
-            && manifest.model == self.wanted.model
-            && *manifest.version == *self.wanted.version.to_string()
-            && manifest.chunks.len() == self.wanted.engine.chunks as usize
-    }
-
     // False when the digests themselves are suspect.
     async fn chunks(&self, id: &Name, manifest: &Manifest) -> bool {
         let chunks = manifest.chunks.len() as u32;
@@ -267,7 +185,7 @@
             tokio::select! {
                 got = rx.recv_async() => {
                     if let Ok((fetch, got)) = got {
-                        if let (Source::Peer(name), Got::Missing) = (&fetch.source, &got) {
+                        if let (Source::Peer(name), Got::NotHeld) = (&fetch.source, &got) {
                             if layout.is_holder(name) {
                                 empty.insert(name.clone(), Instant::now() + EMPTY_FOR);
                                 layout = self.layout_without(&mut empty);
@@ -314,7 +232,7 @@
         );
         let recorder = &self.cx.recorder;
         match got {
-            Got::Missing => transfer.on_missing(&fetch),
+            Got::Missing | Got::NotHeld => transfer.on_missing(&fetch),
             Got::Failed => {
                 recorder.emit(Event::ChunkRefetched, &detail);
                 transfer.on_failed(&fetch, self.cx.now());
@@ -346,9 +264,10 @@
                 Source::Origin => from_origin(&origin, &wanted, fetch.chunk).await,
                 Source::Peer(addr) => from_peer(&cx, addr, &id, fetch.chunk, wait).await,
             };
-            // Asking a host that waits for the chunk again at once would only
-            // keep both busy.
-            if matches!(got, Got::Missing) && wait > HOLDER_WAIT {
+            // Asking at once again would only keep the host busy; one that was
+            // taken for a holder is not asked again.
+            let was_holder = wait == HOLDER_WAIT && matches!(got, Got::NotHeld);
+            if matches!(got, Got::Missing | Got::NotHeld) && !was_holder {
                 tokio::time::sleep(MISSING_PAUSE).await;
             }
             if let Got::Chunk(body) = &got {
@@ -387,6 +306,7 @@
     });
     match cx.pool.ask(addr, &req, CHUNK_TIMEOUT * 3).await {
         Ok(PeerReply::Chunk(got)) if got.chunk == chunk => Got::Chunk(got.body),
+        Ok(PeerReply::Missing(missing)) if missing.retry_after_ms == NOT_HELD => Got::NotHeld,
         Ok(PeerReply::Missing(_)) => Got::Missing,
         Ok(_) => Got::Failed,
         Err(err) => {
--- a/crates/rw-fleet/src/host/keeper.rs
+++ b/crates/rw-fleet/src/host/keeper.rs
@@ -1,29 +1,29 @@
 //! Keeps the backend server beside a host on the weights that are wanted.
 
-use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
 use rw_observe::Event;
-use rw_protocol::{rank, verify_chunk, Manifest, Name, RunnerNotice};
+use rw_protocol::{rank, Manifest, Name, RunnerNotice};
+use rw_weights::load_wait;
 use tokio::time::timeout;
 
 use super::collect::{collect, Wanted};
 use super::reader::Reader;
 use super::shelf::version_name;
+use super::stage::Stage;
 use super::{LoadOrder, Ordered, OriginClient, Runner, RunnerReport, Shelf, StageRead};
+use crate::snapshot::INSIST_MARGIN;
 use crate::{peers, Cx, Dialect, Engine};
 
 /// Time between two looks at the backend server.
 const LOOK_PERIOD: Duration = Duration::from_millis(100);
 /// Time for one call to the backend server on the same machine.
 pub(super) const LOCAL_LIMIT: Duration = Duration::from_secs(2);
-/// Time that the longest streams of a server usually take to end, which a
-/// load waits for.
-const DRAIN_TIME: Duration = Duration::from_secs(3);
-/// Part of the time for newly named weights that loads may be spread over.
-const SPREAD_SHARE: f64 = 0.85;
+/// Time before requests insist on new weights by which the last server starts
+/// to load: entries have to learn first that it takes no more requests.
+const LAST_LOAD_MARGIN: Duration = Duration::from_millis(300);
 /// Notices are repeated this often, for entries that missed one.
 const NOTICE_PERIOD: Duration = Duration::from_secs(2);
 
@@ -67,13 +67,14 @@
         progress.clone(),
     ));
     let ticks = cx.timer.subscribe(LOOK_PERIOD);
+    let stage = Stage::new(shelf.clone(), runner.clone());
     let mut keeper = Keeper {
         cx,
         shelf,
         runner,
         progress,
         last: None,
-        staged: (Name::from(""), BTreeSet::new()),
+        stage,
         sequence: rw_coord::unix_ms(),
         told_at: Duration::ZERO,
     };
@@ -106,7 +107,6 @@
         let work = collect(&cx, &shelf, &origin, &wanted);
         tokio::select! {
             _ = work => {
-                shelf.set_collecting(None);
                 progress.collected.store(wanted.version, Ordering::Relaxed);
                 let kept = [wanted.version, wanted.version.saturating_sub(1), loaded];
                 shelf.keep(&kept.map(|version| version_name(&wanted.model, version)));
@@ -134,8 +134,7 @@
     runner: R,
     progress: Arc<Progress>,
     last: Option<RunnerNotice>,
-    // Chunks of a manifest that were staged ahead.
-    staged: (Name, BTreeSet<u32>),
+    stage: Stage<R>,
     // Starts at the time of day, so that a restarted daemon goes on higher.
     sequence: u64,
     told_at: Duration,
@@ -175,27 +174,32 @@
             }
             // What a server that serves nothing has staged is of no use to it.
             if report.weights == 0 {
-                self.stage_arrived(&wanted).await;
+                if let Some(manifest) = self.shelf.manifest(&name) {
+                    self.stage.put_arrived(&wanted.model, &manifest).await;
+                }
             }
             return;
         }
         if let Some(manifest) = self.shelf.manifest(&name) {
             tokio::time::sleep(self.turn(&wanted)).await;
-            if self.stage_all(&wanted, &manifest).await.is_some() {
+            let staged = self.stage.put_all(&wanted.model, &manifest).await;
+            if staged.is_some() {
                 self.order(&wanted, &manifest).await;
             }
         }
     }
 
     // A server that does not answer yet will start without weights; what it is
-    // to load can be collected meanwhile.
+    // to load can be collected meanwhile. When all of a fleet starts for the
+    // first time, its servers bring weights along.
     fn expect_start(&self) {
-        let unseen = self.progress.loaded.compare_exchange(
-            UNSEEN,
-            0,
-            Ordering::Relaxed,
-            Ordering::Relaxed,
-        );
+        if self.cx.site.first_start {
+            return;
+        }
+        let unseen =
+            self.progress
+                .loaded
+                .compare_exchange(UNSEEN, 0, Ordering::Relaxed, Ordering::Relaxed);
         if unseen.is_ok() {
             log::debug!("the backend server does not answer yet");
         }
@@ -235,80 +239,24 @@
         self.told_at = self.cx.now();
     }
 
-    // Stages chunks of a version that is still being collected.
-    async fn stage_arrived(&mut self, wanted: &Wanted) {
-        let name = version_name(&wanted.model, wanted.version);
-        let Some(manifest) = self.shelf.manifest(&name) else {
-            return;
-        };
-        let id = rw_protocol::manifest_id(&manifest);
-        if self.staged.0 != id {
-            self.staged = (id.clone(), BTreeSet::new());
-        }
-        for chunk in 0..manifest.chunks.len() as u32 {
-            let arrived = self.shelf.chunk(&id, chunk).is_some();
-            if !arrived || self.staged.1.contains(&chunk) {
-                continue;
-            }
-            if self.stage(wanted, &id, &manifest, chunk).await.is_none() {
-                return;
-            }
-            self.staged.1.insert(chunk);
-        }
-    }
-
-    // `None` when the server went away.
-    async fn stage_all(&self, wanted: &Wanted, manifest: &Manifest) -> Option<()> {
-        let id = rw_protocol::manifest_id(manifest);
-        for chunk in 0..manifest.chunks.len() as u32 {
-            // All are read back before the order, also those staged earlier.
-            if self.staged.0 == id && self.staged.1.contains(&chunk) {
-                continue;
-            }
-            self.stage(wanted, &id, manifest, chunk).await?;
-        }
-        Some(())
-    }
-
-    // Stages a chunk unless it lies there whole already.
-    async fn stage(
-        &self,
-        wanted: &Wanted,
-        id: &Name,
-        manifest: &Manifest,
-        chunk: u32,
-    ) -> Option<()> {
-        if self.is_staged(&wanted.model, manifest, chunk).await {
-            return Some(());
-        }
-        let body = self.shelf.chunk(id, chunk)?;
-        let put = self.runner.stage(&wanted.model, chunk, body.0);
-        match timeout(LOCAL_LIMIT, put).await {
-            Ok(Ok(())) => Some(()),
-            Ok(Err(err)) => {
-                log::debug!("staging chunk {chunk}: {err}");
-                None
-            }
-            Err(_) => None,
-        }
-    }
-
-    async fn is_staged(&self, model: &Name, manifest: &Manifest, chunk: u32) -> bool {
-        let read = timeout(LOCAL_LIMIT, self.runner.staged(model, chunk)).await;
-        matches!(read, Ok(Ok(body)) if verify_chunk(manifest, chunk, &body))
-    }
-
-    // Hosts load one after the other within the time that is left, so that
-    // not all servers refuse requests at once.
+    // Hosts load one after the other within the time that is left, so that as
+    // few servers as possible refuse requests at once. The last may still be
+    // loading when requests insist: its old weights are of no use by then.
     fn turn(&self, wanted: &Wanted) -> Duration {
         let view = self.cx.beliefs.view();
-        let names = view.weights.get(&wanted.model);
-        let Some(named) = names.and_then(|names| names.last()) else {
+        let mut names = view.weights.get(&wanted.model).into_iter().flatten();
+        let named = names.find(|named| named.version == wanted.version);
+        let Some(named) = named.filter(|named| !named.before_start) else {
             return Duration::ZERO;
         };
-        let bound = self.cx.site.bounds.weights_in_force.mul_f64(SPREAD_SHARE);
+        let insisted = self
+            .cx
+            .site
+            .bounds
+            .weights_in_force
+            .saturating_sub(INSIST_MARGIN);
         let age = rw_coord::uptime().saturating_sub(named.since);
-        let spare = bound.saturating_sub(age + DRAIN_TIME);
+        let spare = insisted.saturating_sub(age + LAST_LOAD_MARGIN);
         let own = self.own_server().unwrap_or_default();
         let key = version_name(&wanted.model, wanted.version);
         let peers: Vec<u64> = view
@@ -322,22 +270,15 @@
             return Duration::ZERO;
         }
         let before = peers.iter().filter(|r| **r < rank(&key, &own)).count();
-        spare.mul_f64(before as f64 / peers.len().max(1) as f64)
+        load_wait(before, peers.len(), spare)
     }
 
     // Checks everything once more right before the order: staged bytes rot.
     async fn order(&mut self, wanted: &Wanted, manifest: &Manifest) {
-        let id = rw_protocol::manifest_id(manifest);
-        for chunk in 0..manifest.chunks.len() as u32 {
-            if self.is_staged(&wanted.model, manifest, chunk).await {
-                continue;
-            }
-            let detail = format!("manifest={id} chunk={chunk}");
-            self.cx.recorder.emit(Event::StageRepaired, &detail);
-            let staged = self.stage(wanted, &id, manifest, chunk).await.is_some();
-            if !staged || !self.is_staged(&wanted.model, manifest, chunk).await {
-                return;
-            }
+        let recorder = &self.cx.recorder;
+        let whole = self.stage.repair(&wanted.model, manifest, recorder).await;
+        if whole.is_none() {
+            return;
         }
         let Some(report) = whole_report(&self.runner, &wanted.engine).await else {
             return;
--- a/crates/rw-fleet/src/host/mod.rs
+++ b/crates/rw-fleet/src/host/mod.rs
@@ -2,10 +2,12 @@
 //! named, and passes them on to other hosts.
 
 mod collect;
+mod digests;
 mod keeper;
 mod reader;
 mod runner;
 mod shelf;
+mod stage;
 
 pub use keeper::keep_weights;
 pub use runner::{LoadOrder, Ordered, OriginClient, Runner, RunnerError, RunnerReport};
--- a/crates/rw-fleet/src/host/reader.rs
+++ b/crates/rw-fleet/src/host/reader.rs
@@ -22,6 +22,9 @@
 impl<D: Dialect, R: Runner, O: OriginClient> Reader<D, R, O> {
     pub(super) async fn run(self, reads: flume::Receiver<StageRead>) {
         while let Ok(read) = reads.recv_async().await {
+            if read.done.is_disconnected() {
+                continue;
+            }
             let found = self.read(&read).await;
             if read.done.send(found).is_err() {
                 log::debug!("nobody waits for staged chunk {} any more", read.chunk);
--- a/crates/rw-fleet/src/host/shelf.rs
+++ b/crates/rw-fleet/src/host/shelf.rs
@@ -19,6 +19,8 @@
 const MAX_WAIT: Duration = Duration::from_secs(3);
 /// Pause before a host that lacks a chunk is asked again.
 const MISSING_RETRY_MS: u64 = 100;
+/// Says that a host holds nothing of a version and does not wait for it either.
+pub(crate) const NOT_HELD: u64 = 0;
 
 /// Asks the host's own task to read a chunk back from its backend server.
 #[derive(Debug)]
@@ -150,8 +152,12 @@
     pub async fn serve_chunk(&self, req: &ChunkRequest) -> PeerReply {
         let arrived = self.arrived.subscribe();
         let until = Instant::now() + Duration::from_millis(req.wait_ms).min(MAX_WAIT);
-        if !self.is_expected(&req.manifest) && !self.read_back(req, until).await {
-            return missing();
+        if !self.is_expected(&req.manifest) {
+            match self.read_back(req, until).await {
+                ReadBack::Held => {}
+                ReadBack::NotHeld => return missing(NOT_HELD),
+                ReadBack::Busy => return missing(MISSING_RETRY_MS),
+            }
         }
         let body = loop {
             if let Some(body) = self.chunk(&req.manifest, req.chunk) {
@@ -161,7 +167,7 @@
                 .await
                 .is_err()
             {
-                return missing();
+                return missing(MISSING_RETRY_MS);
             }
         };
         let cost = self.cost(body.as_ref().len() as u64);
@@ -181,11 +187,10 @@
                 .is_some_and(|held| held.is_complete())
     }
 
-    // Reads a chunk back from where the backend server loads it. Without a
-    // reader's answer in time there is none.
-    async fn read_back(&self, req: &ChunkRequest, until: Instant) -> bool {
+    // Reads a chunk back from where the backend server loads it.
+    async fn read_back(&self, req: &ChunkRequest, until: Instant) -> ReadBack {
         if self.chunk(&req.manifest, req.chunk).is_some() {
-            return true;
+            return ReadBack::Held;
         }
         let (done, read) = flume::bounded(1);
         let asked = self.reads.try_send(StageRead {
@@ -195,28 +200,47 @@
         });
         if let Err(err) = asked {
             log::debug!("stage read dropped: {err}");
-            return false;
+            return ReadBack::Busy;
+        }
+        match tokio::time::timeout_at(until, read.recv_async()).await {
+            Ok(Ok(true)) => ReadBack::Held,
+            Ok(_) => ReadBack::NotHeld,
+            Err(_) => ReadBack::Busy,
         }
-        let read = tokio::time::timeout_at(until, read.recv_async()).await;
-        matches!(read, Ok(Ok(true)))
     }
 
-    /// Says which manifest's chunks are being collected.
-    pub fn set_collecting(&self, manifest: Option<Name>) {
-        *lock(&self.collecting) = manifest;
+    /// Says that a manifest's chunks are being collected, until the value that
+    /// it returns is dropped.
+    pub fn collecting(self: &Arc<Self>, manifest: Name) -> Collecting {
+        *lock(&self.collecting) = Some(manifest);
+        Collecting(self.clone())
     }
 
     /// Answers a host that asks for the manifest of a named version.
     pub fn serve_manifest(&self, req: &ManifestRequest) -> PeerReply {
         match self.manifest(&req.manifest) {
             Some(manifest) => PeerReply::Manifest(manifest),
-            None => missing(),
+            None => missing(MISSING_RETRY_MS),
         }
     }
 }
 
-fn missing() -> PeerReply {
-    PeerReply::Missing(Missing {
-        retry_after_ms: MISSING_RETRY_MS,
-    })
+/// Chunks of a manifest are being collected while this exists.
+pub struct Collecting(Arc<Shelf>);
+
+impl Drop for Collecting {
+    fn drop(&mut self) {
+        *lock(&self.0.collecting) = None;
+    }
+}
+
+enum ReadBack {
+    Held,
+    NotHeld,
+    // Too many reads at once; the answer is not known.
+    Busy,
+}
+
+fn missing(retry_after_ms: u64) -> PeerReply {
+    PeerReply::Missing(Missing { retry_after_ms })
 }
--- /dev/null
+++ b/crates/rw-fleet/src/host/stage.rs
@@ -0,0 +1,109 @@
+//! Puts chunks where the backend server loads them from.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use rw_observe::{Event, Recorder};
+use rw_protocol::{verify_chunk, Manifest, Name};
+use tokio::time::timeout;
+
+use super::keeper::LOCAL_LIMIT;
+use super::{Runner, Shelf};
+
+/// The place from which the backend server beside a host loads weights.
+pub(super) struct Stage<R> {
+    shelf: Arc<Shelf>,
+    runner: R,
+    // Chunks of a manifest that were put there before all had arrived.
+    ahead: (Name, BTreeSet<u32>),
+}
+
+impl<R: Runner> Stage<R> {
+    pub(super) fn new(shelf: Arc<Shelf>, runner: R) -> Self {
+        Stage {
+            shelf,
+            runner,
+            ahead: (Name::from(""), BTreeSet::new()),
+        }
+    }
+
+    /// Stages what has arrived of a version that is still being collected.
+    pub(super) async fn put_arrived(&mut self, model: &Name, manifest: &Manifest) {
+        let id = rw_protocol::manifest_id(manifest);
+        if self.ahead.0 != id {
+            self.ahead = (id.clone(), BTreeSet::new());
+        }
+        for chunk in 0..manifest.chunks.len() as u32 {
+            let arrived = self.shelf.chunk(&id, chunk).is_some();
+            if !arrived || self.ahead.1.contains(&chunk) {
+                continue;
+            }
+            if self.put(model, &id, manifest, chunk).await.is_none() {
+                return;
+            }
+            self.ahead.1.insert(chunk);
+        }
+    }
+
+    /// Stages every chunk; `None` when the server went away.
+    pub(super) async fn put_all(&self, model: &Name, manifest: &Manifest) -> Option<()> {
+        let id = rw_protocol::manifest_id(manifest);
+        for chunk in 0..manifest.chunks.len() as u32 {
+            // All are read back before the order, also those staged earlier.
+            if self.ahead.0 == id && self.ahead.1.contains(&chunk) {
+                continue;
+            }
+            self.put(model, &id, manifest, chunk).await?;
+        }
+        Some(())
+    }
+
+    /// Reads every chunk back and stages the damaged ones again; `None` when
+    /// not all are whole afterwards.
+    pub(super) async fn repair(
+        &self,
+        model: &Name,
+        manifest: &Manifest,
+        recorder: &Recorder,
+    ) -> Option<()> {
+        let id = rw_protocol::manifest_id(manifest);
+        for chunk in 0..manifest.chunks.len() as u32 {
+            if self.is_whole(model, manifest, chunk).await {
+                continue;
+            }
+            recorder.emit(
+                Event::StageRepaired,
+                &format!("manifest={id} chunk={chunk}"),
+            );
+            self.put(model, &id, manifest, chunk).await?;
+            if !self.is_whole(model, manifest, chunk).await {
+                return None;
+            }
+        }
+        Some(())
+    }
+
+    // Stages a chunk unless it lies there whole already.
+    async fn put(&self, model: &Name, id: &Name, manifest: &Manifest, chunk: u32) -> Option<()> {
+        if self.is_whole(model, manifest, chunk).await {
+            return Some(());
+        }
+        let body = self.shelf.chunk(id, chunk)?;
+        match timeout(LOCAL_LIMIT, self.runner.stage(model, chunk, body.0)).await {
+            Ok(Ok(())) => Some(()),
+            Ok(Err(err)) => {
+                log::debug!("staging chunk {chunk}: {err}");
+                None
+            }
+            Err(_) => {
+                log::debug!("staging chunk {chunk}: no answer in time");
+                None
+            }
+        }
+    }
+
+    async fn is_whole(&self, model: &Name, manifest: &Manifest, chunk: u32) -> bool {
+        let read = timeout(LOCAL_LIMIT, self.runner.staged(model, chunk)).await;
+        matches!(read, Ok(Ok(body)) if verify_chunk(manifest, chunk, &body))
+    }
+}
--- a/crates/rw-fleet/src/lib.rs
+++ b/crates/rw-fleet/src/lib.rs
@@ -15,6 +15,7 @@
 mod neighbours;
 mod peers;
 mod run;
+mod seeds;
 mod site;
 mod snapshot;
 
--- a/crates/rw-fleet/src/peers.rs
+++ b/crates/rw-fleet/src/peers.rs
@@ -44,6 +44,7 @@
         match req {
             PeerRequest::Load(news) => {
                 follow::catch_up(&self.cx, &news);
+                self.cx.beliefs.note_named(&news.named);
                 if let Some(board) = &self.board {
                     board.on_news(news);
                 }
@@ -70,7 +71,11 @@
         let beliefs = &self.cx.beliefs;
         let changed = beliefs.subscribe();
         let knows = || beliefs.view().cfg.is_some();
-        let longest = if knows() { MAX_ROWS_WAIT } else { FIRST_ROWS_WAIT };
+        let longest = if knows() {
+            MAX_ROWS_WAIT
+        } else {
+            FIRST_ROWS_WAIT
+        };
         let wait = Duration::from_millis(req.wait_ms).min(longest);
         let until = Instant::now() + wait;
         // A daemon that is out of touch says so at once, unless it has only
@@ -126,6 +131,7 @@
             entry: cx.site.name.clone(),
             loads,
             known,
+            named: cx.beliefs.named_ages(cx.site.bounds.weights_in_force),
         };
         let view = cx.beliefs.view();
         for daemon in view.daemons.values().filter(|d| d.name != cx.site.name) {
--- a/crates/rw-fleet/src/site.rs
+++ b/crates/rw-fleet/src/site.rs
@@ -41,6 +41,8 @@
     pub service: Name,
     /// Daemons that may be asked first; some may be gone.
     pub seeds: Vec<Name>,
+    /// Whether the whole fleet starts for the first time.
+    pub first_start: bool,
     /// Bounds that the deployment states.
     pub bounds: Bounds,
     /// Bytes a second that the host's link carries each way; 0 is unlimited.
--- a/crates/rw-fleet/src/snapshot.rs
+++ b/crates/rw-fleet/src/snapshot.rs
@@ -11,7 +11,7 @@
 /// Time before the bound for newly named weights from which requests insist on
 /// them: a request that is sent may wait so long in a server's queue before it
 /// begins.
-const INSIST_MARGIN: Duration = Duration::from_millis(1300);
+pub(crate) const INSIST_MARGIN: Duration = Duration::from_millis(1300);
 /// Part of the time for newly named weights within which a later name makes
 /// an earlier one not worth loading: the rest is what loading takes.
 const PASS_OVER_SHARE: f64 = 0.25;
--- a/crates/rw-fleet/tests/beliefs.rs
+++ b/crates/rw-fleet/tests/beliefs.rs
@@ -9,7 +9,7 @@
     BackendServer, Beliefs, Bounds, Daemon, Dialect, Fact, Headers, NamedWeights, Snapshot, Tables,
 };
 use rw_observe::{Metrics, Recorder};
-use rw_protocol::{RunnerNotice, StoredRow, TableVersion};
+use rw_protocol::{NamedAge, RunnerNotice, StoredRow, TableVersion};
 
 /// Rows of a few words: `server ADDR`, `weights N`, anything else is broken.
 struct Words(Headers);
@@ -142,6 +142,36 @@
     assert!(news.iter().any(|r| &*r.key == "a" && r.deleted));
 }
 
+/// A restarted entry refused every request for seconds: it insisted on weights
+/// that no server had to run yet.
+#[test]
+fn a_daemon_that_starts_late_learns_from_others_when_weights_were_named() {
+    let beliefs = beliefs();
+    beliefs.replace(
+        &"operator".into(),
+        vec![row("operator", "w", 1, "weights 2")],
+        1,
+    );
+    let uptime = rw_coord::uptime();
+    let settled = uptime + bounds().settling;
+    let insists = |at| beliefs.view().oldest_allowed("m", &bounds(), at) == 2;
+    assert!(insists(settled), "without news it cannot wait longer");
+    assert!(beliefs.named_ages(bounds().weights_in_force).is_empty());
+    let age = |age_ms| NamedAge {
+        model: "m".into(),
+        version: 2,
+        age_ms,
+    };
+    beliefs.note_named(&[age(1000)]);
+    assert!(!insists(settled));
+    assert!(insists(uptime + bounds().weights_in_force));
+    // Only the first word counts, so that the time never moves on.
+    beliefs.note_named(&[age(0)]);
+    assert!(insists(
+        uptime + bounds().weights_in_force - Duration::from_millis(900)
+    ));
+}
+
 #[rstest]
 #[case::newer_last(&[("old", 3), ("new", 7)])]
 #[case::newer_first(&[("new", 7), ("old", 3)])]
--- a/crates/rw-protocol/src/generated.rs
+++ b/crates/rw-protocol/src/generated.rs
@@ -490,6 +490,8 @@
     pub known: ::std::vec::Vec<TableVersion>,
     ///Servers with requests under way.
     pub loads: ::std::vec::Vec<ServerLoad>,
+    ///How long ago weights were named that are not in force everywhere yet.
+    pub named: ::std::vec::Vec<NamedAge>,
 }
 ///Immutable description of one version of a model.
 ///
@@ -522,6 +524,16 @@
 pub struct Missing {
     pub retry_after_ms: u64,
 }
+///How long ago a daemon saw that weights were named.
+///
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct NamedAge {
+    pub age_ms: u64,
+    pub model: crate::Name,
+    pub version: u64,
+}
 ///The call did not run and will not.
 ///
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/rw-protocol/tests/frames.rs
+++ b/crates/rw-protocol/tests/frames.rs
@@ -150,6 +150,11 @@
                 slowness_percent: 150,
             }],
             known: known(),
+            named: vec![NamedAge {
+                model: "m".into(),
+                version: 2,
+                age_ms: 300,
+            }],
         }),
         PeerRequest::Rows(RowsRequest {
             known: known(),
--- a/crates/rw-weights/src/lib.rs
+++ b/crates/rw-weights/src/lib.rs
@@ -3,10 +3,12 @@
 mod layout;
 mod store;
 mod transfer;
+mod turn;
 
 pub use layout::{Layout, Peer, Policy, Source};
 pub use store::{ChunkStore, Held};
 pub use transfer::{Fetch, Limits, Transfer};
+pub use turn::load_wait;
 
 use quick_error::quick_error;
 
--- a/crates/rw-weights/src/transfer.rs
+++ b/crates/rw-weights/src/transfer.rs
@@ -228,7 +228,10 @@
         let mut out = Vec::new();
         for chunk in overdue {
             let asked = &self.pending[&chunk][0].source;
-            let second = self.peers(layout, chunk, now).into_iter().find(|s| s != asked);
+            let second = self
+                .peers(layout, chunk, now)
+                .into_iter()
+                .find(|s| s != asked);
             if let Some(source) = second {
                 out.push(self.ask(chunk, source, now));
             }
