Let late starters learn of every name of weights; serve operators by hyper

Cause: the store keeps the last name only; an entry that restarted learnt from others how old that one was, but not that an earlier one was due before it, and let requests begin on the first weights until then. Entries now tell all names, those from before their own start as due, and nothing while they cannot tell; a host spreads its load over the time until the first name it lacks is due. Test red first (beliefs.rs).

One POST with Content-Length to an operators' port ended the daemon: tiny_http's body reader allocates what is left of the declared length when it is dropped. Test red first (bad_input.rs, every port of both roles). The port is served by hyper now, with bounds on head, body, connections and time.

--- a/crates/rw-daemon/src/operator/server.rs
+++ b/crates/rw-daemon/src/operator/server.rs
@@ -1,20 +1,46 @@
-use std::io::Read;
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::net::TcpListener as StdListener;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::Poll;
+use std::time::Duration;
 
+use bytes::Bytes;
+use http::header::{HeaderValue, CONTENT_TYPE};
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
+use hyper::body::{Frame, Incoming, SizeHint};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use rw_protocol::Blob;
 use serde::Serialize;
 use serde_json::json;
-use tiny_http::{Header, Method, Request, Response, Server};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Handle;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::timeout;
 
 use super::{plans, reports};
 use crate::host::Weights;
 use crate::{Context, Error, Result};
 
-/// Threads that answer operators.
-const THREADS: usize = 4;
+/// Operators' connections at once; a few people, a probe and a collector of
+/// metrics need far fewer.
+const MAX_CONNECTIONS: usize = 64;
+/// Pause after a connection could not be accepted, for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time for a request's head, also on an idle connection.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time for a request's body, which an operator's link carries in far less.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Largest head that operators may send.
+const MAX_HEAD_BYTES: usize = 16 << 10;
 /// Largest body that operators may send.
-const MAX_BODY_BYTES: u64 = 1 << 20;
+const MAX_BODY_BYTES: usize = 1 << 20;
+
+type Body = Either<Full<Bytes>, Chunks>;
 
 /// What the operators' port answers from.
 pub struct Operators {
@@ -37,64 +63,90 @@
     (status, json!({ "error": reason }).to_string())
 }
 
-/// Starts the threads of the operators' port.
+/// Starts the operators' port.
 pub fn serve_operators(
     cx: Arc<Context>,
     weights: Option<Arc<Weights>>,
     handle: Handle,
 ) -> Result<()> {
     let addr = cx.daemon.operator_listen.to_string();
-    let server =
-        Server::http(&addr).map_err(|err| Error::Bind(addr, std::io::Error::other(err)))?;
-    let server = Arc::new(server);
+    let listener = StdListener::bind(&addr)
+        .and_then(|listener| listener.set_nonblocking(true).map(|()| listener))
+        .map_err(|err| Error::Bind(addr.clone(), err))?;
     let operators = Arc::new(Operators {
         cx,
         weights,
-        handle,
+        handle: handle.clone(),
+    });
+    handle.spawn(async move {
+        match TcpListener::from_std(listener) {
+            Ok(listener) => accept(listener, operators).await,
+            Err(err) => log::error!("operators' port {addr}: {err}"),
+        }
     });
-    for _ in 0..THREADS {
-        let (server, operators) = (server.clone(), operators.clone());
-        std::thread::spawn(move || {
-            while let Ok(req) = server.recv() {
-                operators.handle(req);
+    Ok(())
+}
+
+async fn accept(listener: TcpListener, operators: Arc<Operators>) {
+    let seats = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    loop {
+        let Ok(seat) = seats.clone().acquire_owned().await else {
+            return;
+        };
+        match listener.accept().await {
+            Ok((conn, _)) => {
+                tokio::spawn(serve(conn, operators.clone(), seat));
             }
-        });
+            Err(err) => {
+                log::warn!("operators' port: {err}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(conn: TcpStream, operators: Arc<Operators>, _seat: OwnedSemaphorePermit) {
+    let service = service_fn(move |req| {
+        let operators = operators.clone();
+        async move { Ok::<_, Infallible>(operators.handle(req).await) }
+    });
+    let conn = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .serve_connection(TokioIo::new(conn), service);
+    if let Err(err) = conn.await {
+        log::debug!("operator's connection: {err}");
     }
-    Ok(())
 }
 
 impl Operators {
-    fn handle(&self, mut req: Request) {
-        let url = req.url().to_string();
-        let (path, query) = url.split_once('?').unwrap_or((&url, ""));
-        if let Some(id) = path.strip_prefix("/weights/") {
-            return self.send_weights(req, id);
+    async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Response<Body> {
+        let (head, body) = req.into_parts();
+        if let Some(id) = head.uri.path().strip_prefix("/weights/") {
+            return self.weights(id);
         }
-        let mut body = String::new();
-        let read = req
-            .as_reader()
-            .take(MAX_BODY_BYTES + 1)
-            .read_to_string(&mut body);
-        let too_large = body.len() as u64 > MAX_BODY_BYTES;
-        let (status, text) = match read {
-            Err(err) => fail(400, &format!("body: {err}")),
-            Ok(_) if too_large => fail(
-                413,
-                &format!("body: above the limit of {MAX_BODY_BYTES} bytes"),
-            ),
-            Ok(_) => self.answer(req.method(), path, query, &body),
+        let kind = match head.uri.path() {
+            "/metrics" => "text/plain",
+            _ => "application/json",
         };
-        let kind = if path == "/metrics" {
-            "text/plain"
-        } else {
-            "application/json"
+        let (status, text) = match read(body).await {
+            Ok(body) => {
+                // Plans ask the platform and wait for its answers.
+                let answer = tokio::task::spawn_blocking(move || {
+                    let (path, query) = (head.uri.path(), head.uri.query().unwrap_or(""));
+                    self.answer(&head.method, path, query, &body)
+                });
+                let answer = answer.await;
+                answer.unwrap_or_else(|err| fail(500, &format!("no answer: {err}")))
+            }
+            Err(refused) => refused,
         };
-        let mut res = Response::from_string(text).with_status_code(status);
-        if let Ok(header) = Header::from_bytes("content-type", kind) {
-            res = res.with_header(header);
-        }
-        // The operator may be gone.
-        let _ = req.respond(res);
+        let mut res = Response::new(Either::Left(Full::new(Bytes::from(text))));
+        *res.status_mut() = StatusCode::from_u16(status).unwrap_or_default();
+        let kind = HeaderValue::from_static(kind);
+        res.headers_mut().insert(CONTENT_TYPE, kind);
+        res
     }
 
     fn answer(&self, method: &Method, path: &str, query: &str, body: &str) -> Answer {
@@ -105,17 +157,17 @@
                 .unwrap_or("")
         };
         match (method, path) {
-            (Method::Get, "/metrics") => (200, self.metrics()),
-            (Method::Get, "/live") => ok(&"live"),
-            (Method::Get, "/ready") => self.ready(),
-            (Method::Get, "/status") => reports::status(self),
-            (Method::Get, "/hosts") => reports::hosts(self),
-            (Method::Get, "/events") => reports::events(self, arg("since=")),
-            (Method::Get, "/timeline") => reports::timeline(self, arg("since=")),
-            (Method::Get, "/unresolved") => reports::unresolved(self, arg("older_ms=")),
-            (Method::Post, "/plan") => plans::plan(self, body),
-            (Method::Post, "/plan-removal") => plans::plan_removal(self, arg("name=")),
-            (Method::Post, "/confirm") => plans::confirm(self, arg("plan=")),
+            (&Method::GET, "/metrics") => (200, self.metrics()),
+            (&Method::GET, "/live") => ok(&"live"),
+            (&Method::GET, "/ready") => self.ready(),
+            (&Method::GET, "/status") => reports::status(self),
+            (&Method::GET, "/hosts") => reports::hosts(self),
+            (&Method::GET, "/events") => reports::events(self, arg("since=")),
+            (&Method::GET, "/timeline") => reports::timeline(self, arg("since=")),
+            (&Method::GET, "/unresolved") => reports::unresolved(self, arg("older_ms=")),
+            (&Method::POST, "/plan") => plans::plan(self, body),
+            (&Method::POST, "/plan-removal") => plans::plan_removal(self, arg("name=")),
+            (&Method::POST, "/confirm") => plans::confirm(self, arg("plan=")),
             _ => fail(404, "no such call"),
         }
     }
@@ -135,53 +187,52 @@
     }
 
     // The engine of this host reads its model from here.
-    fn send_weights(&self, req: Request, id: &str) {
+    fn weights(&self, id: &str) -> Response<Body> {
         let whole = self.weights.as_ref().and_then(|weights| {
             let store = weights.store();
             store.get(id).and_then(|held| held.whole())
         });
-        // The engine may be gone.
-        let _ = match whole {
-            Some(chunks) => {
-                let len = chunks.iter().map(|c| c.as_ref().len()).sum();
-                let reader = Chunks {
-                    chunks,
-                    at: 0,
-                    offset: 0,
-                };
-                req.respond(Response::new(
-                    200.into(),
-                    Vec::new(),
-                    reader,
-                    Some(len),
-                    None,
-                ))
+        match whole {
+            Some(chunks) => Response::new(Either::Right(Chunks(chunks.into()))),
+            None => {
+                let text = Bytes::from_static(b"not whole here");
+                let mut res = Response::new(Either::Left(Full::new(text)));
+                *res.status_mut() = StatusCode::NOT_FOUND;
+                res
             }
-            None => req.respond(Response::from_string("not whole here").with_status_code(404)),
-        };
+        }
     }
 }
 
-// Reads chunks one after the other without copying the model.
-struct Chunks {
-    chunks: Vec<Blob>,
-    at: usize,
-    offset: usize,
+async fn read(body: Incoming) -> std::result::Result<String, Answer> {
+    let whole = Limited::new(body, MAX_BODY_BYTES).collect();
+    let bytes = match timeout(BODY_TIMEOUT, whole).await {
+        Ok(Ok(whole)) => whole.to_bytes(),
+        Ok(Err(err)) if err.is::<LengthLimitError>() => {
+            let reason = format!("body: above the limit of {MAX_BODY_BYTES} bytes");
+            return Err(fail(413, &reason));
+        }
+        Ok(Err(err)) => return Err(fail(400, &format!("body: {err}"))),
+        Err(_) => return Err(fail(408, "body: did not arrive in time")),
+    };
+    String::from_utf8(bytes.to_vec()).map_err(|err| fail(400, &format!("body: {err}")))
 }
 
-impl Read for Chunks {
-    fn read(&mut self, buf: &mut [u8]) -> std::io::Result<usize> {
-        while let Some(chunk) = self.chunks.get(self.at) {
-            let rest = &chunk.as_ref()[self.offset..];
-            if !rest.is_empty() {
-                let len = rest.len().min(buf.len());
-                buf[..len].copy_from_slice(&rest[..len]);
-                self.offset += len;
-                return Ok(len);
-            }
-            self.at += 1;
-            self.offset = 0;
-        }
-        Ok(0)
+// A model's chunks one after the other, without a copy of the model.
+struct Chunks(VecDeque<Blob>);
+
+impl hyper::body::Body for Chunks {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut std::task::Context<'_>,
+    ) -> Poll<Option<std::result::Result<Frame<Bytes>, Infallible>>> {
+        Poll::Ready(self.0.pop_front().map(|chunk| Ok(Frame::data(chunk.0))))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.0.iter().map(|chunk| chunk.0.len() as u64).sum())
     }
 }
--- a/crates/rw-fleet/src/beliefs.rs
+++ b/crates/rw-fleet/src/beliefs.rs
@@ -10,7 +10,7 @@
 use rw_protocol::{Name, NamedAge, RunnerNotice, StoredRow, TableVersion};
 
 use crate::snapshot::Noticed;
-use crate::{BackendServer, Dialect, Fact, NamedWeights, Snapshot};
+use crate::{BackendServer, Bounds, Dialect, Fact, NamedWeights, Snapshot};
 
 /// Rows of removed entries that are kept for other daemons.
 const MAX_TOMBSTONES: usize = 2000;
@@ -133,53 +133,51 @@
         !self.rows_since(known).is_empty()
     }
 
-    /// How long ago weights were named, as far as this daemon saw it happen and
-    /// it was no longer than `limit` ago.
-    pub fn named_ages(&self, limit: Duration) -> Vec<NamedAge> {
+    /// How long ago weights were named. Nothing of a model of which this daemon
+    /// cannot tell yet; names from before its start count as due once it has
+    /// settled, as they do for its own requests.
+    pub fn named_ages(&self, bounds: &Bounds) -> Vec<NamedAge> {
         let now = uptime();
         let view = self.view();
-        let seen = view.weights.iter().flat_map(|(model, names)| {
-            let seen = names.iter().filter(|named| !named.before_start);
-            seen.map(move |named| (model, named.version, now.saturating_sub(named.since)))
-        });
-        let recent = seen.filter(|(_, _, age)| *age <= limit);
-        recent
-            .map(|(model, version, age)| NamedAge {
+        let age = |named: &NamedWeights| now.saturating_sub(named.since);
+        let can_tell = |names: &Vec<NamedWeights>| {
+            let mut unseen = names.iter().filter(|named| named.before_start);
+            unseen.all(|named| age(named) >= bounds.settling)
+        };
+        let told = view.weights.iter().filter(|(_, names)| can_tell(names));
+        let all = told.flat_map(|(model, names)| names.iter().map(move |named| (model, named)));
+        all.map(|(model, named)| {
+            let age = match named.before_start {
+                true => age(named).max(bounds.weights_in_force),
+                false => age(named),
+            };
+            NamedAge {
                 model: model.clone(),
-                version,
+                version: named.version,
                 age_ms: age.as_millis() as u64,
-            })
-            .collect()
+            }
+        })
+        .collect()
     }
 
     /// Takes in when weights were named, from a daemon that saw it: this one may
-    /// have started only afterwards. The oldest word counts, since others may
-    /// have come late.
+    /// have started only afterwards, and know the last name alone. The oldest
+    /// word counts, since others may have come late.
     pub fn note_named(&self, ages: &[NamedAge]) {
         let now = uptime();
-        let earlier = |view: &Snapshot, age: &NamedAge| {
-            let names = view.weights.get(&age.model).into_iter().flatten();
-            let since = now.saturating_sub(Duration::from_millis(age.age_ms));
-            let mut names = names.filter(|named| named.version == age.version);
-            names.any(|named| named.before_start || since < named.since)
-        };
         let mut state = self.state();
-        if !ages.iter().any(|age| earlier(&state.view, age)) {
-            return;
-        }
-        let mut view = Snapshot::clone(&state.view);
+        let mut weights = state.view.weights.clone();
         for age in ages {
             let since = now.saturating_sub(Duration::from_millis(age.age_ms));
-            let names = view.weights.get_mut(&age.model).into_iter().flatten();
-            for named in names.filter(|named| named.version == age.version) {
-                named.since = match named.before_start {
-                    true => since,
-                    false => named.since.min(since),
-                };
-                named.before_start = false;
+            if let Some(names) = weights.get_mut(&age.model) {
+                note_name(names, age.version, since);
             }
         }
-        state.view = Arc::new(view);
+        if weights != state.view.weights {
+            let mut view = Snapshot::clone(&state.view);
+            view.weights = weights;
+            state.view = Arc::new(view);
+        }
     }
 
     /// Takes in what a daemon says of the backend server beside it.
@@ -313,6 +311,25 @@
     }
 }
 
+// A newer version than the last one comes with its own row.
+fn note_name(names: &mut Vec<NamedWeights>, version: u64, since: Duration) {
+    let seen = NamedWeights {
+        version,
+        since,
+        before_start: false,
+    };
+    match names.iter().position(|named| named.version >= version) {
+        Some(at) if names[at].version == version => {
+            let earlier = names[at].before_start || since < names[at].since;
+            if earlier {
+                names[at] = seen;
+            }
+        }
+        Some(at) if names.len() < NAMES_KEPT => names.insert(at, seen),
+        _ => {}
+    }
+}
+
 // Large rows are kept and passed on compressed.
 fn pack(row: StoredRow) -> StoredRow {
     if row.packed || row.value.as_ref().len() < PACK_BYTES {
--- a/crates/rw-fleet/src/host/keeper.rs
+++ b/crates/rw-fleet/src/host/keeper.rs
@@ -181,7 +181,7 @@
             return;
         }
         if let Some(manifest) = self.shelf.manifest(&name) {
-            tokio::time::sleep(self.turn(&wanted)).await;
+            tokio::time::sleep(self.turn(&wanted, report.weights)).await;
             let staged = self.stage.put_all(&wanted.model, &manifest).await;
             if staged.is_some() {
                 self.order(&wanted, &manifest).await;
@@ -242,11 +242,9 @@
     // Hosts load one after the other within the time that is left, so that as
     // few servers as possible refuse requests at once. The last may still be
     // loading when requests insist: its old weights are of no use by then.
-    fn turn(&self, wanted: &Wanted) -> Duration {
+    fn turn(&self, wanted: &Wanted, loaded: u64) -> Duration {
         let view = self.cx.beliefs.view();
-        let mut names = view.weights.get(&wanted.model).into_iter().flatten();
-        let named = names.find(|named| named.version == wanted.version);
-        let Some(named) = named.filter(|named| !named.before_start) else {
+        let Some(age) = view.age_of_oldest_due(&wanted.model, loaded, rw_coord::uptime()) else {
             return Duration::ZERO;
         };
         let insisted = self
@@ -255,7 +253,6 @@
             .bounds
             .weights_in_force
             .saturating_sub(INSIST_MARGIN);
-        let age = rw_coord::uptime().saturating_sub(named.since);
         let spare = insisted.saturating_sub(age + LAST_LOAD_MARGIN);
         let own = self.own_server().unwrap_or_default();
         let key = version_name(&wanted.model, wanted.version);
--- a/crates/rw-fleet/src/peers.rs
+++ b/crates/rw-fleet/src/peers.rs
@@ -131,7 +131,7 @@
             entry: cx.site.name.clone(),
             loads,
             known,
-            named: cx.beliefs.named_ages(cx.site.bounds.weights_in_force),
+            named: cx.beliefs.named_ages(&cx.site.bounds),
         };
         let view = cx.beliefs.view();
         for daemon in view.daemons.values().filter(|d| d.name != cx.site.name) {
--- a/crates/rw-fleet/src/snapshot.rs
+++ b/crates/rw-fleet/src/snapshot.rs
@@ -20,7 +20,7 @@
 const PAUSE_LIFE: Duration = Duration::from_secs(6);
 
 /// Weights that an operator named.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct NamedWeights {
     /// Version that is to be served.
     pub version: u64,
@@ -121,6 +121,20 @@
         next.map(|at| names[at].version)
     }
 
+    /// Time since the first name after the version that a server has loaded,
+    /// on which requests insist before the later ones; `None` when there is
+    /// none, or it was named at an unknown time.
+    pub fn age_of_oldest_due(
+        &self,
+        model: &str,
+        loaded: u64,
+        uptime: Duration,
+    ) -> Option<Duration> {
+        let names = self.weights.get(model)?;
+        let first = names.iter().find(|named| named.version > loaded)?;
+        (!first.before_start).then(|| uptime.saturating_sub(first.since))
+    }
+
     /// Oldest version on which a request may begin: the newest that was named
     /// so long ago that it has to be in force.
     pub fn oldest_allowed(&self, model: &str, bounds: &Bounds, uptime: Duration) -> u64 {
--- a/crates/rw-fleet/tests/beliefs.rs
+++ b/crates/rw-fleet/tests/beliefs.rs
@@ -156,7 +156,7 @@
     let settled = uptime + bounds().settling;
     let insists = |at| beliefs.view().oldest_allowed("m", &bounds(), at) == 2;
     assert!(insists(settled), "without news it cannot wait longer");
-    assert!(beliefs.named_ages(bounds().weights_in_force).is_empty());
+    assert!(beliefs.named_ages(&bounds()).is_empty(), "it cannot tell");
     let age = |age_ms| NamedAge {
         model: "m".into(),
         version: 2,
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -93,3 +93,53 @@
     }
     wait_for_a_good_call(&cluster);
 }
+
+/// Heads that promise more than they hold, or say two things at once.
+const JUNK: [&str; 5] = [
+    "POST /plan HTTP/1.1\r\nhost: x\r\ncontent-length: 99999999999\r\n\r\nx",
+    "POST /plan HTTP/1.1\r\nhost: x\r\ncontent-length: 99999999999999999999999\r\n\r\nx",
+    "POST /plan HTTP/1.1\r\nhost: x\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n\r\nffffffffffffffff\r\nx",
+    "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\x00\x00\x00\x04\x00\x00\x00\x00\x00",
+    "GET /metrics HTTP/1.1\r\nhost: x\r\nrange: bytes=0-99999999999\r\n\r\n",
+];
+
+#[test]
+fn junk_on_any_port_ends_no_daemon() {
+    let cluster = start("junk");
+    for name in ["entry-0", "plain-0"] {
+        let daemon = cluster.daemon(name);
+        let ports = [
+            &*daemon.listen,
+            &*daemon.operator_listen,
+            &*daemon.caller_listen,
+        ];
+        for addr in ports.into_iter().filter(|addr| !addr.is_empty()) {
+            for junk in JUNK {
+                let mut conn = TcpStream::connect(addr).expect("the daemon listens");
+                // The daemon may close before all is sent.
+                let _ = conn.write_all(junk.as_bytes());
+                let _ = conn.shutdown(std::net::Shutdown::Write);
+                let _ = conn.read(&mut [0; 256]);
+            }
+        }
+    }
+    for name in ["entry-0", "plain-0"] {
+        let url = format!("http://{}/live", cluster.daemon(name).operator_listen);
+        wait_for("a live daemon", || {
+            let answer = minreq::get(&url).with_timeout(5).send().ok()?;
+            (answer.status_code == 200).then_some(())
+        });
+    }
+    wait_for_a_good_call(&cluster);
+}
+
+#[test]
+fn an_oversize_body_for_operators_is_refused() {
+    let cluster = start("oversize-plan");
+    let url = format!("http://{}/plan", cluster.daemon("entry-0").operator_listen);
+    let body = "x".repeat(2 << 20);
+    let answer = minreq::post(&url).with_body(body).with_timeout(20).send();
+    // The daemon may close before all is sent.
+    assert!(!answer.is_ok_and(|answer| answer.status_code != 413));
+    wait_for_a_good_call(&cluster);
+}
