Do not sleep while a server's turn to load new weights is to come

Read as a newcomer: the keeper slept until the turn, up to 6 s since loads are spread over all the time, and saw neither a server that restarted empty nor a newer name meanwhile. It notes the time and looks on.

--- a/crates/rw-fleet/src/host/keeper.rs
+++ b/crates/rw-fleet/src/host/keeper.rs
@@ -75,6 +75,7 @@
         progress,
         last: None,
         stage,
+        turn: None,
         sequence: rw_coord::unix_ms(),
         told_at: Duration::ZERO,
     };
@@ -135,6 +136,8 @@
     progress: Arc<Progress>,
     last: Option<RunnerNotice>,
     stage: Stage<R>,
+    // Version that is to be loaded next, and when the turn to do so comes.
+    turn: Option<(u64, Duration)>,
     // Starts at the time of day, so that a restarted daemon goes on higher.
     sequence: u64,
     told_at: Duration,
@@ -181,7 +184,10 @@
             return;
         }
         if let Some(manifest) = self.shelf.manifest(&name) {
-            tokio::time::sleep(self.turn(&wanted, report.weights)).await;
+            let turn = self.turn(&wanted, report.weights);
+            if self.cx.now() < turn {
+                return;
+            }
             let staged = self.stage.put_all(&wanted.model, &manifest).await;
             if staged.is_some() {
                 self.order(&wanted, &manifest).await;
@@ -242,7 +248,22 @@
     // Hosts load one after the other within the time that is left, so that as
     // few servers as possible refuse requests at once. The last may still be
     // loading when requests insist: its old weights are of no use by then.
-    fn turn(&self, wanted: &Wanted, loaded: u64) -> Duration {
+    fn turn(&mut self, wanted: &Wanted, loaded: u64) -> Duration {
+        // A server that serves nothing loads at once.
+        if loaded == 0 {
+            return Duration::ZERO;
+        }
+        match self.turn {
+            Some((version, at)) if version == wanted.version => at,
+            _ => {
+                let at = self.cx.now() + self.wait(wanted, loaded);
+                self.turn = Some((wanted.version, at));
+                at
+            }
+        }
+    }
+
+    fn wait(&self, wanted: &Wanted, loaded: u64) -> Duration {
         let view = self.cx.beliefs.view();
         let Some(age) = view.age_of_oldest_due(&wanted.model, loaded, rw_coord::uptime()) else {
             return Duration::ZERO;
@@ -263,7 +284,6 @@
             .map(|s| rank(&key, &s.id))
             .collect();
         if !peers.contains(&rank(&key, &own)) {
-            // A server that serves nothing yet loads at once.
             return Duration::ZERO;
         }
         let before = peers.iter().filter(|r| **r < rank(&key, &own)).count();
--- a/crates/rw-weights/src/transfer.rs
+++ b/crates/rw-weights/src/transfer.rs
@@ -5,11 +5,14 @@
 
 use crate::{Layout, Peer, Source};
 
-/// Chunks that one host asks the origin for at once.
+/// Chunks that one host asks the origin for at once: several hosts share its
+/// link, and the fewer chunks are on it the sooner each can be passed on.
 const ORIGIN_WINDOW: usize = 1;
-/// Chunks that one host takes in for its region at once.
+/// Chunks that one host takes in for its region at once; they fill its share of
+/// the link between regions.
 const IMPORT_WINDOW: usize = 4;
-/// Times that the pause of a source that fails again and again doubles.
+/// Times that the pause of a source that fails again and again doubles: it is
+/// tried again within the time in which weights have to be in force.
 const MAX_DOUBLINGS: u32 = 2;
 /// A host takes a chunk in for its region once it holds all but so many of the
 /// chunks before it, so that the origin sends few at a time and in order.
