--- a/crates/rw-fleet/src/entry/board.rs
+++ b/crates/rw-fleet/src/entry/board.rs
@@ -8,10 +8,10 @@
 use rand::Rng;
 use rw_coord::Signal;
 use rw_protocol::{LoadNews, Name, ServerLoad};
-use rw_routing::{place, slowness, Demand, EngineCandidate, EngineLoad, Placed};
+use rw_routing::{middle, place, slowness, Demand, EngineCandidate, EngineLoad, Placed};
 use tokio::time::Instant;
 
-use super::loads::{clock, State, Told, EXTRA_PER_ENGINE, NEWS_LIFE};
+use super::loads::{clock, Known, State, Told, EXTRA_PER_ENGINE, NEWS_LIFE};
 use super::Ticket;
 use crate::{BackendServer, Bounds, Engine, Snapshot};
 
@@ -78,7 +78,8 @@
             .iter()
             .map(|s| state.first_events(&s.id, now))
             .collect();
-        let known: Vec<f64> = ratios.iter().copied().flatten().collect();
+        let mut known: Vec<f64> = ratios.iter().copied().flatten().collect();
+        let middle = middle(&mut known);
         let mut candidates: Vec<EngineCandidate<'_>> = servers
             .iter()
             .zip(loads.iter().zip(&ratios))
@@ -86,7 +87,7 @@
                 server: &server.id,
                 profile: &engine.profile,
                 load: *load,
-                slowness: slowness(*ratio, &known),
+                slowness: slowness(*ratio, middle),
                 remote: is_remote(server),
                 allowed: *allowed,
             })
@@ -227,24 +228,18 @@
     /// A server failed a request; says whether its circuit opened just now.
     pub fn on_failure(&self, server: &Name) -> bool {
         let now = self.now();
-        let mut state = self.state();
-        state
-            .servers
-            .entry(server.clone())
-            .or_default()
-            .circuit
-            .on_failure(now)
+        self.change(server, |known| known.circuit.on_failure(now))
     }
 
     /// A server said that it takes no request now.
     pub fn on_refused(&self, server: &Name) {
-        let now = self.now();
+        let until = self.now() + REFUSED_PAUSE;
+        self.change(server, |known| known.closed_until = until);
+    }
+
+    fn change<T>(&self, server: &Name, change: impl FnOnce(&mut Known) -> T) -> T {
         let mut state = self.state();
-        state
-            .servers
-            .entry(server.clone())
-            .or_default()
-            .closed_until = now + REFUSED_PAUSE;
+        change(state.servers.entry(server.clone()).or_default())
     }
 
     /// Takes in what another entry has under way.
--- a/crates/rw-routing/src/lib.rs
+++ b/crates/rw-routing/src/lib.rs
@@ -19,5 +19,5 @@
 pub use retry::RetryBudget;
 pub use router::{Pick, Router, Want};
 pub use sharing::{Sharer, SlotTurns};
-pub use slowness::{slowness, FirstEvents};
+pub use slowness::{middle, slowness, FirstEvents};
 pub use window::WindowBudget;
--- a/crates/rw-routing/src/slowness.rs
+++ b/crates/rw-routing/src/slowness.rs
@@ -38,18 +38,27 @@
     }
 }
 
-/// Times as long as forecast that a server takes beyond what all of them do;
-/// 1 unless it is clearly slow. `all` are the ratios of all servers.
+/// The middle one of the servers' ratios, in any order.
 ///
 /// ```
-/// assert_eq!(rw_routing::slowness(Some(1.6), &[1.5, 1.6, 1.4]), 1.0);
-/// assert_eq!(rw_routing::slowness(Some(6.0), &[1.5, 6.0, 1.4]), 4.0);
-/// assert_eq!(rw_routing::slowness(None, &[]), 1.0);
+/// assert_eq!(rw_routing::middle(&mut [1.5, 6.0, 1.4]), Some(1.5));
+/// assert_eq!(rw_routing::middle(&mut []), None);
 /// ```
-pub fn slowness(ratio: Option<f64>, all: &[f64]) -> f64 {
-    let mut all = all.to_vec();
-    all.sort_by(f64::total_cmp);
-    let Some((ratio, middle)) = ratio.zip(all.get(all.len() / 2)) else {
+pub fn middle(ratios: &mut [f64]) -> Option<f64> {
+    ratios.sort_by(f64::total_cmp);
+    ratios.get(ratios.len() / 2).copied()
+}
+
+/// Times as long as forecast that a server takes beyond what the middle one
+/// does; 1 unless it is clearly slow.
+///
+/// ```
+/// assert_eq!(rw_routing::slowness(Some(1.6), Some(1.5)), 1.0);
+/// assert_eq!(rw_routing::slowness(Some(6.0), Some(1.5)), 4.0);
+/// assert_eq!(rw_routing::slowness(None, None), 1.0);
+/// ```
+pub fn slowness(ratio: Option<f64>, middle: Option<f64>) -> f64 {
+    let Some((ratio, middle)) = ratio.zip(middle) else {
         return 1.0;
     };
     let relative = ratio / middle.max(1.0);
--- a/crates/rw-routing/tests/slow_server.rs
+++ b/crates/rw-routing/tests/slow_server.rs
@@ -6,7 +6,8 @@
 use rand::SeedableRng;
 use rw_protocol::Name;
 use rw_routing::{
-    place, slowness, Demand, EngineCandidate, EngineLoad, EngineProfile, FirstEvents, Placed,
+    middle, place, slowness, Demand, EngineCandidate, EngineLoad, EngineProfile, FirstEvents,
+    Placed,
 };
 
 const SERVERS: usize = 10;
@@ -43,7 +44,8 @@
     for n in 0..REQUESTS {
         let now = Duration::from_millis(10 * n as u64);
         let ratios: Vec<Option<f64>> = seen.iter().map(|s| s.ratio(now)).collect();
-        let known: Vec<f64> = ratios.iter().copied().flatten().collect();
+        let mut known: Vec<f64> = ratios.iter().copied().flatten().collect();
+        let middle = middle(&mut known);
         let candidate = |at: usize| EngineCandidate {
             server: &names[at],
             profile: &profile,
@@ -52,7 +54,7 @@
                 unread_tokens: 0,
             },
             slowness: if learns {
-                slowness(ratios[at], &known)
+                slowness(ratios[at], middle)
             } else {
                 1.0
             },
