Entries added during an outage pass on what they read from the store

The older entries learn from their load reports that they are ahead, but follow::catch_up looked their address up in the table of daemons, which the older entries do not have yet, and returned. These waited until their own calls timed out: a first read of a table after 5 s, a long poll that the store had forgotten after 16.5 s.

Ruled out: a slow relay between store readers (no rows were exchanged at all); a cut between zones (callers were served by the same links).

Change: an entry that gets a load report from one it does not know asks it to announce itself, and then requests its rows. Long polls of the tables of operators and servers end within the settling time, and so does the first read of a table. The reading of the store moved to store_feed.rs.

--- a/crates/rw-daemon/src/handler.rs
+++ b/crates/rw-daemon/src/handler.rs
@@ -81,7 +81,13 @@
             }
             // Only daemons that run on the platform serve load, row and runner requests;
             // an entry serves no call, chunk or manifest requests.
-            (PeerRequest::Load(_) | PeerRequest::Rows(_) | PeerRequest::Runner(_), _)
+            (
+                PeerRequest::Load(_)
+                | PeerRequest::Rows(_)
+                | PeerRequest::Runner(_)
+                | PeerRequest::Announce(_),
+                _,
+            )
             | (_, None) => {
                 tx.send(&PeerReply::Missing(Missing { retry_after_ms: 0 }))
                     .await?
--- a/crates/rw-fleet/src/cluster_state.rs
+++ b/crates/rw-fleet/src/cluster_state.rs
@@ -10,7 +10,7 @@
 use rw_protocol::{Name, RequestedVersionAge, ServerStatus, StoredRow, TableVersion};
 
 use crate::snapshot::ReceivedStatus;
-use crate::{BackendServer, Bounds, PlatformCodec, RequestedWeights, RowContent, Snapshot};
+use crate::{BackendServer, Bounds, Daemon, PlatformCodec, RequestedWeights, RowContent, Snapshot};
 
 /// Tombstones of deleted rows kept so that other daemons learn of the deletion.
 const MAX_TOMBSTONES: usize = 2000;
@@ -26,6 +26,8 @@
     rows: BTreeMap<(Name, Name), StoredRow>,
     table_versions: BTreeMap<Name, u64>,
     snapshot: Arc<Snapshot>,
+    // Entries that announced themselves and may not be registered in the store yet.
+    announced: BTreeMap<Name, Daemon>,
 }
 
 /// Rows of the platform's store as this daemon knows them, and the state
@@ -62,6 +64,18 @@
         self.changed.subscribe()
     }
 
+    /// Entry that registered in the store or announced itself.
+    pub fn entry(&self, name: &Name) -> Option<Daemon> {
+        let state = self.state();
+        let registered = state.snapshot.daemons.get(name);
+        registered.or_else(|| state.announced.get(name)).cloned()
+    }
+
+    /// Adds an entry that may not be registered in the store yet.
+    pub fn add_announced(&self, entry: Daemon) {
+        self.state().announced.insert(entry.name.clone(), entry);
+    }
+
     /// Version up to which each table is known.
     pub fn table_versions(&self) -> Vec<TableVersion> {
         let state = self.state();
--- a/crates/rw-fleet/src/follow.rs
+++ b/crates/rw-fleet/src/follow.rs
@@ -1,36 +1,26 @@
 //! Keeps a daemon's cluster state up to date. A few entries, the store readers,
-//! follow the platform's store. The other entries and the hosts follow entries,
-//! so the number of calls to the store does not grow with the fleet.
+//! follow the platform's store ([`crate::store_feed`]). The other entries and the
+//! hosts follow entries, so the number of calls to the store does not grow with the
+//! fleet.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::peer_selection::{known_entries, nearest, store_readers, MAX_STORE_READERS};
+use crate::peer_selection::{known_entries, nearest, store_readers};
 use crate::seeds::{discover_entries, STARTUP_RETRY_DELAY};
+use crate::store_feed::{follow_store, should_follow_store, sync_all_tables};
 use crate::{Cx, FleetRole, PlatformCodec};
 use rw_coord::Backoff;
-use rw_observe::Event;
-use rw_platform::{FeedError, TableFeed};
+use rw_platform::TableFeed;
 use rw_protocol::{
     rendezvous_rank, LoadReport, Name, PeerReply, PeerRequest, RowsReply, RowsRequest, TableVersion,
 };
 
 /// Store readers that one entry follows concurrently.
 const FOLLOWED_READERS: usize = 2;
-/// Long-poll timeout at the store. Long, since each long poll is a billed call.
-const STORE_LONG_POLL: Duration = Duration::from_secs(15);
-/// Delay before the next long poll of the operators' table, which batches
-/// consecutive changes into one response; a small part of the time in which they
-/// have to take effect.
-const OPERATOR_CHANGE_DELAY: Duration = Duration::from_millis(60);
-/// The same for the tables of servers and daemons, many of which change at once.
-/// Servers have seconds to drain, and their daemons notify entries of loaded
-/// weights directly.
-const MEMBER_CHANGE_DELAY: Duration = Duration::from_millis(200);
-/// Time that a response may take beyond the long-poll timeout.
-const LONG_POLL_SLACK: Duration = Duration::from_millis(1500);
-/// Timeout for reading a complete table, possibly over a slow link.
+/// Timeout for reading a complete table from another daemon, possibly over a slow
+/// link.
 const TABLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Long-poll timeout at another daemon.
 const PEER_LONG_POLL: Duration = Duration::from_secs(5);
@@ -40,13 +30,13 @@
 /// start at once, and the store's links could not carry every table to each of
 /// them.
 const HOST_STORE_DELAY: Duration = Duration::from_secs(2);
-const MIN_RETRY_DELAY: Duration = Duration::from_millis(50);
+pub(crate) const MIN_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Maximum retry delay, well within the time in which changes have to take
 /// effect after an outage.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(500);
+pub(crate) const MAX_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Poll interval at other daemons while the store is unreachable, and interval at
 /// which an entry checks whether it has to read the store itself.
-const OUTAGE_POLL_INTERVAL: Duration = Duration::from_millis(300);
+pub(crate) const OUTAGE_POLL_INTERVAL: Duration = Duration::from_millis(300);
 /// How long another entry has to be ahead before its rows are requested; a
 /// change normally arrives sooner by itself.
 const MAX_LAG_MS: u64 = 300;
@@ -63,7 +53,7 @@
     // Number of store readers that answer this entry.
     connected_readers: AtomicU64,
     // Time since the daemon's start until which it reads the store itself.
-    fallback_until_ms: AtomicU64,
+    pub(crate) fallback_until_ms: AtomicU64,
     // Time since the daemon's start at which another entry was found to be
     // ahead; 0 if none is.
     lag_since_ms: AtomicU64,
@@ -83,7 +73,7 @@
     }
 
     // Returns whether the status changed.
-    fn set_connected(&self, index: usize, connected: bool) -> bool {
+    pub(crate) fn set_connected(&self, index: usize, connected: bool) -> bool {
         self.connected_tables[index].swap(connected, Ordering::Relaxed) != connected
     }
 }
@@ -105,118 +95,6 @@
     tokio::spawn(poll_entries_while_disconnected(cx.clone()));
 }
 
-fn should_follow_store<D: PlatformCodec>(cx: &Cx<D>) -> bool {
-    let fallback = cx.sync.fallback_until_ms.load(Ordering::Relaxed);
-    if cx.now().as_millis() < u128::from(fallback) {
-        return true;
-    }
-    let readers = store_readers(cx);
-    readers.len() < MAX_STORE_READERS || readers.iter().any(|d| d.name == cx.settings.name)
-}
-
-async fn follow_store<S: TableFeed, D: PlatformCodec>(
-    cx: Arc<Cx<D>>,
-    store: S,
-    index: usize,
-    table: &'static str,
-) {
-    let mut backoff = Backoff::new(
-        MIN_RETRY_DELAY,
-        MAX_RETRY_DELAY,
-        rendezvous_rank(table, &cx.settings.name),
-    );
-    let name = Name::from(table);
-    // Every entry reads each table once, since the tables list the entries from
-    // which the store readers are selected.
-    let mut initialized = false;
-    loop {
-        if initialized && !should_follow_store(&cx) {
-            cx.sync.set_connected(index, false);
-            tokio::time::sleep(OUTAGE_POLL_INTERVAL).await;
-            continue;
-        }
-        let result = match initialized {
-            false => sync_table(&cx, &store, &name).await,
-            true => sync_changes(&cx, &store, &name).await,
-        };
-        match result {
-            Ok(()) => {
-                initialized = true;
-                backoff.reset();
-                set_table_connected(&cx, index, table, true, "");
-                let is_operator_table = table == cx.codec.tables().operator;
-                let pause = if is_operator_table {
-                    OPERATOR_CHANGE_DELAY
-                } else {
-                    MEMBER_CHANGE_DELAY
-                };
-                tokio::time::sleep(pause).await;
-            }
-            Err(FeedError::HistoryGone) => {
-                cx.recorder
-                    .emit(Event::HistoryGone, &format!("table={table}"));
-                initialized = false;
-            }
-            Err(FeedError::Failed(err)) => {
-                set_table_connected(&cx, index, table, false, &err.to_string());
-                tokio::time::sleep(backoff.next_delay()).await;
-            }
-        }
-    }
-}
-
-fn set_table_connected<D: PlatformCodec>(
-    cx: &Cx<D>,
-    index: usize,
-    table: &str,
-    connected: bool,
-    reason: &str,
-) {
-    if cx.sync.set_connected(index, connected) {
-        let event = if connected {
-            Event::StoreRegained
-        } else {
-            Event::StoreLost
-        };
-        cx.recorder
-            .emit(event, &format!("table={table} reason={reason:?}"));
-    }
-}
-
-async fn sync_table<S: TableFeed, D: PlatformCodec>(
-    cx: &Cx<D>,
-    store: &S,
-    table: &Name,
-) -> Result<(), FeedError> {
-    let read = tokio::time::timeout(TABLE_TIMEOUT, store.read_table(table)).await;
-    let read = read
-        .map_err(|_| timeout_error())?
-        .map_err(FeedError::Failed)?;
-    cx.cluster.replace_table(table, read.rows, read.version);
-    Ok(())
-}
-
-async fn sync_changes<S: TableFeed, D: PlatformCodec>(
-    cx: &Cx<D>,
-    store: &S,
-    table: &Name,
-) -> Result<(), FeedError> {
-    let after = cx.cluster.table_version(table);
-    let feed = store.changes(table, after, STORE_LONG_POLL);
-    let changes = tokio::time::timeout(STORE_LONG_POLL + LONG_POLL_SLACK, feed).await;
-    let changes = changes.map_err(|_| timeout_error())??;
-    let known = TableVersion {
-        table: table.clone(),
-        version: changes.version,
-    };
-    cx.cluster.apply(changes.rows, &[known]);
-    Ok(())
-}
-
-fn timeout_error() -> FeedError {
-    FeedError::Failed(rw_platform::Error::Unknown("no answer in time".to_string()))
-}
-
 // Follows the store reader at `index` among the nearest. When it does not
 // answer, moves on to the next one, and the entry reads the store itself for a
 // while.
@@ -293,8 +171,9 @@
         return;
     }
     cx.sync.lag_since_ms.store(0, Ordering::Relaxed);
-    let daemon = cx.cluster.snapshot().daemons.get(&report.entry).cloned();
-    let Some(daemon) = daemon else { return };
+    let Some(daemon) = cx.cluster.entry(&report.entry) else {
+        return;
+    };
     let cx = cx.clone();
     tokio::spawn(async move {
         if let Err(err) = request_rows(&cx, &daemon.addr, Duration::ZERO).await {
@@ -348,16 +227,6 @@
     }
 }
 
-async fn sync_all_tables<S: TableFeed, D: PlatformCodec>(cx: &Cx<D>, store: &S) {
-    let tables = cx.codec.tables();
-    for table in [tables.operator, tables.servers, tables.daemons] {
-        if let Err(err) = sync_table(cx, store, &Name::from(table)).await {
-            log::debug!("reading table {table} from the store failed: {err:?}");
-            return;
-        }
-    }
-}
-
 async fn request_rows<D: PlatformCodec>(
     cx: &Cx<D>,
     addr: &Name,
--- a/crates/rw-fleet/src/lib.rs
+++ b/crates/rw-fleet/src/lib.rs
@@ -19,6 +19,7 @@
 mod seeds;
 mod settings;
 mod snapshot;
+mod store_feed;
 
 pub use cluster_state::ClusterState;
 pub use codec::{HeaderNames, PlatformCodec, RowContent, TableNames};
@@ -32,3 +33,4 @@
 pub use run::{run, ExternalClients};
 pub use settings::{Bounds, DaemonSettings, FleetRole};
 pub use snapshot::{ReceivedStatus, RequestedWeights, Snapshot};
+pub use store_feed::long_poll_timeout;
--- a/crates/rw-fleet/src/peers.rs
+++ b/crates/rw-fleet/src/peers.rs
@@ -6,7 +6,8 @@
 use rw_observe::Event;
 use rw_peer::{FrameTx, Handler};
 use rw_protocol::{
-    LoadReport, Missing, Name, Noted, PeerReply, PeerRequest, RowsReply, RowsRequest, ServerStatus,
+    Announcement, LoadReport, Missing, Name, Noted, PeerReply, PeerRequest, RowsReply, RowsRequest,
+    ServerStatus,
 };
 
 use tokio::time::Instant;
@@ -14,7 +15,7 @@
 use crate::entry::LoadTracker;
 use crate::host::ChunkStore;
 use crate::{follow, peer_selection};
-use crate::{Cx, PlatformCodec};
+use crate::{Cx, Daemon, PlatformCodec};
 
 /// Interval between load reports. An engine starts about one request per
 /// interval, so entries exceed its slots only slightly.
@@ -45,12 +46,13 @@
 impl<D: PlatformCodec> PeerHandler<D> {
     async fn reply_to(&self, req: PeerRequest) -> PeerReply {
         match req {
-            PeerRequest::Load(report) => {
-                follow::catch_up(&self.cx, &report);
-                self.cx.cluster.merge_weights_ages(&report.named);
-                if let Some(load_tracker) = &self.load_tracker {
-                    load_tracker.on_load_report(report);
-                }
+            PeerRequest::Load(report) => self.handle_load_report(report),
+            PeerRequest::Announce(announcement) => {
+                self.cx.cluster.add_announced(Daemon {
+                    name: announcement.name,
+                    addr: announcement.addr,
+                    zone: announcement.zone,
+                });
                 PeerReply::Noted(Noted {})
             }
             PeerRequest::Rows(req) => PeerReply::Rows(self.rows(&req).await),
@@ -70,6 +72,21 @@
         }
     }
 
+    // Replies `Missing` to an entry whose address is not known, so that it announces
+    // itself.
+    fn handle_load_report(&self, report: LoadReport) -> PeerReply {
+        let is_known = self.cx.cluster.entry(&report.entry).is_some();
+        follow::catch_up(&self.cx, &report);
+        self.cx.cluster.merge_weights_ages(&report.named);
+        if let Some(load_tracker) = &self.load_tracker {
+            load_tracker.on_load_report(report);
+        }
+        match is_known {
+            true => PeerReply::Noted(Noted {}),
+            false => PeerReply::Missing(Missing { retry_after_ms: 0 }),
+        }
+    }
+
     async fn rows(&self, req: &RowsRequest) -> RowsReply {
         let cluster = &self.cx.cluster;
         let changed = cluster.subscribe();
@@ -142,8 +159,28 @@
             .values()
             .filter(|d| d.name != cx.settings.name)
         {
-            notify(&cx, daemon.addr.clone(), PeerRequest::Load(report.clone()));
+            tokio::spawn(send_load_report(
+                cx.clone(),
+                daemon.addr.clone(),
+                report.clone(),
+            ));
+        }
+    }
+}
+
+async fn send_load_report<D: PlatformCodec>(cx: Arc<Cx<D>>, addr: Name, report: LoadReport) {
+    let req = PeerRequest::Load(report);
+    match cx.pool.request(&addr, &req, NOTIFY_TIMEOUT).await {
+        Ok(PeerReply::Missing(_)) => {
+            let own = PeerRequest::Announce(Announcement {
+                name: cx.settings.name.clone(),
+                addr: Name::from(cx.settings.peer_addr.to_string()),
+                zone: cx.settings.zone.clone(),
+            });
+            notify(&cx, addr, own);
         }
+        Ok(_) => {}
+        Err(err) => log::debug!("sending a load report to {addr} failed: {err}"),
     }
 }
 
--- a/crates/rw-fleet/src/settings.rs
+++ b/crates/rw-fleet/src/settings.rs
@@ -60,7 +60,7 @@
 }
 
 /// Limits from the deployment's settings.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Bounds {
     /// Time from SIGTERM to SIGKILL.
     pub grace: Duration,
--- /dev/null
+++ b/crates/rw-fleet/src/store_feed.rs
@@ -0,0 +1,194 @@
+//! Reads the platform's store: complete tables and their changes.
+
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rw_coord::Backoff;
+use rw_observe::Event;
+use rw_platform::{FeedError, TableFeed};
+use rw_protocol::{rendezvous_rank, Name, TableVersion};
+
+use crate::follow::{MAX_RETRY_DELAY, MIN_RETRY_DELAY, OUTAGE_POLL_INTERVAL};
+use crate::peer_selection::{store_readers, MAX_STORE_READERS};
+use crate::{Bounds, Cx, PlatformCodec};
+
+/// Longest long-poll timeout at the store. Long, since each long poll is a billed
+/// call.
+const MAX_STORE_LONG_POLL: Duration = Duration::from_secs(15);
+/// Delay before the next long poll of the operators' table, which batches
+/// consecutive changes into one response; a small part of the time in which they
+/// have to take effect.
+const OPERATOR_CHANGE_DELAY: Duration = Duration::from_millis(60);
+/// The same for the tables of servers and daemons, many of which change at once.
+/// Servers have seconds to drain, and their daemons notify entries of loaded
+/// weights directly.
+const MEMBER_CHANGE_DELAY: Duration = Duration::from_millis(200);
+/// Time that a response may take beyond the long-poll timeout.
+const LONG_POLL_SLACK: Duration = Duration::from_secs(1);
+/// Shortest long-poll timeout at the store.
+const MIN_STORE_LONG_POLL: Duration = Duration::from_millis(500);
+/// Share of the settling time that the first attempt to read a complete table from
+/// the store may take; each further attempt may take twice as long.
+const TABLE_TIMEOUT_SHARE: f64 = 0.8;
+/// Number of times that the timeout of a complete table is doubled at most.
+const MAX_TABLE_TIMEOUT_DOUBLINGS: u32 = 2;
+
+/// Long-poll timeout for tables whose changes have to take effect in time. A call
+/// that the store has forgotten in an outage hangs without an error, so the
+/// timeout ends within the time in which daemons may recover from an outage.
+///
+/// ```
+/// use std::time::Duration;
+/// let mut bounds = rw_fleet::Bounds::default();
+/// bounds.settling = Duration::from_secs(3);
+/// assert!(rw_fleet::long_poll_timeout(&bounds) < bounds.settling);
+/// ```
+pub fn long_poll_timeout(bounds: &Bounds) -> Duration {
+    let limit = bounds.settling.saturating_sub(LONG_POLL_SLACK) / 2;
+    limit.clamp(MIN_STORE_LONG_POLL, MAX_STORE_LONG_POLL)
+}
+
+// Doubles with each failed read, since a large table over a slow link takes longer
+// than a call that hangs may.
+fn table_timeout(bounds: &Bounds, failed_reads: u32) -> Duration {
+    let first = bounds.settling.mul_f64(TABLE_TIMEOUT_SHARE);
+    first * (1 << failed_reads.min(MAX_TABLE_TIMEOUT_DOUBLINGS))
+}
+
+/// Whether this entry follows the store itself, as a store reader or because its
+/// readers failed.
+pub fn should_follow_store<D: PlatformCodec>(cx: &Cx<D>) -> bool {
+    let fallback = cx.sync.fallback_until_ms.load(Ordering::Relaxed);
+    if cx.now().as_millis() < u128::from(fallback) {
+        return true;
+    }
+    let readers = store_readers(cx);
+    readers.len() < MAX_STORE_READERS || readers.iter().any(|d| d.name == cx.settings.name)
+}
+
+/// Follows one table of the store while this entry has to.
+pub async fn follow_store<S: TableFeed, D: PlatformCodec>(
+    cx: Arc<Cx<D>>,
+    store: S,
+    index: usize,
+    table: &'static str,
+) {
+    let mut backoff = Backoff::new(
+        MIN_RETRY_DELAY,
+        MAX_RETRY_DELAY,
+        rendezvous_rank(table, &cx.settings.name),
+    );
+    let name = Name::from(table);
+    // Every entry reads each table once, since the tables list the entries from
+    // which the store readers are selected.
+    let mut initialized = false;
+    let mut failed_reads = 0;
+    loop {
+        if initialized && !should_follow_store(&cx) {
+            cx.sync.set_connected(index, false);
+            tokio::time::sleep(OUTAGE_POLL_INTERVAL).await;
+            continue;
+        }
+        let result = match initialized {
+            false => sync_table(&cx, &store, &name, failed_reads).await,
+            true => sync_changes(&cx, &store, &name).await,
+        };
+        match result {
+            Ok(()) => {
+                initialized = true;
+                failed_reads = 0;
+                backoff.reset();
+                set_table_connected(&cx, index, table, true, "");
+                let is_operator_table = table == cx.codec.tables().operator;
+                let pause = if is_operator_table {
+                    OPERATOR_CHANGE_DELAY
+                } else {
+                    MEMBER_CHANGE_DELAY
+                };
+                tokio::time::sleep(pause).await;
+            }
+            Err(FeedError::HistoryGone) => {
+                cx.recorder
+                    .emit(Event::HistoryGone, &format!("table={table}"));
+                initialized = false;
+            }
+            Err(FeedError::Failed(err)) => {
+                failed_reads += 1;
+                set_table_connected(&cx, index, table, false, &err.to_string());
+                tokio::time::sleep(backoff.next_delay()).await;
+            }
+        }
+    }
+}
+
+fn set_table_connected<D: PlatformCodec>(
+    cx: &Cx<D>,
+    index: usize,
+    table: &str,
+    connected: bool,
+    reason: &str,
+) {
+    if cx.sync.set_connected(index, connected) {
+        let event = if connected {
+            Event::StoreRegained
+        } else {
+            Event::StoreLost
+        };
+        cx.recorder
+            .emit(event, &format!("table={table} reason={reason:?}"));
+    }
+}
+
+async fn sync_table<S: TableFeed, D: PlatformCodec>(
+    cx: &Cx<D>,
+    store: &S,
+    table: &Name,
+    failed_reads: u32,
+) -> Result<(), FeedError> {
+    let limit = table_timeout(&cx.settings.bounds, failed_reads);
+    let read = tokio::time::timeout(limit, store.read_table(table)).await;
+    let read = read
+        .map_err(|_| timeout_error())?
+        .map_err(FeedError::Failed)?;
+    cx.cluster.replace_table(table, read.rows, read.version);
+    Ok(())
+}
+
+async fn sync_changes<S: TableFeed, D: PlatformCodec>(
+    cx: &Cx<D>,
+    store: &S,
+    table: &Name,
+) -> Result<(), FeedError> {
+    let after = cx.cluster.table_version(table);
+    let wait = match **table == *cx.codec.tables().daemons {
+        true => MAX_STORE_LONG_POLL,
+        false => long_poll_timeout(&cx.settings.bounds),
+    };
+    let feed = store.changes(table, after, wait);
+    let changes = tokio::time::timeout(wait + LONG_POLL_SLACK, feed).await;
+    let changes = changes.map_err(|_| timeout_error())??;
+    let known = TableVersion {
+        table: table.clone(),
+        version: changes.version,
+    };
+    cx.cluster.apply(changes.rows, &[known]);
+    Ok(())
+}
+
+fn timeout_error() -> FeedError {
+    FeedError::Failed(rw_platform::Error::Unknown("no answer in time".to_string()))
+}
+
+/// Reads all tables once.
+pub async fn sync_all_tables<S: TableFeed, D: PlatformCodec>(cx: &Cx<D>, store: &S) {
+    let tables = cx.codec.tables();
+    for table in [tables.operator, tables.servers, tables.daemons] {
+        if let Err(err) =
+            sync_table(cx, store, &Name::from(table), MAX_TABLE_TIMEOUT_DOUBLINGS).await
+        {
+            log::debug!("reading table {table} from the store failed: {err:?}");
+            return;
+        }
+    }
+}
--- a/crates/rw-protocol/src/generated.rs
+++ b/crates/rw-protocol/src/generated.rs
@@ -41,6 +41,16 @@
 pub struct Ack {
     pub head: u64,
 }
+///Introduces an entry that may not be registered in the platform's store yet.
+///
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Announcement {
+    pub addr: crate::Name,
+    pub name: crate::Name,
+    pub zone: crate::Name,
+}
 ///Assignment of one host to an intent.
 ///
 #[derive(Clone, Debug, PartialEq)]
@@ -615,6 +625,7 @@
     Load(LoadReport),
     Rows(RowsRequest),
     Runner(ServerStatus),
+    Announce(Announcement),
 }
 impl ::std::convert::From<CallRequest> for PeerRequest {
     fn from(value: CallRequest) -> Self {
@@ -666,6 +677,11 @@
         Self::Runner(value)
     }
 }
+impl ::std::convert::From<Announcement> for PeerRequest {
+    fn from(value: Announcement) -> Self {
+        Self::Announce(value)
+    }
+}
 ///Preview of a change, to be confirmed by an operator.
 ///
 #[derive(Clone, Debug, PartialEq)]
