Follow what backend servers say about themselves: leaving, and Retry-After

Cause: neither Server-Leaving nor the Retry-After of a server's 503 was read. A server that leaves got requests until its row changed, and one that asked for a pause got them again after 150 ms.

Change: rw-routing has ServerNotices, without I/O: a server that says that it leaves gets only requests that no other can take, and none from half of the drain timeout on; one that asks for a pause gets none until its end. Notices hold for one lifetime of a server (its start time), outlive its row, and are read from every response head of an attempt, but not from a 421, which another server may have sent. When all servers of a service asked for a pause, callers are refused at once with the time until the first wants requests.

--- a/crates/rw-fleet/src/codec.rs
+++ b/crates/rw-fleet/src/codec.rs
@@ -57,6 +57,8 @@
     pub not_run: HeaderName,
     /// The backend server's signature of its answer.
     pub signature: HeaderName,
+    /// Indicates that the backend server is leaving.
+    pub leaving: HeaderName,
     /// Running, queued and maximum requests of a backend server.
     pub load: HeaderName,
     /// Version of the weights that produced a response.
--- a/crates/rw-fleet/src/configuration.rs
+++ b/crates/rw-fleet/src/configuration.rs
@@ -164,6 +164,12 @@
     pub layers: u32,
     /// Version of the store at which the server last wrote its row.
     pub written_at: u64,
+    /// Start of this run of the server, in Unix milliseconds. Identifies the run,
+    /// since a server may start again under the same id; 0 if not known.
+    pub started_ms: u64,
+    /// Number of the heartbeat with which the server last wrote its row. Increases
+    /// during a run of the server.
+    pub heartbeat: u64,
 }
 
 /// Registration of a daemon that others can reach.
--- a/crates/rw-fleet/src/context.rs
+++ b/crates/rw-fleet/src/context.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use crate::follow::SyncStatus;
-use crate::{ClusterState, DaemonSettings, PlatformCodec};
+use crate::{ClusterState, DaemonSettings, PlatformCodec, SharedRng};
 
 /// Time without an answer after which the connection to another daemon is
 /// closed.
@@ -26,6 +26,8 @@
     pub recorder: Recorder,
     /// Connections to other daemons.
     pub pool: PeerPool,
+    /// Random choices among servers and services.
+    pub rng: Arc<SharedRng>,
     /// The timer service.
     pub timer: Timer,
     /// Status of the synchronization with the store.
@@ -39,6 +41,7 @@
     pub fn new(settings: DaemonSettings, codec: Arc<D>, recorder: Recorder) -> Arc<Self> {
         Arc::new(Cx {
             cluster: ClusterState::new(codec.clone(), recorder.clone()),
+            rng: Arc::new(SharedRng::new(settings.random_seed)),
             settings,
             codec,
             recorder,
--- a/crates/rw-fleet/src/entry/attempt.rs
+++ b/crates/rw-fleet/src/entry/attempt.rs
@@ -9,7 +9,7 @@
 use rw_protocol::Name;
 use tokio::time::timeout;
 
-use super::Call;
+use super::{Call, LoadTracker, ServerNotice};
 use crate::connect::{self, Connection};
 use crate::{BackendServer, HeaderNames};
 
@@ -56,18 +56,22 @@
 }
 
 /// Sends a call to a backend server. Returns the response head after checking
-/// that it belongs to this call and that the call was executed.
+/// that it belongs to this call and that the call was executed. Records what the
+/// server says about itself.
 pub async fn send(
     call: &Call,
     server: &BackendServer,
     names: &HeaderNames,
     options: &AttemptOptions,
     limit: Duration,
+    load_tracker: &LoadTracker,
 ) -> Result<(Connection, Response<Incoming>)> {
     let mut conn = Connection::open(server.addr, CONNECT_TIMEOUT.min(call.time_left())).await?;
     let req = request(call, &server.id, names, options)?;
     let res = timeout(limit, conn.send(req)).await;
     let res = res.map_err(|_| Failure::Timeout)??;
+    let notice = ServerNotice::parse(res.status(), res.headers(), names);
+    load_tracker.on_notice(server, &notice);
     validate_head(call, names, &res)?;
     Ok((conn, res))
 }
--- a/crates/rw-fleet/src/entry/load_tracker.rs
+++ b/crates/rw-fleet/src/entry/load_tracker.rs
@@ -17,8 +17,9 @@
 use super::load_state::{
     unix_time, LoadState, ReportedLoad, ServerState, MAX_QUEUED_PER_ENGINE, REPORT_TTL,
 };
-use super::SlotPermit;
-use crate::{BackendServer, Bounds, Engine, Snapshot};
+use super::notice_log::NoticeLog;
+use super::{ServerNotice, SlotPermit};
+use crate::{BackendServer, Bounds, Engine, SharedRng, Snapshot};
 
 /// Time during which a server that refused a request gets no new ones.
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(150);
@@ -32,17 +33,21 @@
     name: Name,
     started: Instant,
     state: Mutex<LoadState>,
+    notices: Mutex<NoticeLog>,
+    rng: Arc<SharedRng>,
     bounds: Bounds,
     load_changed: ChangeNotifier,
 }
 
 impl LoadTracker {
     /// Creates a tracker without any load.
-    pub fn new(name: Name, bounds: Bounds) -> Arc<Self> {
+    pub fn new(name: Name, bounds: Bounds, rng: Arc<SharedRng>) -> Arc<Self> {
         Arc::new(LoadTracker {
             name,
             started: Instant::now(),
             state: Mutex::default(),
+            notices: Mutex::default(),
+            rng,
             bounds,
             load_changed: ChangeNotifier::default(),
         })
@@ -56,6 +61,10 @@
         self.started.elapsed()
     }
 
+    fn notices(&self) -> MutexGuard<'_, NoticeLog> {
+        self.notices.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns a receiver that is signalled when a slot is freed or a load report
     /// arrives.
     pub fn subscribe(&self) -> flume::Receiver<()> {
@@ -99,7 +108,7 @@
                 max_running: *limit,
             })
             .collect();
-        candidates.shuffle(&mut rand::rng());
+        candidates.shuffle(&mut *self.rng.lock());
         match select_engine(requirements, &candidates, MAX_QUEUED_PER_ENGINE) {
             EngineSelection::Selected(id, forecast) => match servers.iter().find(|s| s.id == id) {
                 Some(server) => {
@@ -125,7 +134,7 @@
     ) -> Option<SlotPermit> {
         let now = self.now();
         let mut state = self.state();
-        let mut rng = rand::rng();
+        let mut rng = self.rng.lock();
         let best = servers
             .iter()
             .filter_map(|s| {
@@ -249,6 +258,30 @@
         self.update(server, |server_state| server_state.breaker.on_failure(now))
     }
 
+    /// Records what a server said about itself in a response. Returns whether it said
+    /// for the first time that it is leaving.
+    pub(super) fn on_notice(&self, server: &BackendServer, notice: &ServerNotice) -> bool {
+        if *notice == ServerNotice::default() {
+            return false;
+        }
+        self.notices().record(server, notice, self.now())
+    }
+
+    /// The servers that want requests, by what they said about themselves.
+    pub(super) fn admitted(&self, servers: Vec<Arc<BackendServer>>) -> Vec<Arc<BackendServer>> {
+        self.notices()
+            .admitted(servers, self.bounds.drain, self.now())
+    }
+
+    /// Time until the first of the servers wants requests again, if all asked for a
+    /// pause.
+    pub(super) fn shortest_pause<'a>(
+        &self,
+        servers: impl Iterator<Item = &'a Arc<BackendServer>>,
+    ) -> Option<Duration> {
+        self.notices().shortest_pause(servers, self.now())
+    }
+
     /// Records that a server refused a request; it gets no new ones for a while.
     pub fn on_refused(&self, server: &Name) {
         let until = self.now() + REFUSAL_BACKOFF;
--- a/crates/rw-fleet/src/entry/request.rs
+++ b/crates/rw-fleet/src/entry/request.rs
@@ -13,7 +13,7 @@
 
 use super::response::strip_hop_by_hop;
 use super::{Call, Refusal};
-use crate::{Cx, PlatformCodec, Route, Team};
+use crate::{Cx, PlatformCodec, Route, SharedRng, Team};
 
 /// `Retry-After` while the entry has no configuration yet.
 const NO_CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -63,7 +63,7 @@
     let time_limit = caller_timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
     Ok(Call {
         id: Name::from(id),
-        service: pick_service(&route),
+        service: pick_service(&route, &cx.rng),
         team,
         method: head.method,
         uri: head.uri,
@@ -108,11 +108,11 @@
 }
 
 // Weighted random choice among the services of a route.
-fn pick_service(route: &Route) -> Name {
+fn pick_service(route: &Route, rng: &SharedRng) -> Name {
     let total: u32 = route.services.iter().map(|(_, weight)| weight).sum();
     let mut draw = match total {
         0 => 0,
-        total => rand::rng().random_range(0..total),
+        total => rng.lock().random_range(0..total),
     };
     for (name, weight) in &route.services {
         if draw < *weight {
--- a/crates/rw-fleet/src/entry/response.rs
+++ b/crates/rw-fleet/src/entry/response.rs
@@ -130,6 +130,7 @@
     let mut out = headers.clone();
     strip_hop_by_hop(&mut out);
     out.remove(&names.load);
+    out.remove(&names.leaving);
     out
 }
 
--- a/crates/rw-fleet/src/entry/shared.rs
+++ b/crates/rw-fleet/src/entry/shared.rs
@@ -2,6 +2,7 @@
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
 
 use rw_observe::Event;
 use rw_protocol::Name;
@@ -63,7 +64,18 @@
         self.cx.recorder.emit(event, detail.trim_end());
     }
 
-    /// Servers of a service that accept new requests.
+    /// Time until the first server of a service wants requests again, if all of them
+    /// asked for a pause.
+    pub fn pause_of_all(&self, service: &str) -> Option<Duration> {
+        let snapshot = self.cx.cluster.snapshot();
+        let ready = snapshot
+            .servers
+            .values()
+            .filter(|s| *s.service == *service && s.ready);
+        self.load_tracker.shortest_pause(ready)
+    }
+
+    /// Servers of a service that are registered as ready.
     pub fn ready_servers(&self, service: &str) -> Vec<Arc<BackendServer>> {
         let snapshot = self.cx.cluster.snapshot();
         let ready = snapshot
@@ -73,6 +85,12 @@
         ready.cloned().collect()
     }
 
+    /// The ready servers of a service that want requests, by what they said about
+    /// themselves.
+    pub fn admitted_servers(&self, service: &str) -> Vec<Arc<BackendServer>> {
+        self.load_tracker.admitted(self.ready_servers(service))
+    }
+
     /// Takes a retry from the retry budget of the call's service; false if it is
     /// spent.
     pub fn try_acquire_retry(&self, call: &Call) -> bool {
--- a/crates/rw-fleet/src/entry/stream_opener.rs
+++ b/crates/rw-fleet/src/entry/stream_opener.rs
@@ -112,7 +112,9 @@
                 }
             }
             if !self.can_retry() {
-                let refusal = self.not_run_refusal("backend servers are full", MIN_RETRY_AFTER);
+                let pause = self.entry.pause_of_all(&self.call.service);
+                let retry_after = pause.unwrap_or(MIN_RETRY_AFTER);
+                let refusal = self.not_run_refusal("backend servers are full", retry_after);
                 return Err(fallback.unwrap_or(refusal));
             }
         }
@@ -139,6 +141,13 @@
         }
     }
 
+    fn no_server_refusal(&self) -> Refusal {
+        match self.entry.pause_of_all(&self.call.service) {
+            Some(pause) => self.not_run_refusal("every backend server asked for a pause", pause),
+            None => self.not_run_refusal("no backend server", NO_SERVER_RETRY_AFTER),
+        }
+    }
+
     fn can_retry(&self) -> bool {
         let has_attempt_left = self.sent_attempts < self.call.route.max_attempts;
         let may_run_again = self.sent_attempts == 0
@@ -153,8 +162,8 @@
         let Some(engine) = service.and_then(|s| s.engine.clone()) else {
             let permit = entry
                 .load_tracker
-                .select_least_loaded(&entry.ready_servers(&call.service));
-            return permit.ok_or(self.not_run_refusal("no backend server", NO_SERVER_RETRY_AFTER));
+                .select_least_loaded(&entry.admitted_servers(&call.service));
+            return permit.ok_or_else(|| self.no_server_refusal());
         };
         let until = match self.tried_servers.is_empty() {
             true => call.received_at + call.route.objective.mul_f64(SLOT_WAIT_SHARE),
@@ -174,9 +183,7 @@
             match selected {
                 Ok(permit) => return Ok(permit),
                 Err(EngineSelection::Full(_)) => {}
-                Err(_) => {
-                    return Err(self.not_run_refusal("no backend server", NO_SERVER_RETRY_AFTER))
-                }
+                Err(_) => return Err(self.no_server_refusal()),
             }
             if timeout_at(until, load_changed.recv_async()).await.is_err() {
                 return Err(self.not_run_refusal("every engine is full", FULL_RETRY_AFTER));
@@ -213,6 +220,7 @@
             };
             has_version && !snapshot.is_paused(&s.id, rw_coord::uptime())
         });
+        servers = self.entry.load_tracker.admitted(servers);
         let is_untried = |s: &Arc<BackendServer>| !self.tried_servers.contains(&s.id);
         if servers.iter().any(is_untried) {
             servers.retain(is_untried);
@@ -248,7 +256,15 @@
             last_event_id,
             weights_version: self.weights_version,
         };
-        let (conn, res) = attempt::send(call, &permit.server, names, &options, limit).await?;
+        let (conn, res) = attempt::send(
+            call,
+            &permit.server,
+            names,
+            &options,
+            limit,
+            &self.entry.load_tracker,
+        )
+        .await?;
         if !is_event_stream(&res) {
             let response = timeout_at(until, read_response(res, MAX_RESPONSE_BYTES)).await;
             let response = response.map_err(|_| Failure::Timeout)??;
--- a/crates/rw-fleet/src/entry/unary.rs
+++ b/crates/rw-fleet/src/entry/unary.rs
@@ -50,7 +50,7 @@
     async fn run(&mut self) -> std::result::Result<CompleteResponse, Refusal> {
         let mut fallback = Refusal::NotRun {
             reason: "no backend server",
-            retry_after: NO_SERVER_RETRY_AFTER,
+            retry_after: self.retry_after(),
             known_load: self.entry.load_tracker.summary(&self.servers()),
         };
         let mut error_response = None;
@@ -83,7 +83,11 @@
                     fallback = Refusal::Failed("the backend server failed");
                 }
                 Err(Failure::NotSent(_)) => self.unreachable_servers += 1,
-                Err(Failure::NotRun(_)) => {}
+                Err(Failure::NotRun(_)) => {
+                    if let Refusal::NotRun { retry_after, .. } = &mut fallback {
+                        *retry_after = self.retry_after();
+                    }
+                }
                 Err(Failure::Timeout) => {
                     self.sent_attempts += 1;
                     fallback = Refusal::Timeout;
@@ -99,6 +103,11 @@
         }
     }
 
+    fn retry_after(&self) -> Duration {
+        let pause = self.entry.pause_of_all(&self.call.service);
+        pause.unwrap_or(NO_SERVER_RETRY_AFTER)
+    }
+
     fn can_retry(&self) -> bool {
         let has_attempt_left = self.sent_attempts < self.call.route.max_attempts;
         let may_run_again = self.sent_attempts == 0 || self.call.is_retryable();
@@ -112,7 +121,7 @@
     }
 
     fn servers(&self) -> Vec<Arc<BackendServer>> {
-        let ready = self.entry.ready_servers(&self.call.service);
+        let ready = self.entry.admitted_servers(&self.call.service);
         let untried: Vec<_> = ready
             .iter()
             .filter(|s| !self.tried_servers.contains(&s.id))
@@ -139,7 +148,15 @@
         let limit = limit.min(call.time_left());
         let exchange = async {
             let options = AttemptOptions::default();
-            let (_conn, res) = attempt::send(call, &permit.server, names, &options, limit).await?;
+            let (_conn, res) = attempt::send(
+                call,
+                &permit.server,
+                names,
+                &options,
+                limit,
+                &self.entry.load_tracker,
+            )
+            .await?;
             Ok(read_response(res, MAX_RESPONSE_BYTES).await?)
         };
         let result = tokio::time::timeout(limit, exchange).await;
--- a/crates/rw-fleet/src/lib.rs
+++ b/crates/rw-fleet/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod host;
 mod peer_selection;
 mod peers;
+mod random;
 mod run;
 mod seeds;
 mod settings;
@@ -30,6 +31,7 @@
 pub use context::Cx;
 pub use entry::{EventReader, Refusal};
 pub use error::{Error, Result};
+pub use random::SharedRng;
 pub use run::{run, ExternalClients};
 pub use settings::{Bounds, DaemonSettings, FleetRole};
 pub use snapshot::{ReceivedStatus, RequestedWeights, Snapshot};
--- a/crates/rw-fleet/src/settings.rs
+++ b/crates/rw-fleet/src/settings.rs
@@ -45,6 +45,8 @@
     pub first_start: bool,
     /// Limits from the deployment's settings.
     pub bounds: Bounds,
+    /// Seed of the random choices among servers; `None` takes one from the system.
+    pub random_seed: Option<u64>,
     /// Bandwidth of the host's link in each direction, in bytes per second; 0
     /// is unlimited.
     pub link_bytes_per_s: u64,
@@ -64,6 +66,8 @@
 pub struct Bounds {
     /// Time from SIGTERM to SIGKILL.
     pub grace: Duration,
+    /// Time after which a leaving backend server must get no more requests.
+    pub drain: Duration,
     /// Retries allowed per request of a service.
     pub retry_ratio: f64,
     /// Retries allowed beyond that ratio, for all daemons together.
--- a/crates/rw-fleet/tests/cluster_state.rs
+++ b/crates/rw-fleet/tests/cluster_state.rs
@@ -27,6 +27,7 @@
         path: name.clone(),
         not_run: name.clone(),
         signature: name.clone(),
+        leaving: name.clone(),
         load: name.clone(),
         weights: name.clone(),
         tokens: name.clone(),
@@ -67,6 +68,8 @@
                 weights_version: 0,
                 layers: 0,
                 written_at: row.version,
+                started_ms: 0,
+                heartbeat: 0,
             })),
             Some(("weights", n)) => Ok(RowContent::Weights {
                 model: "m".into(),
@@ -233,6 +236,7 @@
 
 fn bounds() -> Bounds {
     Bounds {
+        drain: Duration::from_secs(2),
         grace: Duration::from_secs(8),
         retry_ratio: 0.2,
         retry_extra: 1.0,
--- a/crates/rw-routing/src/lib.rs
+++ b/crates/rw-routing/src/lib.rs
@@ -8,6 +8,7 @@
 mod queue;
 mod retry;
 mod router;
+mod server_notices;
 mod slot_rotation;
 mod slowdown;
 mod windowed_retry;
@@ -21,6 +22,7 @@
 pub use queue::{FairQueue, QueuedRequest, Refusal};
 pub use retry::RetryBudget;
 pub use router::{HostQuery, HostSelection, Router};
+pub use server_notices::{ServerAdmission, ServerNotices};
 pub use slot_rotation::{EntryPosition, SlotRotation};
 pub use slowdown::{median, slowdown, FirstEventTracker};
 pub use windowed_retry::WindowedRetryBudget;
