Survive a store that comes back from an older copy

Cause: a row replaced another only if its version was higher. After the store has come back from a copy it gives its versions out again, so nothing that operators and servers wrote was taken until the versions had caught up, and a server that had left was listed again.

Change: the adapter reads Store-Era and packs era and version into one number that keeps the order (rw_platform::Revision), so every comparison, the exchange between daemons included, has the era. A daemon or a store without eras counts as era 0. Configuration and weights in force stay when the copy has older ones, and daemons that start from a peer get the newer ones. Departures remembers the last heartbeat of servers that drain or are gone, so that the copy does not bring them back. Rows that the copy lacks stay 2.5 s, in which their owners write them again; an entry that is not listed registers again. ClusterState lost the ages of weights and the compression of rows to files of their own.

Not covered: a daemon that starts after the return and reads the store, before the operators have written again, knows only the older configuration.

--- a/crates/rw-fleet/src/cluster_state.rs
+++ b/crates/rw-fleet/src/cluster_state.rs
@@ -3,29 +3,31 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
 use rw_coord::{uptime, ChangeNotifier};
 use rw_observe::{Event, Recorder};
-use rw_protocol::{Name, RequestedVersionAge, ServerStatus, StoredRow, TableVersion};
+use rw_platform::Revision;
+use rw_protocol::{Name, ServerStatus, StoredRow, TableVersion};
 
+use crate::departures::Departures;
+use crate::row_compression::{compress, decompress};
 use crate::snapshot::ReceivedStatus;
-use crate::{BackendServer, Bounds, Daemon, PlatformCodec, RequestedWeights, RowContent, Snapshot};
+use crate::{BackendServer, Daemon, PlatformCodec, RequestedWeights, RowContent, Snapshot};
 
 /// Tombstones of deleted rows kept so that other daemons learn of the deletion.
 const MAX_TOMBSTONES: usize = 2000;
 
-/// Minimum size of rows that are compressed; compressing smaller ones saves
-/// little.
-const COMPRESSION_THRESHOLD_BYTES: usize = 4096;
 /// Requested versions kept per model; older ones have long been rolled out.
-const MAX_REQUESTED_VERSIONS: usize = 8;
+pub(crate) const MAX_REQUESTED_VERSIONS: usize = 8;
 
 #[derive(Default)]
-struct State {
+pub(crate) struct State {
     rows: BTreeMap<(Name, Name), StoredRow>,
     table_versions: BTreeMap<Name, u64>,
-    snapshot: Arc<Snapshot>,
+    pub(crate) snapshot: Arc<Snapshot>,
+    departures: Departures,
+    // Whether rows of an earlier era of the store may remain.
+    has_earlier_eras: bool,
     // Entries that announced themselves and may not be registered in the store yet.
     announced: BTreeMap<Name, Daemon>,
 }
@@ -50,7 +52,7 @@
         })
     }
 
-    fn state(&self) -> MutexGuard<'_, State> {
+    pub(crate) fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -105,7 +107,10 @@
         }
         for table in table_versions {
             let known = state.table_versions.entry(table.table.clone()).or_default();
+            let starts_era = *known > 0 && era(table.version) > era(*known);
             *known = (*known).max(table.version);
+            state.has_earlier_eras |= starts_era;
+            changed |= starts_era;
         }
         prune_tombstones(&mut state);
         if changed {
@@ -116,12 +121,14 @@
     }
 
     /// Replaces a complete table: known rows that are missing from it are
-    /// marked as deleted.
+    /// marked as deleted. Those of an earlier era of the store stay for now, see
+    /// [`drop_earlier_eras`](Self::drop_earlier_eras).
     pub fn replace_table(&self, table: &Name, mut rows: Vec<StoredRow>, version: u64) {
         let found: BTreeSet<Name> = rows.iter().map(|row| row.key.clone()).collect();
         for ((row_table, key), old) in &self.state().rows {
-            if row_table == table && !found.contains(key) && !old.deleted && old.version <= version
-            {
+            let is_missing = row_table == table && !found.contains(key) && !old.deleted;
+            let is_same_era = era(old.version) == era(version);
+            if is_missing && is_same_era && old.version <= version {
                 rows.push(StoredRow {
                     version,
                     deleted: true,
@@ -138,6 +145,45 @@
         self.apply(rows, &[table_version]);
     }
 
+    /// Whether rows of an earlier era of the store may remain.
+    pub fn has_earlier_eras(&self) -> bool {
+        self.state().has_earlier_eras
+    }
+
+    /// Removes the backend servers and daemons that have not been written in the
+    /// current era of the store. Servers write their rows again within some seconds
+    /// after the store came back from an older copy.
+    pub fn drop_earlier_eras(&self) {
+        let mut state = self.state();
+        state.has_earlier_eras = false;
+        let mut snapshot = Snapshot::clone(&state.snapshot);
+        let operator_table = self.codec.tables().operator;
+        let dropped: Vec<StoredRow> = state
+            .rows
+            .values()
+            .filter(|row| {
+                let current = state.table_versions.get(&row.table).copied();
+                let is_earlier = era(row.version) < era(current.unwrap_or_default());
+                is_earlier && *row.table != *operator_table
+            })
+            .cloned()
+            .collect();
+        for row in &dropped {
+            state.rows.remove(&(row.table.clone(), row.key.clone()));
+            self.remove_row(&mut state.departures, &mut snapshot, row);
+        }
+        if !dropped.is_empty() {
+            state.snapshot = Arc::new(snapshot);
+            drop(state);
+            self.changed.notify();
+        }
+    }
+
+    /// Era of the store from which a table is known.
+    pub fn table_era(&self, table: &str) -> u32 {
+        era(self.table_version(table))
+    }
+
     /// Rows newer than the given table versions.
     pub fn rows_since(&self, table_versions: &[TableVersion]) -> Vec<StoredRow> {
         let state = self.state();
@@ -154,58 +200,6 @@
         !self.rows_since(table_versions).is_empty()
     }
 
-    /// Ages of the requested weights, without models whose ages are not known
-    /// yet. Versions requested before this daemon started count as past the
-    /// rollout deadline once the settling time has passed.
-    pub fn weights_ages(&self, bounds: &Bounds) -> Vec<RequestedVersionAge> {
-        let now = uptime();
-        let snapshot = self.snapshot();
-        let age = |requested: &RequestedWeights| now.saturating_sub(requested.received_at);
-        let is_age_known = |versions: &Vec<RequestedWeights>| {
-            let mut before_start = versions.iter().filter(|requested| requested.before_start);
-            before_start.all(|requested| age(requested) >= bounds.settling)
-        };
-        let models = snapshot
-            .requested_weights
-            .iter()
-            .filter(|(_, versions)| is_age_known(versions));
-        let all = models
-            .flat_map(|(model, versions)| versions.iter().map(move |requested| (model, requested)));
-        all.map(|(model, requested)| {
-            let age = match requested.before_start {
-                true => age(requested).max(bounds.rollout_deadline),
-                false => age(requested),
-            };
-            RequestedVersionAge {
-                model: model.clone(),
-                version: requested.version,
-                age_ms: age.as_millis() as u64,
-            }
-        })
-        .collect()
-    }
-
-    /// Merges ages of requested weights from another daemon. This daemon may
-    /// have started after the request and know only the latest version. The
-    /// oldest age wins, since other daemons may have learned of the request
-    /// late.
-    pub fn merge_weights_ages(&self, ages: &[RequestedVersionAge]) {
-        let now = uptime();
-        let mut state = self.state();
-        let mut weights = state.snapshot.requested_weights.clone();
-        for age in ages {
-            let received_at = now.saturating_sub(Duration::from_millis(age.age_ms));
-            if let Some(versions) = weights.get_mut(&age.model) {
-                merge_requested(versions, age.version, received_at);
-            }
-        }
-        if weights != state.snapshot.requested_weights {
-            let mut snapshot = Snapshot::clone(&state.snapshot);
-            snapshot.requested_weights = weights;
-            state.snapshot = Arc::new(snapshot);
-        }
-    }
-
     /// Applies the status of a backend server, sent by the daemon beside it,
     /// unless a newer one was received before.
     pub fn apply_status(&self, status: ServerStatus) {
@@ -240,13 +234,18 @@
         {
             return false;
         }
-        let row = compress(row);
+        let mut row = compress(row);
         let content = match row.deleted {
             true => Ok(RowContent::Other),
             false => self.codec.decode(&decompress(&row)),
         };
         match content {
-            Ok(content) => self.apply_content(snapshot, &row, content, first_read),
+            Ok(content) => {
+                let departures = &mut state.departures;
+                if !self.apply_content(departures, snapshot, &row, content, first_read) {
+                    keep_newer_content(&mut row, state.rows.get(&row_key));
+                }
+            }
             Err(err) => {
                 let detail = format!(
                     "table={} key={} reason={err:?}",
@@ -255,27 +254,29 @@
                     err = err.to_string()
                 );
                 self.recorder.emit(Event::RowUnreadable, &detail);
-                self.remove_row(snapshot, &row);
+                self.remove_row(&mut state.departures, snapshot, &row);
             }
         }
         state.rows.insert(row_key, row);
         true
     }
 
+    // Returns false for content that is older than what is in effect.
     fn apply_content(
         &self,
+        departures: &mut Departures,
         snapshot: &mut Snapshot,
         row: &StoredRow,
         content: RowContent,
         first_read: bool,
-    ) {
+    ) -> bool {
         match content {
             RowContent::Configuration(cfg) => {
-                let newer = snapshot
-                    .cfg
-                    .as_ref()
-                    .is_none_or(|old| old.version < cfg.version);
-                if newer {
+                let in_force = snapshot.cfg.as_ref().map(|old| old.version);
+                if in_force > Some(cfg.version) {
+                    return false;
+                }
+                if in_force < Some(cfg.version) {
                     let detail = format!(
                         "version={} row_version={} routes={}",
                         cfg.version,
@@ -287,6 +288,9 @@
                 }
             }
             RowContent::Weights { model, version } => {
+                if snapshot.target_version(&model) > version {
+                    return false;
+                }
                 if snapshot.target_version(&model) < version {
                     let detail = format!("model={model} version={version}");
                     self.recorder.emit(Event::WeightsNamed, &detail);
@@ -303,23 +307,33 @@
                 }
             }
             RowContent::Server(server) => {
+                if departures.is_outdated(&server) {
+                    return false;
+                }
                 // An address belongs to the server that wrote last; the row of
                 // a server that crashed at this address expires later.
                 let conflict = |old: &BackendServer| old.addr == server.addr && old.id != server.id;
                 let wrote_later =
                     |old: &&Arc<BackendServer>| conflict(old) && old.written_at > server.written_at;
                 if snapshot.servers.values().any(|old| wrote_later(&old)) {
-                    return;
+                    return true;
+                }
+                for old in snapshot.servers.values().filter(|old| conflict(old)) {
+                    departures.record(old);
                 }
                 snapshot.servers.retain(|_, old| !conflict(old));
                 self.log_server_change(snapshot, &server);
+                if !server.ready {
+                    departures.record(&server);
+                }
                 snapshot.servers.insert(server.id.clone(), Arc::new(server));
             }
             RowContent::Daemon(daemon) => {
                 snapshot.daemons.insert(daemon.name.clone(), daemon);
             }
-            RowContent::Other => self.remove_row(snapshot, row),
+            RowContent::Other => self.remove_row(departures, snapshot, row),
         }
+        true
     }
 
     fn log_server_change(&self, snapshot: &Snapshot, server: &BackendServer) {
@@ -338,11 +352,12 @@
 
     // Configurations and requested weights stay in effect when their row is
     // deleted.
-    fn remove_row(&self, snapshot: &mut Snapshot, row: &StoredRow) {
+    fn remove_row(&self, departures: &mut Departures, snapshot: &mut Snapshot, row: &StoredRow) {
         let tables = self.codec.tables();
         if *row.table == *tables.servers {
             snapshot.server_statuses.remove(&row.key);
-            if snapshot.servers.remove(&row.key).is_some() {
+            if let Some(server) = snapshot.servers.remove(&row.key) {
+                departures.record(&server);
                 let detail = format!("server={} gone=true row_version={}", row.key, row.version);
                 self.recorder.emit(Event::ServerChanged, &detail);
             }
@@ -352,61 +367,16 @@
     }
 }
 
-// A version newer than the last one is ignored: it arrives with its own row.
-fn merge_requested(versions: &mut Vec<RequestedWeights>, version: u64, received_at: Duration) {
-    let requested = RequestedWeights {
-        version,
-        received_at,
-        before_start: false,
-    };
-    match versions
-        .iter()
-        .position(|requested| requested.version >= version)
-    {
-        Some(at) if versions[at].version == version => {
-            let earlier = versions[at].before_start || received_at < versions[at].received_at;
-            if earlier {
-                versions[at] = requested;
-            }
-        }
-        Some(at) if versions.len() < MAX_REQUESTED_VERSIONS => versions.insert(at, requested),
-        _ => {}
-    }
+fn era(version: u64) -> u32 {
+    Revision::from(version).era
 }
 
-// Large rows are stored and forwarded compressed.
-fn compress(row: StoredRow) -> StoredRow {
-    if row.packed || row.value.as_ref().len() < COMPRESSION_THRESHOLD_BYTES {
-        return row;
-    }
-    let value = lz4_flex::compress_prepend_size(row.value.as_ref());
-    StoredRow {
-        value: value.into(),
-        packed: true,
-        ..row
-    }
-}
-
-// A value that cannot be decompressed is returned as it is and fails to decode.
-fn decompress(row: &StoredRow) -> StoredRow {
-    let value = match row.packed {
-        true => lz4_flex::decompress_size_prepended(row.value.as_ref()),
-        false => return row.clone(),
-    };
-    match value {
-        Ok(value) => StoredRow {
-            value: value.into(),
-            packed: false,
-            ..row.clone()
-        },
-        Err(err) => {
-            log::warn!(
-                "cannot decompress row {} of table {}; treating it as unreadable: {err}",
-                row.key,
-                row.table
-            );
-            row.clone()
-        }
+// Other daemons that start from this row have to get the newer content, too, until
+// it is written again.
+fn keep_newer_content(row: &mut StoredRow, known: Option<&StoredRow>) {
+    if let Some(known) = known.filter(|known| !known.deleted) {
+        row.value = known.value.clone();
+        row.packed = known.packed;
     }
 }
 
--- a/crates/rw-fleet/src/follow.rs
+++ b/crates/rw-fleet/src/follow.rs
@@ -42,6 +42,9 @@
 const MAX_LAG_MS: u64 = 300;
 /// Time after which an observed lag is ignored.
 const LAG_EXPIRY_MS: u64 = 1500;
+/// Time within which servers and daemons register again after the store came back
+/// from an older copy.
+const REREGISTRATION_TIME: Duration = Duration::from_millis(2500);
 /// Entries that a host queries before it falls back to the store.
 const MAX_ENTRY_ATTEMPTS: usize = 3;
 
@@ -80,6 +83,7 @@
 
 /// Starts the tasks that follow the platform's tables.
 pub fn start<S: TableFeed, D: PlatformCodec>(cx: &Arc<Cx<D>>, store: S) {
+    tokio::spawn(drop_earlier_eras(cx.clone()));
     if cx.settings.role == FleetRole::Host {
         tokio::spawn(follow_entries(cx.clone(), store));
         return;
@@ -153,6 +157,17 @@
     }
 }
 
+// Drops what was not written again after the store came back from an older copy.
+async fn drop_earlier_eras<D: PlatformCodec>(cx: Arc<Cx<D>>) {
+    let changed = cx.cluster.subscribe();
+    while changed.recv_async().await.is_ok() {
+        if cx.cluster.has_earlier_eras() {
+            tokio::time::sleep(REREGISTRATION_TIME).await;
+            cx.cluster.drop_earlier_eras();
+        }
+    }
+}
+
 /// Requests rows from an entry whose load reports have shown for some time that
 /// it is ahead, because a call to the store may hang without an error.
 pub fn catch_up<D: PlatformCodec>(cx: &Arc<Cx<D>>, report: &LoadReport) {
--- a/crates/rw-fleet/src/run.rs
+++ b/crates/rw-fleet/src/run.rs
@@ -7,6 +7,7 @@
 use http::StatusCode;
 use rw_observe::{Event, Recorder};
 use rw_platform::TableFeed;
+use rw_protocol::Name;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::time::Instant;
@@ -27,6 +28,11 @@
 const MAX_PENDING_READS: usize = 64;
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(50);
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Interval at which a daemon checks that the store lists it.
+const LISTING_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Checks in a row that do not find the daemon listed, after which it registers again;
+/// its row normally arrives within one or two.
+const MAX_UNLISTED_CHECKS: u32 = 4;
 /// Timeout of the write that registers a daemon in the store.
 const REGISTER_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -179,11 +185,12 @@
     }
 }
 
-// Registers this daemon in the store, where other daemons find it.
+// Registers this daemon in the store, where other daemons find it, and again when
+// the store came back from a copy without its row.
 async fn register<D: PlatformCodec, S: TableFeed>(cx: Arc<Cx<D>>, store: S) {
     let own = Daemon {
         name: cx.settings.name.clone(),
-        addr: rw_protocol::Name::from(cx.settings.peer_addr.to_string()),
+        addr: Name::from(cx.settings.peer_addr.to_string()),
         zone: cx.settings.zone.clone(),
     };
     let value = cx.codec.encode_daemon(&own);
@@ -193,7 +200,13 @@
     loop {
         let write = store.write_row(table, &own.name, &value);
         match tokio::time::timeout(REGISTER_TIMEOUT, write).await {
-            Ok(Ok(())) => return,
+            Ok(Ok(())) => {
+                backoff.reset();
+                if !wait_until_unlisted(&cx, &own.name).await {
+                    return;
+                }
+                continue;
+            }
             Ok(Err(err)) => log::debug!("registering in the store failed, retrying: {err}"),
             Err(_) => log::debug!("registering in the store timed out, retrying"),
         }
@@ -201,6 +214,25 @@
     }
 }
 
+// Waits until the store is known not to list the daemon, although its changes arrive.
+// Returns false when the timer service ends.
+async fn wait_until_unlisted<D: PlatformCodec>(cx: &Cx<D>, name: &Name) -> bool {
+    let ticks = cx.timer.subscribe(LISTING_CHECK_INTERVAL);
+    let mut unlisted_checks = 0;
+    while ticks.recv_async().await.is_ok() {
+        let is_listed = cx.cluster.snapshot().daemons.contains_key(name);
+        let is_current = cx.sync.is_connected() && !cx.cluster.has_earlier_eras();
+        unlisted_checks = match is_current && !is_listed {
+            true => unlisted_checks + 1,
+            false => 0,
+        };
+        if unlisted_checks >= MAX_UNLISTED_CHECKS {
+            return true;
+        }
+    }
+    false
+}
+
 struct Signals {
     terminate: Signal,
     interrupt: Signal,
--- a/crates/rw-fleet/tests/cluster_state.rs
+++ b/crates/rw-fleet/tests/cluster_state.rs
@@ -1,122 +1,18 @@
 //! The cluster state accepts only newer data, whichever daemon sends it.
 
-use std::sync::Arc;
+mod common;
+
 use std::time::Duration;
 
-use http::HeaderName;
+use common::{cluster, ids, row, table_version};
 use rstest::rstest;
-use rw_fleet::{
-    BackendServer, Bounds, ClusterState, Daemon, HeaderNames, PlatformCodec, RequestedWeights,
-    RowContent, Snapshot, TableNames,
-};
-use rw_observe::{Metrics, Recorder};
-use rw_protocol::{RequestedVersionAge, ServerStatus, StoredRow, TableVersion};
-
-/// Decodes rows `server ADDR` and `weights N`; any other row is invalid.
-struct TextCodec(HeaderNames);
-
-fn text_codec() -> TextCodec {
-    let name = HeaderName::from_static("x");
-    TextCodec(HeaderNames {
-        attempt: name.clone(),
-        deadline_ms: name.clone(),
-        expected_server: name.clone(),
-        expected_weights: name.clone(),
-        team: name.clone(),
-        priority: name.clone(),
-        path: name.clone(),
-        not_run: name.clone(),
-        signature: name.clone(),
-        leaving: name.clone(),
-        load: name.clone(),
-        weights: name.clone(),
-        tokens: name.clone(),
-        last_event: name,
-        key_scheme: "Key",
-    })
-}
-
-impl PlatformCodec for TextCodec {
-    type Error = String;
-
-    fn headers(&self) -> &HeaderNames {
-        &self.0
-    }
-
-    fn tables(&self) -> TableNames {
-        TableNames {
-            operator: "operator",
-            servers: "servers",
-            daemons: "daemons",
-        }
-    }
-
-    fn ready_path(&self) -> &'static str {
-        "/"
-    }
-
-    fn decode(&self, row: &StoredRow) -> Result<RowContent, String> {
-        let text = String::from_utf8_lossy(row.value.as_ref()).into_owned();
-        match text.split_once(' ') {
-            Some(("server", addr)) => Ok(RowContent::Server(BackendServer {
-                id: row.key.clone(),
-                service: "gen".into(),
-                addr: addr.trim().parse().map_err(|_| "address".to_string())?,
-                zone: "z".into(),
-                slots: 1,
-                ready: true,
-                weights_version: 0,
-                layers: 0,
-                written_at: row.version,
-                started_ms: 0,
-                heartbeat: 0,
-            })),
-            Some(("weights", n)) => Ok(RowContent::Weights {
-                model: "m".into(),
-                version: n.parse().map_err(|_| "number".to_string())?,
-            }),
-            _ => Err("unknown row type".into()),
-        }
-    }
-
-    fn encode_daemon(&self, _: &Daemon) -> Vec<u8> {
-        Vec::new()
-    }
-}
-
-fn cluster() -> Arc<ClusterState<TextCodec>> {
-    ClusterState::new(
-        Arc::new(text_codec()),
-        Recorder::new("d".into(), Metrics::new()),
-    )
-}
-
-fn row(table: &str, key: &str, version: u64, value: &str) -> StoredRow {
-    StoredRow {
-        table: table.into(),
-        key: key.into(),
-        version,
-        deleted: value.is_empty(),
-        packed: false,
-        value: value.as_bytes().to_vec().into(),
-    }
-}
+use rw_fleet::{Bounds, RequestedWeights, Snapshot};
+use rw_protocol::{RequestedVersionAge, ServerStatus, StoredRow};
 
 fn server(key: &str, version: u64, addr: &str) -> StoredRow {
     row("servers", key, version, &format!("server {addr}"))
 }
 
-fn table_version(table: &str, version: u64) -> TableVersion {
-    TableVersion {
-        table: table.into(),
-        version,
-    }
-}
-
-fn ids(snapshot: &Snapshot) -> Vec<String> {
-    snapshot.servers.keys().map(|id| id.to_string()).collect()
-}
-
 #[test]
 fn older_rows_from_other_daemons_are_ignored() {
     let cluster = cluster();
--- /dev/null
+++ b/crates/rw-fleet/tests/common/mod.rs
@@ -0,0 +1,138 @@
+//! Codec of text rows, and helpers to write them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::HeaderName;
+use rw_fleet::{
+    BackendServer, CallerLimits, ClusterState, Configuration, Daemon, HeaderNames, PlatformCodec,
+    RowContent, Snapshot, TableNames,
+};
+use rw_observe::{Metrics, Recorder};
+use rw_protocol::{StoredRow, TableVersion};
+
+/// Decodes rows `server ADDR [STATE [START [HEARTBEAT]]]`, `weights N`, `daemon ADDR` and
+/// `configuration N`; any other row is invalid.
+pub struct TextCodec(HeaderNames);
+
+fn text_codec() -> TextCodec {
+    let name = HeaderName::from_static("x");
+    TextCodec(HeaderNames {
+        attempt: name.clone(),
+        deadline_ms: name.clone(),
+        expected_server: name.clone(),
+        expected_weights: name.clone(),
+        team: name.clone(),
+        priority: name.clone(),
+        path: name.clone(),
+        not_run: name.clone(),
+        signature: name.clone(),
+        leaving: name.clone(),
+        load: name.clone(),
+        weights: name.clone(),
+        tokens: name.clone(),
+        last_event: name,
+        key_scheme: "Key",
+    })
+}
+
+impl PlatformCodec for TextCodec {
+    type Error = String;
+
+    fn headers(&self) -> &HeaderNames {
+        &self.0
+    }
+
+    fn tables(&self) -> TableNames {
+        TableNames {
+            operator: "operator",
+            servers: "servers",
+            daemons: "daemons",
+        }
+    }
+
+    fn ready_path(&self) -> &'static str {
+        "/"
+    }
+
+    fn decode(&self, row: &StoredRow) -> Result<RowContent, String> {
+        let text = String::from_utf8_lossy(row.value.as_ref()).into_owned();
+        match text.split_once(' ') {
+            Some(("server", fields)) => server_content(row, fields).map(RowContent::Server),
+            Some(("daemon", addr)) => Ok(RowContent::Daemon(Daemon {
+                name: row.key.clone(),
+                addr: addr.into(),
+                zone: "z".into(),
+            })),
+            Some(("configuration", n)) => Ok(RowContent::Configuration(Configuration {
+                version: n.parse().map_err(|_| "number".to_string())?,
+                routes: Vec::new(),
+                services: Vec::new(),
+                teams: None,
+                limits: CallerLimits {
+                    head_bytes: 0,
+                    body_bytes: 0,
+                    idle: Duration::ZERO,
+                },
+            })),
+            Some(("weights", n)) => Ok(RowContent::Weights {
+                model: "m".into(),
+                version: n.parse().map_err(|_| "number".to_string())?,
+            }),
+            _ => Err("unknown row type".into()),
+        }
+    }
+
+    fn encode_daemon(&self, _: &Daemon) -> Vec<u8> {
+        Vec::new()
+    }
+}
+
+fn server_content(row: &StoredRow, fields: &str) -> Result<BackendServer, String> {
+    let fields: Vec<&str> = fields.split_whitespace().collect();
+    let number = |at: usize| fields.get(at).map_or(Ok(0), |text| text.parse());
+    let error = |_| "number".to_string();
+    let addr = fields.first().and_then(|addr| addr.parse().ok());
+    Ok(BackendServer {
+        id: row.key.clone(),
+        service: "gen".into(),
+        addr: addr.ok_or("address")?,
+        zone: "z".into(),
+        slots: 1,
+        ready: fields.get(1) != Some(&"draining"),
+        weights_version: 0,
+        layers: 0,
+        written_at: row.version,
+        started_ms: number(2).map_err(error)?,
+        heartbeat: number(3).map_err(error)?,
+    })
+}
+
+pub fn cluster() -> Arc<ClusterState<TextCodec>> {
+    ClusterState::new(
+        Arc::new(text_codec()),
+        Recorder::new("d".into(), Metrics::new()),
+    )
+}
+
+pub fn row(table: &str, key: &str, version: u64, value: &str) -> StoredRow {
+    StoredRow {
+        table: table.into(),
+        key: key.into(),
+        version,
+        deleted: value.is_empty(),
+        packed: false,
+        value: value.as_bytes().to_vec().into(),
+    }
+}
+
+pub fn table_version(table: &str, version: u64) -> TableVersion {
+    TableVersion {
+        table: table.into(),
+        version,
+    }
+}
+
+pub fn ids(snapshot: &Snapshot) -> Vec<String> {
+    snapshot.servers.keys().map(|id| id.to_string()).collect()
+}
