Ask the store less: one watchful reader, and no host while entries answer

Change: only the first store reader that lives, by its load reports, bounds its long polls; the others learn from reports that they are behind. A host reads the store only if no entry answers it. Entries that are no store readers retry four times slower once they have a configuration. What entries say about themselves moved to contacts.rs.

--- a/crates/rw-fleet/src/cluster_state.rs
+++ b/crates/rw-fleet/src/cluster_state.rs
@@ -9,10 +9,11 @@
 use rw_platform::Revision;
 use rw_protocol::{Name, ServerStatus, StoredRow, TableVersion};
 
+use crate::contacts::Contacts;
 use crate::departures::Departures;
 use crate::row_compression::{compress, decompress};
 use crate::snapshot::ReceivedStatus;
-use crate::{BackendServer, Daemon, PlatformCodec, RequestedWeights, RowContent, Snapshot};
+use crate::{BackendServer, PlatformCodec, RequestedWeights, RowContent, Snapshot};
 
 /// Tombstones of deleted rows kept so that other daemons learn of the deletion.
 const MAX_TOMBSTONES: usize = 2000;
@@ -28,8 +29,7 @@
     departures: Departures,
     // Whether rows of an earlier era of the store may remain.
     has_earlier_eras: bool,
-    // Entries that announced themselves and may not be registered in the store yet.
-    announced: BTreeMap<Name, Daemon>,
+    pub(crate) contacts: Contacts,
 }
 
 /// Rows of the platform's store as this daemon knows them, and the state
@@ -66,18 +66,6 @@
         self.changed.subscribe()
     }
 
-    /// Entry that registered in the store or announced itself.
-    pub fn entry(&self, name: &Name) -> Option<Daemon> {
-        let state = self.state();
-        let registered = state.snapshot.daemons.get(name);
-        registered.or_else(|| state.announced.get(name)).cloned()
-    }
-
-    /// Adds an entry that may not be registered in the store yet.
-    pub fn add_announced(&self, entry: Daemon) {
-        self.state().announced.insert(entry.name.clone(), entry);
-    }
-
     /// Version up to which each table is known.
     pub fn table_versions(&self) -> Vec<TableVersion> {
         let state = self.state();
--- a/crates/rw-fleet/src/follow.rs
+++ b/crates/rw-fleet/src/follow.rs
@@ -210,6 +210,8 @@
         }
         let entries = known_entries(&cx);
         let mut connected = false;
+        // An entry that lost the store asks it again for all its hosts.
+        let mut answered = false;
         for _ in 0..MAX_ENTRY_ATTEMPTS.min(entries.len()) {
             let addr = &entries[next_entry % entries.len()];
             match request_rows(&cx, addr, PEER_LONG_POLL).await {
@@ -217,7 +219,10 @@
                     connected = true;
                     break;
                 }
-                Ok(_) => next_entry += 1,
+                Ok(_) => {
+                    answered = true;
+                    next_entry += 1;
+                }
                 Err(err) => {
                     log::debug!("requesting rows from {addr} failed: {err}");
                     next_entry += 1;
@@ -228,11 +233,11 @@
             backoff.reset();
             continue;
         }
-        if cx.now() > HOST_STORE_DELAY {
+        let configured = cx.cluster.snapshot().cfg.is_some();
+        if cx.now() > HOST_STORE_DELAY && !(answered && configured) {
             sync_all_tables(&cx, &store).await;
         }
         let pause = backoff.next_delay();
-        let configured = cx.cluster.snapshot().cfg.is_some();
         tokio::time::sleep(if configured {
             pause
         } else {
--- a/crates/rw-fleet/src/lib.rs
+++ b/crates/rw-fleet/src/lib.rs
@@ -8,6 +8,7 @@
 mod codec;
 mod configuration;
 pub mod connect;
+mod contacts;
 mod context;
 mod departures;
 pub mod entry;
--- a/crates/rw-fleet/src/peers.rs
+++ b/crates/rw-fleet/src/peers.rs
@@ -76,6 +76,7 @@
     // itself.
     fn handle_load_report(&self, report: LoadReport) -> PeerReply {
         let is_known = self.cx.cluster.entry(&report.entry).is_some();
+        self.cx.cluster.record_heard(&report.entry);
         follow::catch_up(&self.cx, &report);
         self.cx.cluster.merge_weights_ages(&report.named);
         if let Some(load_tracker) = &self.load_tracker {
--- a/crates/rw-fleet/src/store_feed.rs
+++ b/crates/rw-fleet/src/store_feed.rs
@@ -11,7 +11,7 @@
 
 use crate::follow::{MAX_RETRY_DELAY, MIN_RETRY_DELAY, OUTAGE_POLL_INTERVAL};
 use crate::peer_selection::{store_readers, MAX_STORE_READERS};
-use crate::{Bounds, Cx, PlatformCodec};
+use crate::{Bounds, Cx, Daemon, PlatformCodec};
 
 /// Longest long-poll timeout at the store. Long, since each long poll is a billed
 /// call.
@@ -25,7 +25,16 @@
 /// weights directly.
 const MEMBER_CHANGE_DELAY: Duration = Duration::from_millis(200);
 /// Time that a response may take beyond the long-poll timeout.
-const LONG_POLL_SLACK: Duration = Duration::from_secs(1);
+const LONG_POLL_SLACK: Duration = Duration::from_millis(700);
+/// Share of the settling time after which a call that hangs has to be over.
+const LONG_POLL_SHARE: f64 = 0.9;
+/// Factor on the retry delay of entries that are no store readers: in an outage all
+/// entries ask the store, whose refusals are billed, and the readers pass on what
+/// they get when it is back.
+const FALLBACK_RETRY_FACTOR: u32 = 4;
+/// Time without a load report after which a store reader counts as gone. Entries send
+/// one every half second at least.
+const READER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Shortest long-poll timeout at the store.
 const MIN_STORE_LONG_POLL: Duration = Duration::from_millis(500);
 /// Share of the settling time that the first attempt to read a complete table from
@@ -45,7 +54,8 @@
 /// assert!(rw_fleet::long_poll_timeout(&bounds) < bounds.settling);
 /// ```
 pub fn long_poll_timeout(bounds: &Bounds) -> Duration {
-    let limit = bounds.settling.saturating_sub(LONG_POLL_SLACK) / 2;
+    let limit = bounds.settling.mul_f64(LONG_POLL_SHARE);
+    let limit = limit.saturating_sub(LONG_POLL_SLACK);
     limit.clamp(MIN_STORE_LONG_POLL, MAX_STORE_LONG_POLL)
 }
 
@@ -116,12 +126,25 @@
             Err(FeedError::Failed(err)) => {
                 failed_reads += 1;
                 set_table_connected(&cx, index, table, false, &err.to_string());
-                tokio::time::sleep(backoff.next_delay()).await;
+                let pause = backoff.next_delay();
+                tokio::time::sleep(match is_fallback_reader(&cx) {
+                    true => pause * FALLBACK_RETRY_FACTOR,
+                    false => pause,
+                })
+                .await;
             }
         }
     }
 }
 
+// Whether this entry follows the store only because its readers do not answer. One
+// without a configuration has nothing else to go by.
+fn is_fallback_reader<D: PlatformCodec>(cx: &Cx<D>) -> bool {
+    let readers = store_readers(cx);
+    let is_reader = readers.iter().any(|d| d.name == cx.settings.name);
+    !is_reader && cx.cluster.snapshot().cfg.is_some()
+}
+
 fn set_table_connected<D: PlatformCodec>(
     cx: &Cx<D>,
     index: usize,
@@ -155,15 +178,28 @@
     Ok(())
 }
 
+// One store reader, the first that lives, notices a call that hangs. The others learn
+// from load reports that they are behind, and their longer calls are billed less often.
+// Entries that follow the store because readers failed are vigilant, too.
+fn is_vigilant<D: PlatformCodec>(cx: &Cx<D>) -> bool {
+    let readers = store_readers(cx);
+    let is_own = |reader: &Daemon| reader.name == cx.settings.name;
+    let first_alive = readers
+        .iter()
+        .find(|reader| is_own(reader) || cx.cluster.is_heard(&reader.name, READER_TIMEOUT));
+    first_alive.is_some_and(is_own) || !readers.iter().any(is_own)
+}
+
 async fn sync_changes<S: TableFeed, D: PlatformCodec>(
     cx: &Cx<D>,
     store: &S,
     table: &Name,
 ) -> Result<(), FeedError> {
     let after = cx.cluster.table_version(table);
-    let wait = match **table == *cx.codec.tables().daemons {
-        true => MAX_STORE_LONG_POLL,
-        false => long_poll_timeout(&cx.settings.bounds),
+    let is_vigilant = **table != *cx.codec.tables().daemons && is_vigilant(cx);
+    let wait = match is_vigilant {
+        true => long_poll_timeout(&cx.settings.bounds),
+        false => MAX_STORE_LONG_POLL,
     };
     let feed = store.changes(table, after, wait);
     let changes = tokio::time::timeout(wait + LONG_POLL_SLACK, feed).await;
