Let leases expire in suspended time

Cause: a lease's expiry was an Instant, whose clock stands still while the machine is suspended, so a holder that woke up after its lease had run out believed in it.

Change: the expiry is on the clock that counts suspended time, as ages of weights are. Not changed: the row's until_ms is still compared in time of day between machines.

Measured: the test asks for the remaining time at a later uptime; there was no way to ask it before, so it was not run red.

--- a/crates/rw-coord/src/lease.rs
+++ b/crates/rw-coord/src/lease.rs
@@ -1,9 +1,9 @@
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use rw_platform::{Condition, Put, TableService, Transaction};
 use serde::{Deserialize, Serialize};
 
-use crate::{unix_ms, Error, Result};
+use crate::{unix_ms, uptime, Error, Result};
 
 // Value of the row `lease/{name}`.
 #[derive(Serialize, Deserialize)]
@@ -16,19 +16,26 @@
 
 /// A lease that this process has acquired; it may have expired since.
 ///
-/// The expiry is measured on the monotonic clock from before the request was
-/// sent, so a holder whose process was paused notices the expiry before it acts.
+/// The expiry is measured from before the request was sent, on a clock that includes
+/// suspended time, so a holder whose process or machine was paused notices the expiry
+/// before it acts.
 #[derive(Clone, Debug)]
 pub struct Lease {
     /// Fencing number, which increases with every acquisition.
     pub epoch: u64,
-    expires_at: Instant,
+    // Uptime of the machine.
+    expires_at: Duration,
 }
 
 impl Lease {
     /// Time until the lease expires, zero once it has expired.
     pub fn remaining(&self) -> Duration {
-        self.expires_at.saturating_duration_since(Instant::now())
+        self.remaining_at(uptime())
+    }
+
+    /// Time until the lease expires, as of the given uptime of the machine.
+    pub fn remaining_at(&self, uptime: Duration) -> Duration {
+        self.expires_at.saturating_sub(uptime)
     }
 
     /// Whether the lease has not expired yet.
@@ -63,7 +70,7 @@
     /// answer to it is lost.
     pub fn acquire(&self, name: &str, attempt: u64) -> Result<Lease> {
         let key = format!("lease/{name}");
-        let expires_at = Instant::now() + self.ttl;
+        let expires_at = uptime() + self.ttl;
         let row = self.table.read(&key)?;
         let current = row
             .as_ref()
--- a/crates/rw-coord/tests/coordination.rs
+++ b/crates/rw-coord/tests/coordination.rs
@@ -102,6 +102,20 @@
     }
 }
 
+/// A process or machine that is suspended wakes up later on the clock that includes
+/// suspended time.
+#[test]
+fn lease_has_expired_for_a_holder_that_wakes_up_after_its_time() {
+    let ttl = Duration::from_secs(10);
+    let leases = LeaseManager::new(InMemoryTable::default(), "a", ttl);
+    let before = rw_coord::uptime();
+    let lease = leases.acquire("x", 1).expect("free");
+    let after = rw_coord::uptime();
+    assert!(lease.remaining_at(after) > Duration::ZERO);
+    assert!(lease.remaining_at(before) <= after - before + ttl);
+    assert_eq!(lease.remaining_at(after + ttl), Duration::ZERO);
+}
+
 #[test]
 fn lease_has_one_holder_and_its_epoch_increases() {
     let table = InMemoryTable::default();
