--- a/crates/rw-daemon/src/host/transfer.rs
+++ b/crates/rw-daemon/src/host/transfer.rs
@@ -177,7 +177,7 @@
             FetchResult::Failed => {
                 transfer.on_failed(&fetch, self.cx.now());
                 let event = match fetch.source {
-                    Source::Origin => Event::OriginUnreachable,
+                    Source::Origin | Source::Archive => Event::OriginUnreachable,
                     Source::Peer(_) => Event::ChunkRefetched,
                 };
                 recorder.emit(event, &detail);
@@ -233,7 +233,10 @@
         let wait = self.limits().chunk_timeout;
         tokio::spawn(async move {
             let result = match &fetch.source {
-                Source::Origin => origin_chunk(&cx, &assignment, fetch.chunk).await,
+                // Layouts of these hosts have no archive.
+                Source::Origin | Source::Archive => {
+                    origin_chunk(&cx, &assignment, fetch.chunk).await
+                }
                 Source::Peer(name) => peer_chunk(&cx, &assignment, name, fetch.chunk, wait).await,
             };
             if let FetchResult::Chunk(body) = &result {
--- a/crates/rw-fleet/src/host/chunk_store.rs
+++ b/crates/rw-fleet/src/host/chunk_store.rs
@@ -165,6 +165,12 @@
         tokio::time::sleep(wait).await;
     }
 
+    /// Waits until the uplink's limit allows the bytes.
+    pub async fn pace_upload(&self, bytes: u64) {
+        let wait = lock(&self.uplink).take(self.cost(bytes), self.started.elapsed());
+        tokio::time::sleep(wait).await;
+    }
+
     /// Replies to another host's request for a chunk, after waiting for the chunk
     /// as long as the request allows.
     pub async fn serve_chunk(&self, req: &ChunkRequest) -> PeerReply {
@@ -188,9 +194,7 @@
                 return missing(RETRY_AFTER_MS);
             }
         };
-        let cost = self.cost(body.as_ref().len() as u64);
-        let wait = lock(&self.uplink).take(cost, self.started.elapsed());
-        tokio::time::sleep(wait).await;
+        self.pace_upload(body.as_ref().len() as u64).await;
         PeerReply::Chunk(Chunk {
             chunk: req.chunk,
             body,
--- a/crates/rw-fleet/src/host/clients.rs
+++ b/crates/rw-fleet/src/host/clients.rs
@@ -45,6 +45,8 @@
     pub sequence: u64,
     /// Start time of the server in Unix milliseconds; 0 if not reported.
     pub started_ms: u64,
+    /// Whether the server is leaving.
+    pub leaving: bool,
 }
 
 /// Order to load staged weights.
--- a/crates/rw-fleet/src/host/download.rs
+++ b/crates/rw-fleet/src/host/download.rs
@@ -11,8 +11,11 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
+use super::archive::{
+    archived_chunks, object_name, write_fetched_chunks, FetchedChunk, ObjectArchive,
+};
 use super::chunk_store::{version_name, NOT_HELD};
-use super::{ChunkStore, OriginClient};
+use super::{ChunkStore, ClientError, OriginClient};
 use crate::{Cx, Engine, Origin, PlatformCodec};
 
 const SCHEDULE_INTERVAL: Duration = Duration::from_millis(50);
@@ -37,6 +40,10 @@
 const HEDGE_AFTER: Duration = Duration::from_millis(900);
 /// How long a failed source is avoided.
 const SOURCE_BACKOFF: Duration = Duration::from_secs(2);
+/// Time after which a host that knows no other one turns to the archive or the origin.
+/// Hosts that start together know only themselves at first, and each would import every
+/// chunk over its region's link.
+const MAX_ALONE_TIME: Duration = Duration::from_secs(1);
 /// Timeout of one request to the origin, whose link all hosts share.
 pub(super) const ORIGIN_TIMEOUT: Duration = Duration::from_secs(4);
 /// Chunks from the origin with a wrong digest after which the manifest is
@@ -67,16 +74,18 @@
 
 /// Downloads all chunks of a version; returns the manifest and its id once all
 /// are stored.
-pub async fn download_version<D: PlatformCodec, O: OriginClient>(
+pub async fn download_version<D: PlatformCodec, O: OriginClient, A: ObjectArchive>(
     cx: &Arc<Cx<D>>,
     store: &Arc<ChunkStore>,
     origin: &O,
+    archive: &A,
     target: &TargetVersion,
 ) -> (Name, Manifest) {
     let downloader = Downloader {
         cx,
         store,
         origin,
+        archive,
         target,
         own_peer: own_peer(cx),
     };
@@ -101,15 +110,16 @@
     }
 }
 
-pub(super) struct Downloader<'a, D, O> {
+pub(super) struct Downloader<'a, D, O, A> {
     pub(super) cx: &'a Arc<Cx<D>>,
     pub(super) store: &'a Arc<ChunkStore>,
     pub(super) origin: &'a O,
+    pub(super) archive: &'a A,
     pub(super) target: &'a TargetVersion,
     pub(super) own_peer: Peer,
 }
 
-impl<D: PlatformCodec, O: OriginClient> Downloader<'_, D, O> {
+impl<D: PlatformCodec, O: OriginClient, A: ObjectArchive> Downloader<'_, D, O, A> {
     pub(super) fn layout(&self) -> Layout {
         self.layout_excluding(&mut BTreeMap::new())
     }
@@ -170,10 +180,14 @@
         let changed = self.cx.cluster.subscribe();
         let ticks = self.cx.timer.subscribe(SCHEDULE_INTERVAL);
         let (tx, rx) = flume::unbounded();
+        let mut from_origin = Vec::new();
         // Dropping the set aborts the fetches when the version is superseded,
         // so that they do not compete with those of the newer one.
         let mut fetches = JoinSet::new();
         let mut layout = self.layout();
+        let started_at = Instant::now();
+        // Chunks in the archive, read once this host turns out to be an importer.
+        let mut archived = None;
         let mut corrupt_chunks = 0;
         // Hosts that lack the version although their rows list it: their servers
         // may have lost their weights since.
@@ -181,6 +195,16 @@
         while !transfer.is_complete() {
             if changed.try_recv().is_ok() {
                 layout = self.layout_excluding(&mut non_holders);
+                layout = layout.with_archived(archived.clone().unwrap_or_default());
+            }
+            if archived.is_none() && layout.is_any_importer(&self.own_peer) {
+                if layout.peers().len() > 1 || started_at.elapsed() >= MAX_ALONE_TIME {
+                    let chunks = archived_chunks(self.archive, self.target, id).await;
+                    layout = layout.with_archived(chunks.clone());
+                    archived = Some(chunks);
+                } else {
+                    transfer.hold_origin(self.cx.now() + SCHEDULE_INTERVAL);
+                }
             }
             for fetch in transfer.next_fetches(&layout, self.cx.now()) {
                 let wait = self.chunk_wait(&layout, &fetch);
@@ -193,9 +217,10 @@
                             if layout.is_holder(name) {
                                 non_holders.insert(name.clone(), Instant::now() + NON_HOLDER_TTL);
                                 layout = self.layout_excluding(&mut non_holders);
+                                layout = layout.with_archived(archived.clone().unwrap_or_default());
                             }
                         }
-                        corrupt_chunks += u32::from(!self.handle_result(&mut transfer, id, fetch, result));
+                        corrupt_chunks += u32::from(!self.handle_result(&mut transfer, id, fetch, result, &mut from_origin));
                     }
                 }
                 _ = ticks.recv_async() => {}
@@ -212,6 +237,7 @@
         self.cx
             .recorder
             .emit(Event::TransferComplete, &format!("manifest={id}"));
+        write_fetched_chunks(self.archive, self.store, from_origin);
         true
     }
 
@@ -235,6 +261,7 @@
         id: &Name,
         fetch: ChunkFetch,
         result: FetchResult,
+        from_origin: &mut Vec<FetchedChunk>,
     ) -> bool {
         let detail = format!(
             "manifest={id} chunk={} source={:?}",
@@ -247,8 +274,14 @@
                 recorder.emit(Event::ChunkRefetched, &detail);
                 transfer.on_failed(&fetch, self.cx.now());
             }
-            FetchResult::Chunk(body) => match self.store.insert(id, fetch.chunk, body) {
-                Ok(()) => transfer.on_chunk(&fetch, self.cx.now()),
+            FetchResult::Chunk(body) => match self.store.insert(id, fetch.chunk, body.clone()) {
+                Ok(()) => {
+                    if fetch.source == Source::Origin {
+                        let name = object_name(self.target, id, fetch.chunk);
+                        from_origin.push(FetchedChunk { name, body: body.0 });
+                    }
+                    transfer.on_chunk(&fetch, self.cx.now());
+                }
                 Err(err) => {
                     recorder.emit(Event::ChunkCorrupt, &format!("{detail} reason={err}"));
                     transfer.on_failed(&fetch, self.cx.now());
@@ -268,10 +301,15 @@
         tx: flume::Sender<(ChunkFetch, FetchResult)>,
     ) {
         let (cx, store, id) = (self.cx.clone(), self.store.clone(), id.clone());
-        let (origin, target) = (self.origin.clone(), self.target.clone());
+        let (origin, archive) = (self.origin.clone(), self.archive.clone());
+        let target = self.target.clone();
         fetches.spawn(async move {
             let result = match &fetch.source {
                 Source::Origin => fetch_from_origin(&origin, &target, fetch.chunk).await,
+                Source::Archive => {
+                    let name = object_name(&target, &id, fetch.chunk);
+                    fetch_from_archive(&archive, &name).await
+                }
                 Source::Peer(addr) => fetch_from_peer(&cx, addr, &id, fetch.chunk, wait).await,
             };
             // An immediate retry would only load the source. No delay is needed
@@ -309,6 +347,18 @@
     }
 }
 
+async fn fetch_from_archive<A: ObjectArchive>(archive: &A, name: &str) -> FetchResult {
+    match tokio::time::timeout(ORIGIN_TIMEOUT, archive.read(name)).await {
+        Ok(Ok(body)) => FetchResult::Chunk(Blob::from(body)),
+        Ok(Err(ClientError::Missing)) => FetchResult::Missing,
+        Ok(Err(err)) => {
+            log::debug!("reading {name} from the archive failed: {err}");
+            FetchResult::Failed
+        }
+        Err(_) => FetchResult::Failed,
+    }
+}
+
 async fn fetch_from_peer<D: PlatformCodec>(
     cx: &Cx<D>,
     addr: &Name,
--- a/crates/rw-fleet/src/host/fetch_manifest.rs
+++ b/crates/rw-fleet/src/host/fetch_manifest.rs
@@ -12,7 +12,7 @@
 
 use super::chunk_store::version_name;
 use super::download::{Downloader, ORIGIN_TIMEOUT};
-use super::{ClientError, OriginClient};
+use super::{ClientError, ObjectArchive, OriginClient};
 use crate::PlatformCodec;
 
 /// Timeout of one request for a manifest.
@@ -23,7 +23,7 @@
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(50);
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(500);
 
-impl<D: PlatformCodec, O: OriginClient> Downloader<'_, D, O> {
+impl<D: PlatformCodec, O: OriginClient, A: ObjectArchive> Downloader<'_, D, O, A> {
     pub(super) async fn fetch_manifest(&self) -> Manifest {
         let name = version_name(&self.target.model, self.target.version);
         if let Some(manifest) = self.store.manifest(&name) {
@@ -71,7 +71,7 @@
                 PEER_MANIFEST_WAIT
             };
             let mut sources = layout.sources(0, &self.own_peer, &failed);
-            sources.retain(|source| *source != Source::Origin);
+            sources.retain(|source| matches!(source, Source::Peer(_)));
             if sources.is_empty() || start.elapsed() > max_wait {
                 break;
             }
--- a/crates/rw-fleet/src/host/mod.rs
+++ b/crates/rw-fleet/src/host/mod.rs
@@ -1,6 +1,7 @@
 //! Host role: loads the weights that operators requested on the backend server
 //! beside it, and distributes them to other hosts.
 
+mod archive;
 mod chunk_store;
 mod clients;
 mod download;
@@ -9,8 +10,9 @@
 mod staging;
 mod weights_reconciler;
 
+pub use archive::ObjectArchive;
 pub use chunk_store::{ChunkStore, StagedChunkRequest};
 pub use clients::{
-    BackendClient, BackendReport, ClientError, LoadOrder, LoadOutcome, OriginClient,
+    BackendClient, BackendReport, ClientError, LoadOrder, LoadOutcome, OriginClient, Result,
 };
 pub use weights_reconciler::reconcile_weights;
--- a/crates/rw-fleet/src/host/weights_reconciler.rs
+++ b/crates/rw-fleet/src/host/weights_reconciler.rs
@@ -10,12 +10,13 @@
 use rw_weights::load_delay;
 use tokio::time::timeout;
 
+use super::archive::ArchiveWriter;
 use super::chunk_store::version_name;
 use super::download::{download_version, TargetVersion};
 use super::staged_chunk_reader::StagedChunkReader;
 use super::staging::StagingArea;
 use super::{
-    BackendClient, BackendReport, ChunkStore, LoadOrder, LoadOutcome, OriginClient,
+    BackendClient, BackendReport, ChunkStore, LoadOrder, LoadOutcome, ObjectArchive, OriginClient,
     StagedChunkRequest,
 };
 use crate::snapshot::ENFORCEMENT_MARGIN;
@@ -45,17 +46,27 @@
 }
 
 /// Polls the backend server and reconciles its weights while the daemon runs.
-pub async fn reconcile_weights<D, B, O>(
+pub async fn reconcile_weights<D, B, O, A>(
     cx: Arc<Cx<D>>,
     store: Arc<ChunkStore>,
     backend: B,
     origin: O,
+    archive: A,
     pending_reads: flume::Receiver<StagedChunkRequest>,
 ) where
     D: PlatformCodec,
     B: BackendClient,
     O: OriginClient,
+    A: ObjectArchive,
 {
+    let writer = ArchiveWriter {
+        cx: cx.clone(),
+        store: store.clone(),
+        backend: backend.clone(),
+        origin: origin.clone(),
+        archive: archive.clone(),
+    };
+    tokio::spawn(writer.run());
     let reader = StagedChunkReader {
         cx: cx.clone(),
         store: store.clone(),
@@ -71,6 +82,7 @@
         cx.clone(),
         store.clone(),
         origin,
+        archive,
         progress.clone(),
     ));
     let ticks = cx.timer.subscribe(POLL_INTERVAL);
@@ -93,10 +105,11 @@
 
 // Downloads versions ahead of their loading, in the order in which they were
 // requested.
-async fn download_versions<D: PlatformCodec, O: OriginClient>(
+async fn download_versions<D: PlatformCodec, O: OriginClient, A: ObjectArchive>(
     cx: Arc<Cx<D>>,
     store: Arc<ChunkStore>,
     origin: O,
+    archive: A,
     progress: Arc<Progress>,
 ) {
     let ticks = cx.timer.subscribe(POLL_INTERVAL);
@@ -113,7 +126,7 @@
             progress.downloaded.store(target.version, Ordering::Relaxed);
             continue;
         }
-        let download = download_version(&cx, &store, &origin, &target);
+        let download = download_version(&cx, &store, &origin, &archive, &target);
         tokio::select! {
             _ = download => {
                 progress.downloaded.store(target.version, Ordering::Relaxed);
@@ -170,7 +183,7 @@
         self.send_status(
             &engine.model,
             report.weights_version,
-            !report.busy && report.weights_version > 0,
+            !report.busy && !report.leaving && report.weights_version > 0,
         );
         if report.busy {
             return;
--- a/crates/rw-fleet/src/run.rs
+++ b/crates/rw-fleet/src/run.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 use crate::entry::{serve_callers, serve_probe, Entry, LoadTracker};
-use crate::host::{reconcile_weights, BackendClient, ChunkStore, OriginClient};
+use crate::host::{reconcile_weights, BackendClient, ChunkStore, ObjectArchive, OriginClient};
 use crate::peers::{broadcast_load, PeerHandler};
 use crate::{follow, Cx, Daemon, DaemonSettings, Error, FleetRole, PlatformCodec, Result};
 
@@ -55,7 +55,7 @@
 ) -> Result<()>
 where
     D: PlatformCodec,
-    S: TableFeed,
+    S: TableFeed + ObjectArchive,
     B: BackendClient,
     O: OriginClient,
 {
@@ -72,7 +72,8 @@
         FleetRole::Entry => run_entry(&cx, peers, clients.store, &mut signals).await?,
         FleetRole::Host => {
             let backend = clients.backend.ok_or(Error::Missing("backend server"))?;
-            run_host(&cx, peers, backend, clients.origin, &mut signals).await;
+            let (origin, archive) = (clients.origin, clients.store);
+            run_host(&cx, peers, backend, origin, archive, &mut signals).await;
         }
     }
     cx.recorder.emit(Event::DaemonStopped, "");
@@ -153,11 +154,12 @@
     Ok(())
 }
 
-async fn run_host<D: PlatformCodec, B: BackendClient, O: OriginClient>(
+async fn run_host<D: PlatformCodec, B: BackendClient, O: OriginClient, A: ObjectArchive>(
     cx: &Arc<Cx<D>>,
     peers: TcpListener,
     backend: B,
     origin: O,
+    archive: A,
     signals: &mut Signals,
 ) {
     let (read_requests, pending_reads) = flume::bounded(MAX_PENDING_READS);
@@ -173,6 +175,7 @@
         chunk_store,
         backend,
         origin,
+        archive,
         pending_reads,
     ));
     signals.wait_for_stop(cx).await;
--- a/crates/rw-weights/src/layout.rs
+++ b/crates/rw-weights/src/layout.rs
@@ -33,6 +33,8 @@
 pub enum Source {
     /// The origin of the weights.
     Origin,
+    /// The archive of distributed versions, whose link is faster than the origin's.
+    Archive,
     /// Another host.
     Peer(Name),
 }
@@ -70,6 +72,7 @@
     regions: Vec<Region>,
     peers: Vec<Peer>,
     holders: Vec<Peer>,
+    archived: BTreeSet<u32>,
 }
 
 impl Layout {
@@ -108,6 +111,7 @@
             regions,
             peers,
             holders: Vec::new(),
+            archived: BTreeSet::new(),
         }
     }
 
@@ -118,6 +122,19 @@
         self
     }
 
+    /// Sets the chunks that the archive holds. Hosts that fetch them from outside
+    /// their region prefer it to hosts of other regions and to the origin.
+    pub fn with_archived(mut self, chunks: BTreeSet<u32>) -> Self {
+        self.archived = chunks;
+        self
+    }
+
+    /// Whether the `local` host fetches any chunk from outside its region.
+    pub fn is_any_importer(&self, local: &Peer) -> bool {
+        let region = self.regions.iter().find(|r| r.name == local.region);
+        region.is_some_and(|r| r.importers.contains(&local.name))
+    }
+
     /// Whether the host is known to hold every chunk.
     pub fn is_holder(&self, name: &str) -> bool {
         self.holders.iter().any(|p| *p.name == *name)
@@ -166,10 +183,36 @@
             .map(Source::Peer)
             .collect();
         out.dedup();
+        if self.archived.contains(&chunk) && self.imports(chunk, local, avoid) {
+            let is_near = |source: &Source| match source {
+                Source::Peer(name) => self.is_near_holder(name, local),
+                _ => false,
+            };
+            let at = out.iter().take_while(|source| is_near(source)).count();
+            out.insert(at, Source::Archive);
+        }
         out.push(Source::Origin);
         out
     }
 
+    fn is_near_holder(&self, name: &Name, local: &Peer) -> bool {
+        let mut near = self.holders.iter().filter(|p| p.region == local.region);
+        near.any(|holder| holder.name == *name)
+    }
+
+    // Whether the local host fetches the chunk from outside its region: as its
+    // importer, or because every host before it in the tree is avoided.
+    fn imports(&self, chunk: u32, local: &Peer, avoid: &BTreeSet<Name>) -> bool {
+        let Some(region) = self.regions.iter().find(|r| r.name == local.region) else {
+            return false;
+        };
+        region.root(chunk) == Some(&local.name)
+            || region
+                .ancestors(chunk, &local.name)
+                .iter()
+                .all(|name| avoid.contains(name))
+    }
+
     /// Whether the `local` host fetches this chunk from outside its region.
     pub fn is_importer(&self, chunk: u32, local: &Peer) -> bool {
         let region = self.regions.iter().find(|r| r.name == local.region);
--- a/crates/rw-weights/src/transfer.rs
+++ b/crates/rw-weights/src/transfer.rs
@@ -72,6 +72,7 @@
     not_held_counts: BTreeMap<u32, usize>,
     suspects: BTreeMap<Name, Suspect>,
     origin_available_at: Duration,
+    archive_available_at: Duration,
     any_source_failed: bool,
     // Time of the last chunk from each source, and from any source.
     last_delivery_by_source: BTreeMap<Source, Duration>,
@@ -106,6 +107,7 @@
             not_held_counts: BTreeMap::new(),
             suspects: BTreeMap::new(),
             origin_available_at: Duration::ZERO,
+            archive_available_at: Duration::ZERO,
             any_source_failed: false,
             last_delivery_by_source: BTreeMap::new(),
             last_delivery: Duration::ZERO,
@@ -187,7 +189,11 @@
             .cloned()
             .collect();
         let mut sources = layout.sources(chunk, &self.local, &avoid);
-        sources.retain(|source| *source != Source::Origin);
+        sources.retain(|source| match source {
+            Source::Origin => false,
+            Source::Archive => now >= self.archive_available_at,
+            Source::Peer(_) => true,
+        });
         sources
     }
 
@@ -207,6 +213,8 @@
     fn select_source(&self, layout: &Layout, chunk: u32, now: Duration) -> Source {
         let mut peers = self.peer_sources(layout, chunk, now);
         let not_held_count = self.not_held_counts.get(&chunk).copied().unwrap_or(0);
+        // An object that was listed may have been deleted since.
+        peers.retain(|source| *source != Source::Archive || not_held_count == 0);
         if peers.is_empty() {
             // The fallback importer may have fetched the chunk while this host was
             // unreachable.
@@ -290,6 +298,11 @@
         }
     }
 
+    /// Starts no fetches from the origin before this time.
+    pub fn hold_origin(&mut self, until: Duration) {
+        self.origin_available_at = self.origin_available_at.max(until);
+    }
+
     /// Records the arrival of a verified chunk.
     pub fn on_chunk(&mut self, fetch: &ChunkFetch, now: Duration) {
         self.missing_chunks.remove(&fetch.chunk);
@@ -332,6 +345,7 @@
                 }
             }
             Source::Origin => self.origin_available_at = now + self.limits.chunk_timeout / 4,
+            Source::Archive => self.archive_available_at = now + self.limits.initial_backoff,
         }
     }
 
--- a/crates/rw-weights/tests/layout.rs
+++ b/crates/rw-weights/tests/layout.rs
@@ -35,7 +35,7 @@
     let mut at = host.clone();
     for steps in 1..=hosts.len() + 1 {
         match first_source(layout, chunk, &at, avoid) {
-            Source::Origin => return Some(steps),
+            Source::Origin | Source::Archive => return Some(steps),
             Source::Peer(name) => at = hosts.iter().find(|p| p.name == name)?.clone(),
         }
     }
@@ -82,7 +82,7 @@
         let mut imports_by_region: BTreeMap<&Name, usize> = BTreeMap::new();
         for host in &hosts {
             match first_source(&layout, chunk, host, &BTreeSet::new()) {
-                Source::Origin => origin_fetches += 1,
+                Source::Origin | Source::Archive => origin_fetches += 1,
                 Source::Peer(name) if region[&name] != host.region => {
                     *imports_by_region.entry(&host.region).or_default() += 1
                 }
--- a/crates/rw-weights/tests/recovery.rs
+++ b/crates/rw-weights/tests/recovery.rs
@@ -33,6 +33,7 @@
 
 struct Transmission {
     to: usize,
+    // The sending host; `None` for the origin and the archive.
     from: Option<usize>,
     fetch: ChunkFetch,
     since: Duration,
@@ -49,6 +50,7 @@
     origin_outage: std::ops::Range<Duration>,
     partition: (Vec<usize>, Duration),
     chunks_from_origin: usize,
+    chunks_from_archive: usize,
     chunks_between_regions: usize,
 }
 
@@ -83,6 +85,7 @@
             origin_outage: Duration::ZERO..Duration::ZERO,
             partition: (Vec::new(), Duration::ZERO),
             chunks_from_origin: 0,
+            chunks_from_archive: 0,
             chunks_between_regions: 0,
         }
     }
@@ -98,7 +101,7 @@
             }
             for fetch in self.hosts[to].transfer.next_fetches(&self.layout, now) {
                 let from = match &fetch.source {
-                    Source::Origin => None,
+                    Source::Origin | Source::Archive => None,
                     Source::Peer(name) => self.hosts.iter().position(|h| h.peer.name == *name),
                 };
                 self.transmissions.push(Transmission {
@@ -128,9 +131,11 @@
     fn rate(&self, at: usize, sending: &[usize]) -> f64 {
         let transmission = &self.transmissions[at];
         let region = |host: usize| &self.hosts[host].peer.region;
-        let region_pair = |t: &Transmission| {
-            t.from
-                .map(|from| (region(from).clone(), region(t.to).clone()))
+        // The archive is in the home region, like the origin.
+        let region_pair = |t: &Transmission| match (t.from, &t.fetch.source) {
+            (Some(from), _) => Some((region(from).clone(), region(t.to).clone())),
+            (None, Source::Archive) => Some(("a".into(), region(t.to).clone())),
+            _ => None,
         };
         let count = |same: &dyn Fn(&Transmission) -> bool| {
             sending
@@ -141,12 +146,11 @@
         };
         let down = HOST_BITS_PER_S / count(&|t| t.to == transmission.to);
         let up = match transmission.from {
-            None => self.origin_bits_per_s / count(&|t| t.from.is_none()),
+            None if transmission.fetch.source == Source::Archive => f64::INFINITY,
+            None => self.origin_bits_per_s / count(&|t| t.fetch.source == Source::Origin),
             Some(from) => HOST_BITS_PER_S / count(&|t| t.from == Some(from)),
         };
-        let is_inter_region = transmission
-            .from
-            .is_some_and(|from| region(from) != region(transmission.to));
+        let is_inter_region = region_pair(transmission).is_some_and(|(from, to)| from != to);
         let inter_region = match is_inter_region {
             true => REGION_BITS_PER_S / count(&|t| region_pair(t) == region_pair(transmission)),
             false => f64::INFINITY,
@@ -168,10 +172,15 @@
             let host = &mut self.hosts[transmission.to];
             let chunk = transmission.fetch.chunk as usize;
             if transmission.remaining_bits <= 0.0 {
-                self.chunks_from_origin += usize::from(transmission.from.is_none());
-                let from = transmission
-                    .from
-                    .map(|from| self.hosts[from].peer.region.clone());
+                let source = &transmission.fetch.source;
+                self.chunks_from_origin += usize::from(*source == Source::Origin);
+                self.chunks_from_archive += usize::from(*source == Source::Archive);
+                let from = match source {
+                    Source::Archive => Some("a".into()),
+                    _ => transmission
+                        .from
+                        .map(|from| self.hosts[from].peer.region.clone()),
+                };
                 let host = &mut self.hosts[transmission.to];
                 self.chunks_between_regions +=
                     usize::from(from.is_some_and(|r| r != host.peer.region));
@@ -182,7 +191,8 @@
                 }
                 continue;
             }
-            if transmission.from.is_none() && self.origin_outage.contains(&now) {
+            let from_origin = transmission.fetch.source == Source::Origin;
+            if from_origin && self.origin_outage.contains(&now) {
                 host.transfer.on_failed(&transmission.fetch, now);
                 continue;
             }
@@ -279,3 +289,34 @@
         "{origin_copies} copies left the origin"
     );
 }
+
+/// Time within which all hosts have to hold the weights again if the archive has them:
+/// servers have to serve 5 s after a loss of power, of which the start of the daemons
+/// and the load take 0.8 s.
+const ARCHIVE_RECOVERY_TIME: Duration = Duration::from_millis(4200);
+
+#[rstest]
+#[case::three_hosts_in_each_region(3)]
+#[case::twelve(12)]
+#[case::twenty_five(25)]
+fn recovery_from_the_archive_does_not_wait_for_the_origin(#[case] per_region: usize) {
+    let mut fleet = Fleet::new(per_region, 4.38e6);
+    fleet.layout = fleet.layout.with_archived((0..CHUNKS).collect());
+    let completed_after = fleet.run();
+    assert!(
+        completed_after <= ARCHIVE_RECOVERY_TIME,
+        "{completed_after:?}"
+    );
+    assert_eq!(fleet.chunks_from_origin, 0);
+    assert_eq!(fleet.chunks_from_archive, 3 * CHUNKS as usize);
+    assert_eq!(fleet.chunks_between_regions, 2 * CHUNKS as usize);
+}
+
+#[test]
+fn chunks_that_the_archive_lacks_come_from_the_origin_once() {
+    let mut fleet = Fleet::new(12, 4.38e6);
+    fleet.layout = fleet.layout.with_archived((0..CHUNKS / 2).collect());
+    fleet.run();
+    assert_eq!(fleet.chunks_from_origin, CHUNKS as usize / 2);
+    assert_eq!(fleet.chunks_between_regions, 2 * CHUNKS as usize);
+}
