--- a/crates/rw-fleet/src/cluster_state.rs
+++ b/crates/rw-fleet/src/cluster_state.rs
@@ -96,6 +96,14 @@
         for table in table_versions {
             let known = state.table_versions.entry(table.table.clone()).or_default();
             let starts_era = *known > 0 && era(table.version) > era(*known);
+            if starts_era {
+                let (from, to) = (Revision::from(*known), Revision::from(table.version));
+                let detail = format!(
+                    "table={} era={} version={} previous_era={} previous_version={}",
+                    table.table, to.era, to.version, from.era, from.version
+                );
+                self.recorder.emit(Event::StoreRestored, &detail);
+            }
             *known = (*known).max(table.version);
             state.has_earlier_eras |= starts_era;
             changed |= starts_era;
--- a/crates/rw-fleet/src/entry/load_tracker.rs
+++ b/crates/rw-fleet/src/entry/load_tracker.rs
@@ -7,6 +7,7 @@
 use rand::seq::SliceRandom;
 use rand::Rng;
 use rw_coord::ChangeNotifier;
+use rw_observe::{Event, Recorder};
 use rw_protocol::{LoadReport, Name, ServerLoad};
 use rw_routing::{
     median, select_engine, slowdown, EngineCandidate, EngineLoad, EngineSelection,
@@ -36,12 +37,13 @@
     notices: Mutex<NoticeLog>,
     rng: Arc<SharedRng>,
     bounds: Bounds,
+    recorder: Recorder,
     load_changed: ChangeNotifier,
 }
 
 impl LoadTracker {
     /// Creates a tracker without any load.
-    pub fn new(name: Name, bounds: Bounds, rng: Arc<SharedRng>) -> Arc<Self> {
+    pub fn new(name: Name, bounds: Bounds, rng: Arc<SharedRng>, recorder: Recorder) -> Arc<Self> {
         Arc::new(LoadTracker {
             name,
             started: Instant::now(),
@@ -49,6 +51,7 @@
             notices: Mutex::default(),
             rng,
             bounds,
+            recorder,
             load_changed: ChangeNotifier::default(),
         })
     }
@@ -258,13 +261,23 @@
         self.update(server, |server_state| server_state.breaker.on_failure(now))
     }
 
-    /// Records what a server said about itself in a response. Returns whether it said
-    /// for the first time that it is leaving.
-    pub(super) fn on_notice(&self, server: &BackendServer, notice: &ServerNotice) -> bool {
+    /// Records what a server said about itself in a response, and emits an event unless
+    /// it said before that it is leaving.
+    pub(super) fn on_notice(&self, server: &BackendServer, notice: &ServerNotice) {
         if *notice == ServerNotice::default() {
-            return false;
+            return;
+        }
+        let is_first = self.notices().record(server, notice, self.now());
+        if is_first || notice.retry_after.is_some() {
+            let detail = format!(
+                "server={} started_ms={} leaving={} pause_ms={}",
+                server.id,
+                server.started_ms,
+                notice.leaving,
+                notice.retry_after.unwrap_or_default().as_millis()
+            );
+            self.recorder.emit(Event::ServerNotice, &detail);
         }
-        self.notices().record(server, notice, self.now())
     }
 
     /// The servers that want requests, by what they said about themselves.
--- a/crates/rw-fleet/src/run.rs
+++ b/crates/rw-fleet/src/run.rs
@@ -113,8 +113,12 @@
         .ready_addr
         .ok_or(Error::Missing("address for readiness"))?;
     let (callers, ready) = (listen(callers).await?, listen(ready).await?);
-    let load_tracker =
-        LoadTracker::new(cx.settings.name.clone(), cx.settings.bounds, cx.rng.clone());
+    let load_tracker = LoadTracker::new(
+        cx.settings.name.clone(),
+        cx.settings.bounds,
+        cx.rng.clone(),
+        cx.recorder.clone(),
+    );
     let handler = PeerHandler {
         cx: cx.clone(),
         load_tracker: Some(load_tracker.clone()),
--- a/crates/rw-observe/src/catalogue.rs
+++ b/crates/rw-observe/src/catalogue.rs
@@ -92,6 +92,8 @@
     707 RunnerNoticed Info "A host reported the state of its backend server to entries." "Nothing.";
     708 SettingsReloaded Info "The daemon received a signal to reload its settings." "Nothing.";
     709 StageRepaired Warn "Staged weights did not match their digests and were staged again." "If it recurs, check the backend server.";
+    710 StoreRestored Warn "The store came back from an older copy; its complete tables are read again." "Write again what the copy lacks; configuration and weights in force stay.";
+    711 ServerNotice Info "A backend server said that it is leaving, or asked for a pause." "Nothing, unless no other server is left.";
 }
 
 /// Renders the event catalogue as a Markdown page.
