--- a/crates/rw-fleet/src/host/archive.rs
+++ b/crates/rw-fleet/src/host/archive.rs
@@ -10,12 +10,11 @@
 
 use bytes::Bytes;
 use rw_protocol::{rendezvous_rank, Manifest, Name};
-use rw_weights::Peer;
 use tokio::time::timeout;
 
 use super::chunk_store::version_name;
 use super::clients::Result;
-use super::download::{Downloader, TargetVersion};
+use super::download::{own_peer, Downloader, TargetVersion};
 use super::weights_reconciler::target;
 use super::{BackendClient, ChunkStore, OriginClient};
 use crate::{Cx, PlatformCodec};
@@ -232,18 +231,13 @@
     }
 
     async fn manifest(&self, target: &TargetVersion) -> Manifest {
-        let settings = &self.cx.settings;
         let downloader = Downloader {
             cx: &self.cx,
             store: &self.store,
             origin: &self.origin,
             archive: &self.archive,
             target,
-            own_peer: Peer {
-                region: settings.region.clone(),
-                zone: settings.zone.clone(),
-                name: Name::from(settings.peer_addr.to_string()),
-            },
+            own_peer: own_peer(&self.cx),
         };
         downloader.fetch_manifest().await
     }
--- a/crates/rw-fleet/src/host/download.rs
+++ b/crates/rw-fleet/src/host/download.rs
@@ -102,7 +102,7 @@
 
 /// This host as a peer, under the address that the other hosts derive from the
 /// table of servers.
-fn own_peer<D: PlatformCodec>(cx: &Cx<D>) -> Peer {
+pub(super) fn own_peer<D: PlatformCodec>(cx: &Cx<D>) -> Peer {
     Peer {
         region: cx.settings.region.clone(),
         zone: cx.settings.zone.clone(),
