Log from when requests require weights

An incident's record shows requests on old weights after their deadline. No line said which version an entry required at that moment, nor what it believed to be the version's age, so a late start of the requirement could not be told from a wrong age.

--- a/crates/rw-fleet/src/entry/shared.rs
+++ b/crates/rw-fleet/src/entry/shared.rs
@@ -1,7 +1,8 @@
 //! State shared by all requests at an entry.
 
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use rw_observe::Event;
@@ -18,6 +19,8 @@
     /// Load on backend servers.
     pub load_tracker: Arc<LoadTracker>,
     pub(super) open_connections: AtomicUsize,
+    // Version that requests required last, by model.
+    required_weights: Mutex<BTreeMap<Name, u64>>,
 }
 
 impl<D: PlatformCodec> Entry<D> {
@@ -27,6 +30,7 @@
             cx,
             load_tracker,
             open_connections: AtomicUsize::new(0),
+            required_weights: Mutex::default(),
         })
     }
 
@@ -48,7 +52,20 @@
 
     /// Minimum version of a model's weights on which a request may start.
     pub fn min_weights_version(&self, snapshot: &Snapshot, engine: &Engine) -> u64 {
-        snapshot.min_version(&engine.model, &self.cx.settings.bounds, rw_coord::uptime())
+        let uptime = rw_coord::uptime();
+        let version = snapshot.min_version(&engine.model, &self.cx.settings.bounds, uptime);
+        let mut required = self
+            .required_weights
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if required.get(&engine.model).copied().unwrap_or(1) != version {
+            required.insert(engine.model.clone(), version);
+            let age = snapshot.requested_age(&engine.model, version, uptime);
+            let age = age.map_or("unknown".into(), |age| age.as_millis().to_string());
+            let detail = format!("model={} version={version} age_ms={age}", engine.model);
+            self.cx.recorder.emit(Event::WeightsRequired, &detail);
+        }
+        version
     }
 
     /// Emits an event about a call.
--- a/crates/rw-fleet/src/snapshot.rs
+++ b/crates/rw-fleet/src/snapshot.rs
@@ -147,6 +147,13 @@
         (!oldest.before_start).then(|| uptime.saturating_sub(oldest.received_at))
     }
 
+    /// Time since operators requested a version; `None` if that is not known.
+    pub fn requested_age(&self, model: &str, version: u64, uptime: Duration) -> Option<Duration> {
+        let versions = self.requested_weights.get(model)?;
+        let requested = versions.iter().find(|w| w.version == version)?;
+        (!requested.before_start).then(|| uptime.saturating_sub(requested.received_at))
+    }
+
     /// Minimum version on which a caller's request may start: the newest whose
     /// rollout deadline, less the enforcement margin, has passed; 1 if there is
     /// none.
