Count the settling time of a restarted entry from its start

Cause: an entry that starts cannot know when a version was requested, and requires it after the settling time. That time was counted from when the entry read the request, not from its start, and without the time that a request may wait at its server.

Ruled out: a wrong age from another entry, since all were killed at once; a version that counted as requested after the start, since entries did require it at 37.66 s.

Now such a version counts as requested at the daemon's start, and requests require it the enforcement margin before the settling time ends, as they do before any other deadline. The check of the unit test that asked for exactly the settling time (old version at 2.9 s, new at 3.0 s) had the same mistake; it now asks for 1.6 and 1.7 s.

--- a/crates/rw-fleet/src/cluster_state.rs
+++ b/crates/rw-fleet/src/cluster_state.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use rw_coord::{uptime, ChangeNotifier};
 use rw_observe::{Event, Recorder};
@@ -37,6 +38,7 @@
 pub struct ClusterState<D> {
     codec: Arc<D>,
     recorder: Recorder,
+    started_at: Duration,
     state: Mutex<State>,
     changed: ChangeNotifier,
 }
@@ -47,6 +49,7 @@
         Arc::new(ClusterState {
             codec,
             recorder,
+            started_at: uptime(),
             state: Mutex::default(),
             changed: ChangeNotifier::default(),
         })
@@ -292,7 +295,10 @@
                     self.recorder.emit(Event::WeightsNamed, &detail);
                     let requested = RequestedWeights {
                         version,
-                        received_at: uptime(),
+                        received_at: match first_read {
+                            true => self.started_at,
+                            false => uptime(),
+                        },
                         before_start: first_read,
                     };
                     let versions = snapshot.requested_weights.entry(model).or_default();
--- a/crates/rw-fleet/src/snapshot.rs
+++ b/crates/rw-fleet/src/snapshot.rs
@@ -23,7 +23,8 @@
 pub struct RequestedWeights {
     /// Requested version.
     pub version: u64,
-    /// Uptime of the machine when this daemon learned of the request.
+    /// Uptime of the machine when this daemon learned of the request, or when it
+    /// started if the request was made before.
     pub received_at: Duration,
     /// Whether the request was made before this daemon started, at an unknown
     /// time.
@@ -156,18 +157,17 @@
 
     /// Minimum version on which a caller's request may start: the newest whose
     /// rollout deadline, less the enforcement margin, has passed; 1 if there is
-    /// none.
+    /// none. The deadline of a version requested at an unknown time before this
+    /// daemon started is the end of the daemon's settling time.
     pub fn min_version(&self, model: &str, bounds: &Bounds, uptime: Duration) -> u64 {
-        let enforced_after = bounds.rollout_deadline.saturating_sub(ENFORCEMENT_MARGIN);
         let versions = self.requested_weights.get(model).into_iter().flatten();
         let enforced = versions.filter(|requested| {
             let age = uptime.saturating_sub(requested.received_at);
-            let limit = if requested.before_start {
-                enforced_after.min(bounds.settling)
-            } else {
-                enforced_after
+            let deadline = match requested.before_start {
+                true => bounds.rollout_deadline.min(bounds.settling),
+                false => bounds.rollout_deadline,
             };
-            age >= limit
+            age >= deadline.saturating_sub(ENFORCEMENT_MARGIN)
         });
         enforced
             .map(|requested| requested.version)
--- a/crates/rw-fleet/tests/cluster_state.rs
+++ b/crates/rw-fleet/tests/cluster_state.rs
@@ -175,14 +175,16 @@
     );
 }
 
+/// Guards against requests of a restarted daemon that wait at a server beyond the
+/// settling time and then begin on old weights.
 #[test]
-fn a_restarted_daemon_requires_new_weights_after_the_settling_time() {
+fn a_restarted_daemon_requires_new_weights_before_its_settling_time_is_over() {
     let mut snapshot = requested_at(&[(2, 0.0)]);
     if let Some(versions) = snapshot.requested_weights.get_mut("m") {
         versions[0].before_start = true;
     }
     let at = |s| snapshot.min_version("m", &bounds(), Duration::from_secs_f64(100.0 + s));
-    assert_eq!((at(2.9), at(3.0)), (1, 2));
+    assert_eq!((at(1.6), at(1.7)), (1, 2));
 }
 
 /// Of versions requested in quick succession, one is loaded only if it has to
