Keep ages of requested weights that exceed the machine's uptime

An entry on a machine that was just powered on would send requests to old weights after their deadline: it kept the moment of a request as an uptime, and an age of 9 s reported by another entry 0.5 s after power on became an age of 0.5 s.

The age is now kept together with the uptime at which it was observed; an unknown age is its absence. The test was red on the code before (kept 713,560 ms of 1,427,120) and passes now. What is required, skipped and reported is as before in all other cases: the tests of cluster_state.rs pass with only the fields renamed.

--- a/crates/rw-fleet/src/cluster_state.rs
+++ b/crates/rw-fleet/src/cluster_state.rs
@@ -12,6 +12,7 @@
 
 use crate::contacts::Contacts;
 use crate::departures::Departures;
+use crate::requested_weights::push_requested;
 use crate::row_compression::{compress, decompress};
 use crate::snapshot::ReceivedStatus;
 use crate::{BackendServer, PlatformCodec, RequestedWeights, RowContent, Snapshot};
@@ -19,9 +20,6 @@
 /// Tombstones of deleted rows kept so that other daemons learn of the deletion.
 const MAX_TOMBSTONES: usize = 2000;
 
-/// Requested versions kept per model; older ones have long been rolled out.
-pub(crate) const MAX_REQUESTED_VERSIONS: usize = 8;
-
 #[derive(Default)]
 pub(crate) struct State {
     rows: BTreeMap<(Name, Name), StoredRow>,
@@ -293,19 +291,17 @@
                 if snapshot.target_version(&model) < version {
                     let detail = format!("model={model} version={version}");
                     self.recorder.emit(Event::WeightsNamed, &detail);
+                    let (observed_at, observed_age) = match first_read {
+                        true => (self.started_at, None),
+                        false => (uptime(), Some(Duration::ZERO)),
+                    };
                     let requested = RequestedWeights {
                         version,
-                        received_at: match first_read {
-                            true => self.started_at,
-                            false => uptime(),
-                        },
-                        before_start: first_read,
+                        observed_at,
+                        observed_age,
                     };
                     let versions = snapshot.requested_weights.entry(model).or_default();
-                    versions.push(requested);
-                    if versions.len() > MAX_REQUESTED_VERSIONS {
-                        versions.remove(0);
-                    }
+                    push_requested(versions, requested);
                 }
             }
             RowContent::Server(server) => {
--- a/crates/rw-fleet/src/host/weights_reconciler.rs
+++ b/crates/rw-fleet/src/host/weights_reconciler.rs
@@ -19,7 +19,7 @@
     BackendClient, BackendReport, ChunkStore, LoadOrder, LoadOutcome, ObjectArchive, OriginClient,
     StagedChunkRequest,
 };
-use crate::snapshot::ENFORCEMENT_MARGIN;
+use crate::requested_weights::enforced_after;
 use crate::{peers, Cx, Engine, PlatformCodec};
 
 /// Interval between polls of the backend server.
@@ -304,13 +304,8 @@
         else {
             return Duration::ZERO;
         };
-        let enforced_after = self
-            .cx
-            .settings
-            .bounds
-            .rollout_deadline
-            .saturating_sub(ENFORCEMENT_MARGIN);
-        let remaining = enforced_after.saturating_sub(age + LAST_LOAD_MARGIN);
+        let remaining =
+            enforced_after(&self.cx.settings.bounds).saturating_sub(age + LAST_LOAD_MARGIN);
         let own = self.own_server().unwrap_or_default();
         let key = version_name(&target.model, target.version);
         let ranks: Vec<u64> = snapshot
--- a/crates/rw-fleet/src/snapshot.rs
+++ b/crates/rw-fleet/src/snapshot.rs
@@ -6,11 +6,9 @@
 
 use rw_protocol::{Name, ServerStatus};
 
-use crate::{BackendServer, Bounds, Configuration, Daemon};
+use crate::requested_weights::enforced_after;
+use crate::{BackendServer, Bounds, Configuration, Daemon, RequestedWeights};
 
-/// Time before the rollout deadline from which callers' requests require new
-/// weights: a request may wait that long in a server's queue before it starts.
-pub(crate) const ENFORCEMENT_MARGIN: Duration = Duration::from_millis(1300);
 /// Share of the rollout deadline; a version that is followed by a newer one
 /// within it is not loaded. Loading the newer one needs the rest of the time.
 const SUPERSEDE_SHARE: f64 = 0.25;
@@ -18,19 +16,6 @@
 /// three times the interval at which daemons repeat the status.
 const PAUSE_TTL: Duration = Duration::from_secs(6);
 
-/// Weights that an operator requested.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct RequestedWeights {
-    /// Requested version.
-    pub version: u64,
-    /// Uptime of the machine when this daemon learned of the request, or when it
-    /// started if the request was made before.
-    pub received_at: Duration,
-    /// Whether the request was made before this daemon started, at an unknown
-    /// time.
-    pub before_start: bool,
-}
-
 /// Latest status from the daemon beside a backend server.
 #[derive(Clone, Debug)]
 pub struct ReceivedStatus {
@@ -117,15 +102,16 @@
             return (loaded == 0).then_some(1);
         };
         let supersede_window = bounds.rollout_deadline.mul_f64(SUPERSEDE_SHARE);
-        let enforced_after = bounds.rollout_deadline.saturating_sub(ENFORCEMENT_MARGIN);
         let is_superseded = |at: usize| {
             let (Some(requested), Some(next)) = (versions.get(at), versions.get(at + 1)) else {
                 return false;
             };
-            let is_superseded_early =
-                next.received_at.saturating_sub(requested.received_at) <= supersede_window;
-            let is_overdue = uptime.saturating_sub(requested.received_at) > enforced_after;
-            is_superseded_early || is_overdue || requested.before_start
+            let Some(age) = requested.age(uptime) else {
+                return true;
+            };
+            let next_age = next.age(uptime).unwrap_or_default();
+            let is_superseded_early = age.saturating_sub(next_age) <= supersede_window;
+            is_superseded_early || age > enforced_after(bounds)
         };
         let mut pending = (0..versions.len()).filter(|at| versions[*at].version > loaded);
         let next = pending.find(|at| !is_superseded(*at));
@@ -145,14 +131,14 @@
         let oldest = versions
             .iter()
             .find(|requested| requested.version > loaded)?;
-        (!oldest.before_start).then(|| uptime.saturating_sub(oldest.received_at))
+        oldest.age(uptime)
     }
 
     /// Time since operators requested a version; `None` if that is not known.
     pub fn requested_age(&self, model: &str, version: u64, uptime: Duration) -> Option<Duration> {
         let versions = self.requested_weights.get(model)?;
         let requested = versions.iter().find(|w| w.version == version)?;
-        (!requested.before_start).then(|| uptime.saturating_sub(requested.received_at))
+        requested.age(uptime)
     }
 
     /// Minimum version on which a caller's request may start: the newest whose
@@ -161,14 +147,7 @@
     /// daemon started is the end of the daemon's settling time.
     pub fn min_version(&self, model: &str, bounds: &Bounds, uptime: Duration) -> u64 {
         let versions = self.requested_weights.get(model).into_iter().flatten();
-        let enforced = versions.filter(|requested| {
-            let age = uptime.saturating_sub(requested.received_at);
-            let deadline = match requested.before_start {
-                true => bounds.rollout_deadline.min(bounds.settling),
-                false => bounds.rollout_deadline,
-            };
-            age >= deadline.saturating_sub(ENFORCEMENT_MARGIN)
-        });
+        let enforced = versions.filter(|requested| requested.is_enforced(bounds, uptime));
         enforced
             .map(|requested| requested.version)
             .max()
--- a/crates/rw-fleet/src/weights_ages.rs
+++ b/crates/rw-fleet/src/weights_ages.rs
@@ -6,7 +6,7 @@
 use rw_coord::uptime;
 use rw_protocol::RequestedVersionAge;
 
-use crate::cluster_state::MAX_REQUESTED_VERSIONS;
+use crate::requested_weights::merge_age;
 use crate::{Bounds, ClusterState, PlatformCodec, RequestedWeights, Snapshot};
 
 impl<D: PlatformCodec> ClusterState<D> {
@@ -16,27 +16,19 @@
     pub fn weights_ages(&self, bounds: &Bounds) -> Vec<RequestedVersionAge> {
         let now = uptime();
         let snapshot = self.snapshot();
-        let age = |requested: &RequestedWeights| now.saturating_sub(requested.received_at);
-        let is_age_known = |versions: &Vec<RequestedWeights>| {
-            let mut before_start = versions.iter().filter(|requested| requested.before_start);
-            before_start.all(|requested| age(requested) >= bounds.settling)
-        };
+        let age = |requested: &RequestedWeights| requested.reported_age(bounds, now);
         let models = snapshot
             .requested_weights
             .iter()
-            .filter(|(_, versions)| is_age_known(versions));
+            .filter(|(_, versions)| versions.iter().all(|requested| age(requested).is_some()));
         let all = models
             .flat_map(|(model, versions)| versions.iter().map(move |requested| (model, requested)));
-        all.map(|(model, requested)| {
-            let age = match requested.before_start {
-                true => age(requested).max(bounds.rollout_deadline),
-                false => age(requested),
-            };
-            RequestedVersionAge {
+        all.filter_map(|(model, requested)| {
+            Some(RequestedVersionAge {
                 model: model.clone(),
                 version: requested.version,
-                age_ms: age.as_millis() as u64,
-            }
+                age_ms: age(requested)?.as_millis() as u64,
+            })
         })
         .collect()
     }
@@ -49,10 +41,10 @@
         let now = uptime();
         let mut state = self.state();
         let mut weights = state.snapshot.requested_weights.clone();
-        for age in ages {
-            let received_at = now.saturating_sub(Duration::from_millis(age.age_ms));
-            if let Some(versions) = weights.get_mut(&age.model) {
-                merge_requested(versions, age.version, received_at);
+        for reported in ages {
+            if let Some(versions) = weights.get_mut(&reported.model) {
+                let age = Duration::from_millis(reported.age_ms);
+                merge_age(versions, reported.version, age, now);
             }
         }
         if weights != state.snapshot.requested_weights {
@@ -62,25 +54,3 @@
         }
     }
 }
-
-// A version newer than the last one is ignored: it arrives with its own row.
-fn merge_requested(versions: &mut Vec<RequestedWeights>, version: u64, received_at: Duration) {
-    let requested = RequestedWeights {
-        version,
-        received_at,
-        before_start: false,
-    };
-    match versions
-        .iter()
-        .position(|requested| requested.version >= version)
-    {
-        Some(at) if versions[at].version == version => {
-            let earlier = versions[at].before_start || received_at < versions[at].received_at;
-            if earlier {
-                versions[at] = requested;
-            }
-        }
-        Some(at) if versions.len() < MAX_REQUESTED_VERSIONS => versions.insert(at, requested),
-        _ => {}
-    }
-}
--- a/crates/rw-fleet/tests/cluster_state.rs
+++ b/crates/rw-fleet/tests/cluster_state.rs
@@ -88,6 +88,27 @@
     ));
 }
 
+/// Guards against a machine that was just powered on and counts the age of requested
+/// weights from its own start at most.
+#[test]
+fn an_age_beyond_the_uptime_of_the_machine_is_kept() {
+    let cluster = cluster();
+    cluster.replace_table(
+        &"operator".into(),
+        vec![row("operator", "w", 1, "weights 2")],
+        1,
+    );
+    let reported = RequestedVersionAge {
+        model: "m".into(),
+        version: 2,
+        age_ms: rw_coord::uptime().as_millis() as u64 * 2,
+    };
+    cluster.merge_weights_ages(std::slice::from_ref(&reported));
+    let ages = cluster.weights_ages(&bounds());
+    assert_eq!(ages[0].version, 2);
+    assert!(ages[0].age_ms >= reported.age_ms, "{}", ages[0].age_ms);
+}
+
 #[rstest]
 #[case::newer_last(&[("old", 3), ("new", 7)])]
 #[case::newer_first(&[("new", 7), ("old", 3)])]
@@ -146,8 +167,8 @@
     let mut snapshot = Snapshot::default();
     let versions = versions.iter().map(|(version, at)| RequestedWeights {
         version: *version,
-        received_at: Duration::from_secs_f64(100.0 + at),
-        before_start: false,
+        observed_at: Duration::from_secs_f64(100.0 + at),
+        observed_age: Some(Duration::ZERO),
     });
     snapshot
         .requested_weights
@@ -181,7 +202,7 @@
 fn a_restarted_daemon_requires_new_weights_before_its_settling_time_is_over() {
     let mut snapshot = requested_at(&[(2, 0.0)]);
     if let Some(versions) = snapshot.requested_weights.get_mut("m") {
-        versions[0].before_start = true;
+        versions[0].observed_age = None;
     }
     let at = |s| snapshot.min_version("m", &bounds(), Duration::from_secs_f64(100.0 + s));
     assert_eq!((at(1.6), at(1.7)), (1, 2));
