Record in the store when weights were requested

Store readers now write the times, on the store's steady clock, to a row of the daemons' table as soon as they learn of a request; the first reader at once, each further one if those before it did not. Entries merge the recorded ages like those of other entries: the oldest wins. A row that a returned store lacks is written again. Responses of the store give its clock; a slow one makes it look late, so the reading furthest ahead counts. Without a record, the settling time decides as before.

Ruled out: dating the request by the versions of other rows, which gives no upper bound while servers are silent.

--- a/crates/rw-fleet/src/cluster_state.rs
+++ b/crates/rw-fleet/src/cluster_state.rs
@@ -15,6 +15,7 @@
 use crate::requested_weights::push_requested;
 use crate::row_compression::{compress, decompress};
 use crate::snapshot::ReceivedStatus;
+use crate::weights_record::StoreClock;
 use crate::{BackendServer, PlatformCodec, RequestedWeights, RowContent, Snapshot};
 
 /// Tombstones of deleted rows kept so that other daemons learn of the deletion.
@@ -29,6 +30,7 @@
     // Whether rows of an earlier era of the store may remain.
     has_earlier_eras: bool,
     pub(crate) contacts: Contacts,
+    pub(crate) store_clock: StoreClock,
 }
 
 /// Rows of the platform's store as this daemon knows them, and the state
@@ -111,6 +113,7 @@
         }
         prune_tombstones(&mut state);
         if changed {
+            snapshot.merge_recorded_ages(&state.store_clock, uptime());
             state.snapshot = Arc::new(snapshot);
             drop(state);
             self.changed.notify();
@@ -329,6 +332,9 @@
             RowContent::Daemon(daemon) => {
                 snapshot.daemons.insert(daemon.name.clone(), daemon);
             }
+            RowContent::WeightsRecord(record) => {
+                snapshot.weights_records.insert(row.key.clone(), record);
+            }
             RowContent::Other => self.remove_row(departures, snapshot, row),
         }
         true
@@ -361,6 +367,7 @@
             }
         } else if *row.table == *tables.daemons {
             snapshot.daemons.remove(&row.key);
+            snapshot.weights_records.remove(&row.key);
         }
     }
 }
--- a/crates/rw-fleet/src/codec.rs
+++ b/crates/rw-fleet/src/codec.rs
@@ -3,7 +3,7 @@
 use http::HeaderName;
 use rw_protocol::{Name, StoredRow};
 
-use crate::{BackendServer, Configuration, Daemon};
+use crate::{BackendServer, Configuration, Daemon, WeightsRecord};
 
 /// Decoded content of a row of the platform's store.
 #[derive(Clone, Debug)]
@@ -21,6 +21,8 @@
     Server(BackendServer),
     /// Registration of a daemon.
     Daemon(Daemon),
+    /// Record of when weights were requested, written by daemons.
+    WeightsRecord(WeightsRecord),
     /// Other content, which daemons ignore.
     Other,
 }
@@ -86,4 +88,8 @@
     fn decode(&self, row: &StoredRow) -> Result<RowContent, Self::Error>;
     /// Encodes the row that registers a daemon.
     fn encode_daemon(&self, daemon: &Daemon) -> Vec<u8>;
+    /// Key of the record of a model's requested weights, in the daemons' table.
+    fn weights_record_key(&self, model: &str) -> Name;
+    /// Encodes the record of a model's requested weights.
+    fn encode_weights_record(&self, record: &WeightsRecord) -> Vec<u8>;
 }
--- a/crates/rw-fleet/src/lib.rs
+++ b/crates/rw-fleet/src/lib.rs
@@ -27,6 +27,7 @@
 mod snapshot;
 mod store_feed;
 mod weights_ages;
+mod weights_record;
 
 pub use cluster_state::ClusterState;
 pub use codec::{HeaderNames, PlatformCodec, RowContent, TableNames};
@@ -43,3 +44,4 @@
 pub use settings::{Bounds, DaemonSettings, FleetRole};
 pub use snapshot::{ReceivedStatus, Snapshot};
 pub use store_feed::long_poll_timeout;
+pub use weights_record::{RecordedRequest, WeightsRecord};
--- a/crates/rw-fleet/src/run.rs
+++ b/crates/rw-fleet/src/run.rs
@@ -15,6 +15,7 @@
 use crate::entry::{serve_callers, serve_probe, Entry, LoadTracker};
 use crate::host::{reconcile_weights, BackendClient, ChunkStore, ObjectArchive, OriginClient};
 use crate::peers::{broadcast_load, PeerHandler};
+use crate::weights_record::record_requests;
 use crate::{follow, Cx, Daemon, DaemonSettings, Error, FleetRole, PlatformCodec, Result};
 
 /// Time from the stop signal until no new connections are accepted: the load
@@ -127,6 +128,7 @@
     tokio::spawn(rw_peer::serve(peers, Arc::new(handler)));
     tokio::spawn(broadcast_load(cx.clone(), load_tracker.clone()));
     tokio::spawn(prune_removed_servers(cx.clone(), load_tracker.clone()));
+    tokio::spawn(record_requests(cx.clone(), store.clone()));
     tokio::spawn(register(cx.clone(), store));
     let entry = Entry::new(cx.clone(), load_tracker);
     let probed_entry = entry.clone();
--- a/crates/rw-fleet/src/snapshot.rs
+++ b/crates/rw-fleet/src/snapshot.rs
@@ -7,7 +7,7 @@
 use rw_protocol::{Name, ServerStatus};
 
 use crate::requested_weights::enforced_after;
-use crate::{BackendServer, Bounds, Configuration, Daemon, RequestedWeights};
+use crate::{BackendServer, Bounds, Configuration, Daemon, RequestedWeights, WeightsRecord};
 
 /// Share of the rollout deadline; a version that is followed by a newer one
 /// within it is not loaded. Loading the newer one needs the rest of the time.
@@ -34,6 +34,8 @@
     pub servers: BTreeMap<Name, Arc<BackendServer>>,
     /// Requested weights by model, oldest request first.
     pub requested_weights: BTreeMap<Name, Vec<RequestedWeights>>,
+    /// Records of when weights were requested, by the key of their row.
+    pub weights_records: BTreeMap<Name, WeightsRecord>,
     /// Daemons by name.
     pub daemons: BTreeMap<Name, Daemon>,
     /// Latest status of each backend server, by its identity.
--- a/crates/rw-fleet/src/store_feed.rs
+++ b/crates/rw-fleet/src/store_feed.rs
@@ -6,7 +6,7 @@
 
 use rw_coord::Backoff;
 use rw_observe::Event;
-use rw_platform::{FeedError, TableFeed};
+use rw_platform::{FeedError, TableFeed, TableRows};
 use rw_protocol::{rendezvous_rank, Name, TableVersion};
 
 use crate::follow::{MAX_RETRY_DELAY, MIN_RETRY_DELAY, OUTAGE_POLL_INTERVAL};
@@ -174,6 +174,7 @@
     let read = read
         .map_err(|_| timeout_error())?
         .map_err(FeedError::Failed)?;
+    observe_clock(cx, &read);
     cx.cluster.replace_table(table, read.rows, read.version);
     Ok(())
 }
@@ -204,6 +205,7 @@
     let feed = store.changes(table, after, wait);
     let changes = tokio::time::timeout(wait + LONG_POLL_SLACK, feed).await;
     let changes = changes.map_err(|_| timeout_error())??;
+    observe_clock(cx, &changes);
     let known = TableVersion {
         table: table.clone(),
         version: changes.version,
@@ -212,6 +214,12 @@
     Ok(())
 }
 
+fn observe_clock<D: PlatformCodec>(cx: &Cx<D>, read: &TableRows) {
+    if let Some(clock_ms) = read.clock_ms {
+        cx.cluster.observe_store_clock(read.version, clock_ms);
+    }
+}
+
 fn timeout_error() -> FeedError {
     FeedError::Failed(rw_platform::Error::Unknown("no answer in time".to_string()))
 }
--- a/crates/rw-fleet/tests/common/mod.rs
+++ b/crates/rw-fleet/tests/common/mod.rs
@@ -6,13 +6,13 @@
 use http::HeaderName;
 use rw_fleet::{
     BackendServer, CallerLimits, ClusterState, Configuration, Daemon, HeaderNames, PlatformCodec,
-    RowContent, Snapshot, TableNames,
+    RecordedRequest, RowContent, Snapshot, TableNames, WeightsRecord,
 };
 use rw_observe::{Metrics, Recorder};
-use rw_protocol::{StoredRow, TableVersion};
+use rw_protocol::{Name, StoredRow, TableVersion};
 
-/// Decodes rows `server ADDR [STATE [START [HEARTBEAT]]]`, `weights N`, `daemon ADDR` and
-/// `configuration N`; any other row is invalid.
+/// Decodes rows `server ADDR [STATE [START [HEARTBEAT]]]`, `weights N`, `daemon ADDR`,
+/// `record VERSION REQUESTED_AT_MS` and `configuration N`; any other row is invalid.
 pub struct TextCodec(HeaderNames);
 
 fn text_codec() -> TextCodec {
@@ -75,6 +75,21 @@
                     idle: Duration::ZERO,
                 },
             })),
+            Some(("record", fields)) => {
+                let fields: Result<Vec<u64>, _> =
+                    fields.split_whitespace().map(str::parse).collect();
+                let fields = fields.map_err(|_| "number".to_string())?;
+                let [version, requested_at_ms] = fields[..] else {
+                    return Err("fields".into());
+                };
+                Ok(RowContent::WeightsRecord(WeightsRecord {
+                    model: "m".into(),
+                    requests: vec![RecordedRequest {
+                        version,
+                        requested_at_ms,
+                    }],
+                }))
+            }
             Some(("weights", n)) => Ok(RowContent::Weights {
                 model: "m".into(),
                 version: n.parse().map_err(|_| "number".to_string())?,
@@ -86,6 +101,14 @@
     fn encode_daemon(&self, _: &Daemon) -> Vec<u8> {
         Vec::new()
     }
+
+    fn weights_record_key(&self, model: &str) -> Name {
+        format!("record-{model}").into()
+    }
+
+    fn encode_weights_record(&self, _: &WeightsRecord) -> Vec<u8> {
+        Vec::new()
+    }
 }
 
 fn server_content(row: &StoredRow, fields: &str) -> Result<BackendServer, String> {
--- a/crates/rw-observe/src/catalogue.rs
+++ b/crates/rw-observe/src/catalogue.rs
@@ -95,6 +95,7 @@
     710 StoreRestored Warn "The store came back from an older copy; its complete tables are read again." "Write again what the copy lacks; configuration and weights in force stay.";
     711 ServerNotice Info "A backend server said that it is leaving, or asked for a pause." "Nothing, unless no other server is left.";
     712 WeightsRequired Info "An entry sends requests only to backend servers with this version of the weights or a newer one." "If servers still hold older weights, check why their rollout is late.";
+    713 WeightsRecorded Info "The times at which weights were requested were recorded in the platform's store." "Nothing.";
 }
 
 /// Renders the event catalogue as a Markdown page.
--- a/crates/rw-platform/src/types.rs
+++ b/crates/rw-platform/src/types.rs
@@ -143,6 +143,9 @@
     pub rows: Vec<StoredRow>,
     /// Store version up to which the reader is current once it has these rows.
     pub version: u64,
+    /// Time of the store's steady clock at the response, in milliseconds, if the store
+    /// has one.
+    pub clock_ms: Option<u64>,
 }
 
 /// A table service with a change feed.
