Report only known ages of requested weights

Callers could be refused by all entries because of one: an entry that had started after a request, and for its settling time had reached neither another entry nor the store's record, reported the version as past its deadline, and the oldest age wins.

An assumed age now decides only the requests of the entry itself. Entries that start later have the record, or their own settling time. A test with a settling time of zero was red before; without the bounds as an argument it says the same as the assertion that was there, which now gives the reason.

--- a/crates/rw-fleet/src/peers.rs
+++ b/crates/rw-fleet/src/peers.rs
@@ -152,7 +152,7 @@
             entry: cx.settings.name.clone(),
             loads,
             known,
-            named: cx.cluster.weights_ages(&cx.settings.bounds),
+            named: cx.cluster.weights_ages(),
         };
         let snapshot = cx.cluster.snapshot();
         for daemon in snapshot
--- a/crates/rw-fleet/src/requested_weights.rs
+++ b/crates/rw-fleet/src/requested_weights.rs
@@ -54,15 +54,6 @@
         }
     }
 
-    /// Age for other daemons; `None` while they may still report the true one. Once
-    /// the settling time has passed, the version counts as past its deadline.
-    pub(crate) fn reported_age(&self, bounds: &Bounds, uptime: Duration) -> Option<Duration> {
-        let age = self.age(uptime);
-        let since_start = self.time_since_observed(uptime);
-        let settled = (since_start >= bounds.settling).then_some(since_start);
-        age.or_else(|| settled.map(|age| age.max(bounds.rollout_deadline)))
-    }
-
     fn time_since_observed(&self, uptime: Duration) -> Duration {
         uptime.saturating_sub(self.observed_at)
     }
--- a/crates/rw-fleet/src/weights_ages.rs
+++ b/crates/rw-fleet/src/weights_ages.rs
@@ -7,27 +7,22 @@
 use rw_protocol::RequestedVersionAge;
 
 use crate::requested_weights::merge_age;
-use crate::{Bounds, ClusterState, PlatformCodec, RequestedWeights, Snapshot};
+use crate::{ClusterState, PlatformCodec, Snapshot};
 
 impl<D: PlatformCodec> ClusterState<D> {
-    /// Ages of the requested weights, without models whose ages are not known
-    /// yet. Versions requested before this daemon started count as past the
-    /// rollout deadline once the settling time has passed.
-    pub fn weights_ages(&self, bounds: &Bounds) -> Vec<RequestedVersionAge> {
+    /// Known ages of the requested weights.
+    pub fn weights_ages(&self) -> Vec<RequestedVersionAge> {
         let now = uptime();
         let snapshot = self.snapshot();
-        let age = |requested: &RequestedWeights| requested.reported_age(bounds, now);
-        let models = snapshot
+        let all = snapshot
             .requested_weights
             .iter()
-            .filter(|(_, versions)| versions.iter().all(|requested| age(requested).is_some()));
-        let all = models
             .flat_map(|(model, versions)| versions.iter().map(move |requested| (model, requested)));
         all.filter_map(|(model, requested)| {
             Some(RequestedVersionAge {
                 model: model.clone(),
                 version: requested.version,
-                age_ms: age(requested)?.as_millis() as u64,
+                age_ms: requested.age(now)?.as_millis() as u64,
             })
         })
         .collect()
--- a/crates/rw-fleet/tests/cluster_state.rs
+++ b/crates/rw-fleet/tests/cluster_state.rs
@@ -70,8 +70,8 @@
         "without reports it cannot wait longer"
     );
     assert!(
-        cluster.weights_ages(&bounds()).is_empty(),
-        "the age is not known yet"
+        cluster.weights_ages().is_empty(),
+        "an age that is only assumed would make all others require them early"
     );
     let age = |age_ms| RequestedVersionAge {
         model: "m".into(),
@@ -104,7 +104,7 @@
         age_ms: rw_coord::uptime().as_millis() as u64 * 2,
     };
     cluster.merge_weights_ages(std::slice::from_ref(&reported));
-    let ages = cluster.weights_ages(&bounds());
+    let ages = cluster.weights_ages();
     assert_eq!(ages[0].version, 2);
     assert!(ages[0].age_ms >= reported.age_ms, "{}", ages[0].age_ms);
 }
