Date requests that arrive late over a silent connection

A connection to the store may go silent without an error; the store reader notices when its long poll times out, up to 2.7 s later, and counted the rollout deadline from then, with a margin of 1.3 s. All store readers may be affected at once.

After a single call without an answer, or a lost history, changes now count as made when the table was last current, at most the settling time ago. After an outage, in which the store acknowledges nothing, they count as just made, as before. Changes that the first own read delivers to an entry which started from another entry's rows have an unknown age; until now they counted as just made.

--- a/crates/rw-fleet/src/cluster_state.rs
+++ b/crates/rw-fleet/src/cluster_state.rs
@@ -38,7 +38,7 @@
 pub struct ClusterState<D> {
     codec: Arc<D>,
     recorder: Recorder,
-    started_at: Duration,
+    pub(crate) started_at: Duration,
     state: Mutex<State>,
     changed: ChangeNotifier,
 }
--- a/crates/rw-fleet/src/lib.rs
+++ b/crates/rw-fleet/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod entry;
 mod error;
 mod follow;
+mod freshness;
 pub mod host;
 mod peer_selection;
 mod peers;
--- a/crates/rw-fleet/src/store_feed.rs
+++ b/crates/rw-fleet/src/store_feed.rs
@@ -4,12 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rw_coord::Backoff;
+use rw_coord::{uptime, Backoff};
 use rw_observe::Event;
 use rw_platform::{FeedError, TableFeed, TableRows};
 use rw_protocol::{rendezvous_rank, Name, TableVersion};
 
 use crate::follow::{MAX_RETRY_DELAY, MIN_RETRY_DELAY, OUTAGE_POLL_INTERVAL};
+use crate::freshness::Freshness;
 use crate::peer_selection::{store_readers, MAX_STORE_READERS};
 use crate::{Bounds, Cx, Daemon, PlatformCodec};
 
@@ -94,12 +95,14 @@
     // which the store readers are selected.
     let mut initialized = false;
     let mut failed_reads = 0;
+    let mut freshness = Freshness::default();
     loop {
         if initialized && !should_follow_store(&cx) {
             cx.sync.set_connected(index, false);
             tokio::time::sleep(OUTAGE_POLL_INTERVAL).await;
             continue;
         }
+        let called_at = uptime();
         let result = match initialized {
             false => sync_table(&cx, &store, &name, failed_reads).await,
             true => sync_changes(&cx, &store, &name).await,
@@ -111,6 +114,11 @@
                 backoff.reset();
                 set_table_connected(&cx, index, table, true, "");
                 let is_operator_table = table == cx.codec.tables().operator;
+                let delay = freshness.delay_of_changes(&cx.settings.bounds, uptime());
+                freshness.on_current(uptime());
+                if is_operator_table && delay != Some(Duration::ZERO) {
+                    cx.cluster.backdate_requests(called_at, delay);
+                }
                 let pause = if is_operator_table {
                     OPERATOR_CHANGE_DELAY
                 } else {
@@ -122,9 +130,11 @@
                 cx.recorder
                     .emit(Event::HistoryGone, &format!("table={table}"));
                 initialized = false;
+                freshness.on_history_gone();
             }
             Err(FeedError::Failed(err)) => {
                 failed_reads += 1;
+                freshness.on_failure(&err);
                 set_table_connected(&cx, index, table, false, &err.to_string());
                 let pause = backoff.next_delay();
                 tokio::time::sleep(match is_fallback_reader(&cx) {
--- a/crates/rw-fleet/src/weights_ages.rs
+++ b/crates/rw-fleet/src/weights_ages.rs
@@ -7,7 +7,7 @@
 use rw_protocol::RequestedVersionAge;
 
 use crate::requested_weights::merge_age;
-use crate::{ClusterState, PlatformCodec, Snapshot};
+use crate::{ClusterState, PlatformCodec, RequestedWeights, Snapshot};
 
 impl<D: PlatformCodec> ClusterState<D> {
     /// Known ages of the requested weights.
@@ -28,6 +28,25 @@
         .collect()
     }
 
+    /// Sets the age of requests learned since `learned_since` by a read that may have
+    /// delivered them late; `None` if it delivered them at an unknown time after the
+    /// request.
+    pub fn backdate_requests(&self, learned_since: Duration, age: Option<Duration>) {
+        let mut state = self.state();
+        let mut snapshot = Snapshot::clone(&state.snapshot);
+        let requests = snapshot.requested_weights.values_mut().flatten();
+        let is_new = |requested: &&mut RequestedWeights| {
+            requested.observed_at >= learned_since && requested.observed_age == Some(Duration::ZERO)
+        };
+        for requested in requests.filter(is_new) {
+            requested.observed_age = age;
+            if age.is_none() {
+                requested.observed_at = self.started_at;
+            }
+        }
+        state.snapshot = Arc::new(snapshot);
+    }
+
     /// Merges ages of requested weights from another daemon. This daemon may
     /// have started after the request and know only the latest version. The
     /// oldest age wins, since other daemons may have learned of the request
