Resume no stream on weights past their deadline

A stream that broke after the deadline of new weights went on at a server that still held the old ones: the resumed part began on old weights too late. The deadline was only asked for streams that start.

The caller now gets the broken stream at once and may send it again, on new weights.

--- a/crates/rw-fleet/src/entry/stream_opener.rs
+++ b/crates/rw-fleet/src/entry/stream_opener.rs
@@ -214,11 +214,13 @@
         let mut servers = self.entry.ready_servers(&self.call.service);
         servers.retain(|s| {
             let loaded_version = snapshot.loaded_version(s);
-            let has_version = match self.weights_version {
-                Some(version) => loaded_version == version,
-                None => loaded_version >= min_version,
-            };
-            has_version && !snapshot.is_paused(&s.id, rw_coord::uptime())
+            // A stream goes on only on the weights on which it began.
+            let has_version = self
+                .weights_version
+                .is_none_or(|version| loaded_version == version);
+            has_version
+                && loaded_version >= min_version
+                && !snapshot.is_paused(&s.id, rw_coord::uptime())
         });
         servers = self.entry.load_tracker.admitted(servers);
         let is_untried = |s: &Arc<BackendServer>| !self.tried_servers.contains(&s.id);
