Lease manager: take the machine's clocks as a value

Both clocks of the lease manager were read from the operating system, so no test could step the time of day. `Clock` is a small trait with `SystemClock` as default type of `LeaseManager`; callers are unchanged.

--- a/crates/rw-coord/src/clock.rs
+++ b/crates/rw-coord/src/clock.rs
@@ -22,6 +22,35 @@
         .map_or(0, |d| d.as_millis() as u64)
 }
 
+/// The clocks of a machine, for types whose tests step them.
+pub trait Clock: Send + Sync + 'static {
+    /// Unix time in milliseconds. Machines disagree about it, and it may step.
+    fn unix_ms(&self) -> u64;
+
+    /// Time since the machine booted, including time while it was suspended.
+    fn uptime(&self) -> Duration;
+}
+
+/// The clocks of the operating system.
+///
+/// ```
+/// use rw_coord::{Clock, SystemClock};
+/// let earlier = SystemClock.uptime();
+/// assert!(SystemClock.uptime() >= earlier);
+/// ```
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SystemClock;
+
+impl Clock for SystemClock {
+    fn unix_ms(&self) -> u64 {
+        unix_ms()
+    }
+
+    fn uptime(&self) -> Duration {
+        uptime()
+    }
+}
+
 /// Hybrid logical clock. A timestamp has the Unix time in milliseconds above
 /// 16 counter bits.
 ///
--- a/crates/rw-coord/src/lease.rs
+++ b/crates/rw-coord/src/lease.rs
@@ -3,7 +3,7 @@
 use rw_platform::{Condition, Put, TableService, Transaction};
 use serde::{Deserialize, Serialize};
 
-use crate::{unix_ms, uptime, Error, Result};
+use crate::{uptime, Clock, Error, Result, SystemClock};
 
 // Value of the row `lease/{name}`.
 #[derive(Serialize, Deserialize)]
@@ -46,20 +46,29 @@
 
 /// Acquires and releases named leases through conditional writes to the table
 /// service.
-pub struct LeaseManager<T> {
+pub struct LeaseManager<T, C = SystemClock> {
     table: T,
     holder: String,
     ttl: Duration,
+    clock: C,
 }
 
 impl<T: TableService> LeaseManager<T> {
     /// Creates a manager of leases with this time to live. `holder` must be unique to
     /// this process and must change with a restart.
     pub fn new(table: T, holder: &str, ttl: Duration) -> Self {
+        Self::with_clock(table, holder, ttl, SystemClock)
+    }
+}
+
+impl<T: TableService, C: Clock> LeaseManager<T, C> {
+    /// Creates a manager like [`new`](LeaseManager::new), with these clocks.
+    pub fn with_clock(table: T, holder: &str, ttl: Duration, clock: C) -> Self {
         LeaseManager {
             table,
             holder: holder.to_string(),
             ttl,
+            clock,
         }
     }
 
@@ -70,14 +79,14 @@
     /// answer to it is lost.
     pub fn acquire(&self, name: &str, attempt: u64) -> Result<Lease> {
         let key = format!("lease/{name}");
-        let expires_at = uptime() + self.ttl;
+        let expires_at = self.clock.uptime() + self.ttl;
         let row = self.table.read(&key)?;
         let current = row
             .as_ref()
             .map(|row| parse(&key, &row.value))
             .transpose()?;
         if let Some(current) = &current {
-            let left_ms = current.until_ms.saturating_sub(unix_ms());
+            let left_ms = current.until_ms.saturating_sub(self.clock.unix_ms());
             if current.holder != self.holder && left_ms > 0 {
                 return Err(Error::Held(current.holder.clone(), left_ms));
             }
@@ -104,7 +113,7 @@
     }
 
     fn write(&self, key: &str, version: u64, epoch: u64, attempt: u64) -> Result<()> {
-        let until_ms = unix_ms() + self.ttl.as_millis() as u64;
+        let until_ms = self.clock.unix_ms() + self.ttl.as_millis() as u64;
         let txn = self.transaction(key, version, epoch, attempt, until_ms)?;
         match self.table.commit(&txn) {
             Ok(commit) if commit.committed => Ok(()),
--- a/crates/rw-coord/src/lib.rs
+++ b/crates/rw-coord/src/lib.rs
@@ -17,7 +17,7 @@
 pub use backoff::Backoff;
 pub use bucket::TokenBucket;
 pub use change_notifier::ChangeNotifier;
-pub use clock::{unix_ms, uptime, HybridClock};
+pub use clock::{unix_ms, uptime, Clock, HybridClock, SystemClock};
 pub use commit::{ConditionalWrite, GroupCommit, IndexUpdate, WriteOutcome};
 pub use lease::{Lease, LeaseManager};
 pub use timer::{Tick, Timer};
