Lease: a taker waits its own time instead of trusting the written one

Seen: a host or entry whose clock was 2 s ahead took a lease that its holder still held for 2 s; a lease left by a holder whose clock was an hour ahead stayed taken for an hour, so a failed host was not replaced in that time.

Cause: a taker compared `until_ms`, written by another machine, with its own time of day. Ruled out: the holder's side, which already counts its ttl from before its write on the clock since boot.

Change: a lease of another holder is free once the taker has seen the same row unchanged for the ttl, on its own clock since boot. The row now names the holder's ttl (`ttl_ms`), so settings that differ between machines do not shorten it; rows without it count with the reader's ttl. The supervisor keeps one manager across its checks, since a manager remembers the rows it saw. A process that meets a foreign lease for the first time waits a whole ttl.

--- a/crates/rw-coord/src/lease.rs
+++ b/crates/rw-coord/src/lease.rs
@@ -1,6 +1,8 @@
+use std::collections::HashMap;
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
-use rw_platform::{Condition, Put, TableService, Transaction};
+use rw_platform::{Condition, Put, Row, TableService, Transaction};
 use serde::{Deserialize, Serialize};
 
 use crate::{uptime, Clock, Error, Result, SystemClock};
@@ -11,7 +13,18 @@
     holder: String,
     attempt: u64,
     epoch: u64,
+    // 0 once the lease was released. Otherwise the Unix time at which the lease
+    // expires, for earlier builds, which compare it with their own clock.
     until_ms: u64,
+    // Missing in rows of earlier builds.
+    #[serde(default)]
+    ttl_ms: Option<u64>,
+}
+
+// A row of another holder, and the uptime at which this process first saw it.
+struct SeenRow {
+    row: Row,
+    first_seen_at: Duration,
 }
 
 /// A lease that this process has acquired; it may have expired since.
@@ -46,11 +59,17 @@
 
 /// Acquires and releases named leases through conditional writes to the table
 /// service.
+///
+/// A lease of another holder counts as expired once this manager has seen its row
+/// unchanged for the holder's ttl, since clocks of machines disagree about the time of
+/// day. Keep one manager across attempts to acquire a lease.
 pub struct LeaseManager<T, C = SystemClock> {
     table: T,
     holder: String,
     ttl: Duration,
     clock: C,
+    // Rows of other holders, by key.
+    seen_rows: Mutex<HashMap<String, SeenRow>>,
 }
 
 impl<T: TableService> LeaseManager<T> {
@@ -69,6 +88,7 @@
             holder: holder.to_string(),
             ttl,
             clock,
+            seen_rows: Mutex::default(),
         }
     }
 
@@ -85,9 +105,10 @@
             .as_ref()
             .map(|row| parse(&key, &row.value))
             .transpose()?;
-        if let Some(current) = &current {
-            let left_ms = current.until_ms.saturating_sub(self.clock.unix_ms());
-            if current.holder != self.holder && left_ms > 0 {
+        if let (Some(row), Some(current)) = (&row, &current) {
+            let left = self.time_to_expiry(row, current);
+            if !left.is_zero() {
+                let left_ms = left.as_millis() as u64;
                 return Err(Error::Held(current.holder.clone(), left_ms));
             }
         }
@@ -97,6 +118,30 @@
         Ok(Lease { epoch, expires_at })
     }
 
+    // Time for which the row of another holder has to stay unchanged until its lease
+    // has expired. The holder measures its ttl from before its write, which is before
+    // this manager first saw the row.
+    fn time_to_expiry(&self, row: &Row, record: &LeaseRecord) -> Duration {
+        let seen_rows = self.seen_rows.lock();
+        let mut seen_rows = seen_rows.unwrap_or_else(PoisonError::into_inner);
+        if record.until_ms == 0 || record.holder == self.holder {
+            seen_rows.remove(&row.key);
+            return Duration::ZERO;
+        }
+        let now = self.clock.uptime();
+        let first_seen_at = match seen_rows.get(&row.key) {
+            Some(seen) if seen.row == *row => seen.first_seen_at,
+            _ => {
+                let row = row.clone();
+                let first_seen_at = now;
+                seen_rows.insert(row.key.clone(), SeenRow { row, first_seen_at });
+                now
+            }
+        };
+        let ttl = record.ttl_ms.map_or(self.ttl, Duration::from_millis);
+        ttl.saturating_sub(now.saturating_sub(first_seen_at))
+    }
+
     /// Releases a lease before it expires, so that the next holder need not wait.
     pub fn release(&self, name: &str, lease: &Lease) -> Result<()> {
         let key = format!("lease/{name}");
@@ -147,6 +192,7 @@
             attempt,
             epoch,
             until_ms,
+            ttl_ms: Some(self.ttl.as_millis() as u64),
         };
         let value = serde_json::to_string(&record)
             .map_err(|err| Error::Corrupt(key.to_string(), err.to_string()))?;
--- a/crates/rw-coord/tests/coordination.rs
+++ b/crates/rw-coord/tests/coordination.rs
@@ -1,152 +1,16 @@
-//! Leases, the append-only log, group commit, the timer and the token bucket,
-//! against an in-memory table service with injected faults.
+//! The append-only log, group commit, the timer and the token bucket, against an
+//! in-memory table service with injected faults.
+
+mod common;
 
-use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use common::{InMemoryTable, InjectedFault};
 use rstest::rstest;
 use rw_coord::{
-    AppendLog, AppendOutcome, ConditionalWrite, Error, GroupCommit, IndexUpdate, LeaseManager,
-    Timer, TokenBucket, WriteOutcome,
+    AppendLog, AppendOutcome, ConditionalWrite, GroupCommit, IndexUpdate, Timer, TokenBucket,
+    WriteOutcome,
 };
-use rw_platform::{Commit, Error as PlatformError, Result, Row, TableService, Transaction};
-
-#[derive(Clone, Copy, Default, PartialEq, Eq)]
-enum InjectedFault {
-    #[default]
-    None,
-    /// The write takes effect, but its answer is lost.
-    AnswerLost,
-    /// The request is lost and does not take effect.
-    RequestLost,
-    /// The table service refuses the request.
-    Refused,
-}
-
-#[derive(Default)]
-struct TableState {
-    rows: BTreeMap<String, Row>,
-    version: u64,
-    fault: InjectedFault,
-    commits: usize,
-}
-
-#[derive(Clone, Default)]
-struct InMemoryTable(Arc<Mutex<TableState>>);
-
-impl InMemoryTable {
-    fn inject(&self, fault: InjectedFault) {
-        self.0.lock().expect("no panic").fault = fault;
-    }
-
-    fn commits(&self) -> usize {
-        self.0.lock().expect("no panic").commits
-    }
-}
-
-impl TableService for InMemoryTable {
-    fn commit(&self, txn: &Transaction) -> Result<Commit> {
-        // Long enough for further writes to queue up for the next transaction.
-        std::thread::sleep(Duration::from_millis(5));
-        let mut state = self.0.lock().expect("no panic");
-        state.commits += 1;
-        match state.fault {
-            InjectedFault::RequestLost => return Err(PlatformError::Unknown("lost".into())),
-            InjectedFault::Refused => return Err(PlatformError::Refused("down".into())),
-            InjectedFault::None | InjectedFault::AnswerLost => {}
-        }
-        let version_of = |key: &str| state.rows.get(key).map_or(0, |r| r.version);
-        let failed = txn
-            .conditions
-            .iter()
-            .filter(|c| version_of(&c.key) != c.version);
-        let conflicts: Vec<String> = failed.map(|c| c.key.clone()).collect();
-        let committed = conflicts.is_empty();
-        if committed {
-            state.version += 1;
-            let version = state.version;
-            for put in &txn.puts {
-                let row = Row {
-                    key: put.key.clone(),
-                    value: put.value.clone(),
-                    version,
-                };
-                state.rows.insert(put.key.clone(), row);
-            }
-            for key in &txn.deletes {
-                state.rows.remove(key);
-            }
-        }
-        if state.fault == InjectedFault::AnswerLost {
-            return Err(PlatformError::Unknown("lost".into()));
-        }
-        Ok(Commit {
-            committed,
-            version: state.version,
-            conflicts,
-        })
-    }
-
-    fn read(&self, key: &str) -> Result<Option<Row>> {
-        Ok(self.0.lock().expect("no panic").rows.get(key).cloned())
-    }
-
-    fn scan(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<Row>> {
-        let state = self.0.lock().expect("no panic");
-        let rows = state
-            .rows
-            .values()
-            .filter(|r| r.key.starts_with(prefix) && r.key.as_str() > after);
-        Ok(rows.take(limit).cloned().collect())
-    }
-}
-
-/// A process or machine that is suspended wakes up later on the clock that includes
-/// suspended time.
-#[test]
-fn lease_has_expired_for_a_holder_that_wakes_up_after_its_time() {
-    let ttl = Duration::from_secs(10);
-    let leases = LeaseManager::new(InMemoryTable::default(), "a", ttl);
-    let before = rw_coord::uptime();
-    let lease = leases.acquire("x", 1).expect("free");
-    let after = rw_coord::uptime();
-    assert!(lease.remaining_at(after) > Duration::ZERO);
-    assert!(lease.remaining_at(before) <= after - before + ttl);
-    assert_eq!(lease.remaining_at(after + ttl), Duration::ZERO);
-}
-
-#[test]
-fn lease_has_one_holder_and_its_epoch_increases() {
-    let table = InMemoryTable::default();
-    let a = LeaseManager::new(table.clone(), "a", Duration::from_millis(200));
-    let b = LeaseManager::new(table, "b", Duration::from_millis(200));
-    let first = a.acquire("x", 1).expect("free");
-    assert!(matches!(b.acquire("x", 2), Err(Error::Held(holder, _)) if holder == "a"));
-    std::thread::sleep(Duration::from_millis(250));
-    assert!(!first.is_valid());
-    let second = b.acquire("x", 3).expect("expired");
-    assert!(second.epoch > first.epoch);
-    // The previous holder cannot release a lease that another one holds now.
-    a.release("x", &first).expect("answers");
-    assert!(a.acquire("x", 4).is_err());
-    b.release("x", &second).expect("released");
-    assert!(a.acquire("x", 5).expect("free").epoch > second.epoch);
-}
-
-#[rstest]
-#[case::answer_lost(InjectedFault::AnswerLost, true)]
-#[case::request_lost(InjectedFault::RequestLost, false)]
-#[case::refused(InjectedFault::Refused, false)]
-fn lease_is_read_back_when_the_answer_to_its_write_is_lost(
-    #[case] fault: InjectedFault,
-    #[case] held: bool,
-) {
-    let table = InMemoryTable::default();
-    let leases = LeaseManager::new(table.clone(), "a", Duration::from_secs(10));
-    table.inject(fault);
-    assert_eq!(leases.acquire("x", 1).is_ok(), held);
-}
 
 #[test]
 fn second_append_to_the_same_base_is_stale() {
--- a/crates/rw-daemon/src/control/supervisor.rs
+++ b/crates/rw-daemon/src/control/supervisor.rs
@@ -7,6 +7,7 @@
 use rw_coord::{unix_ms, AppendLog, AppendOutcome, LeaseManager};
 use rw_intent::{build_status_report, replace_failed_hosts};
 use rw_observe::Event;
+use rw_platform::HttpPlatform;
 use rw_protocol::{Change, Generation, HostRecord, HostState, Name, Role, StatusReport};
 
 use super::{collect_reports, snapshot, ClusterView};
@@ -23,7 +24,7 @@
 /// entries do this; their work may overlap, since every write is conditional.
 pub async fn run_supervisor(cx: Arc<Context>) {
     let ticks = cx.timer.subscribe(CHECK_INTERVAL);
-    let mut supervisor = Supervisor::default();
+    let mut supervisor = Supervisor::new(&cx);
     while ticks.recv_async().await.is_ok() {
         let is_supervisor = cx
             .view
@@ -37,8 +38,8 @@
     }
 }
 
-#[derive(Default)]
 struct Supervisor {
+    leases: Arc<LeaseManager<HttpPlatform>>,
     // Consecutive checks in which a host was unreachable.
     missed_checks: BTreeMap<Name, u32>,
     reported_late: BTreeSet<Name>,
@@ -50,6 +51,18 @@
 }
 
 impl Supervisor {
+    fn new(cx: &Context) -> Self {
+        let ttl = Duration::from_millis(cx.deployment.control.lease_ms);
+        Supervisor {
+            leases: Arc::new(LeaseManager::new(cx.platform.clone(), &cx.name, ttl)),
+            missed_checks: BTreeMap::new(),
+            reported_late: BTreeSet::new(),
+            reported_fulfilled: BTreeMap::new(),
+            reported_unresolved: 0,
+            without_spare: BTreeSet::new(),
+        }
+    }
+
     async fn check(&mut self, cx: &Arc<Context>) {
         let observed = collect_reports(cx).await;
         let status = build_status_report(&cx.view.read().cfg, &observed, unix_ms());
@@ -146,9 +159,10 @@
         };
         self.without_spare.retain(|name| affected.contains(name));
         for intent in affected {
-            let (task_cx, failed, name) = (cx.clone(), failed.clone(), intent.clone());
+            let (task_cx, leases) = (cx.clone(), self.leases.clone());
+            let (failed, name) = (failed.clone(), intent.clone());
             let result = tokio::task::spawn_blocking(move || {
-                replace_hosts_of_intent(&task_cx, &name, &failed)
+                replace_hosts_of_intent(&task_cx, &leases, &name, &failed)
             })
             .await;
             if matches!(result, Ok(None)) && self.without_spare.insert(intent.clone()) {
@@ -161,9 +175,12 @@
 
 // Returns `None` if no spare host is available, the intent has no failed host or
 // the intent was removed.
-fn replace_hosts_of_intent(cx: &Context, intent: &Name, failed: &BTreeSet<Name>) -> Option<()> {
-    let lease_duration = Duration::from_millis(cx.deployment.control.lease_ms);
-    let leases = LeaseManager::new(cx.platform.clone(), &cx.name, lease_duration);
+fn replace_hosts_of_intent(
+    cx: &Context,
+    leases: &LeaseManager<HttpPlatform>,
+    intent: &Name,
+    failed: &BTreeSet<Name>,
+) -> Option<()> {
     let lease_name = format!("replace/{intent}");
     let Ok(lease) = leases.acquire(&lease_name, rand::random()) else {
         return Some(());
--- a/tests/outcomes.rs
+++ b/tests/outcomes.rs
@@ -4,7 +4,7 @@
 
 use rw_protocol::EventRecord;
 use rw_standins::caller::call_plain_service;
-use rw_standins::client::{get, wait_for};
+use rw_standins::client::{get, post, wait_for};
 use rw_standins::cluster::Cluster;
 use rw_standins::layout::{intent, Layout};
 use rw_standins::plain::Behaviour;
@@ -93,6 +93,33 @@
     cluster.wait_fulfilled("entry-0", "cuts", "v1");
 }
 
+/// Guards against a host that is never replaced because an entry whose clock was far
+/// ahead died while it held the lease.
+#[test]
+fn failed_host_is_replaced_despite_a_lease_of_a_dead_entry_with_a_clock_ahead() {
+    let layout = Layout {
+        extra_settings: "[control]\nsuspect_ms = 1000\nlease_ms = 2000".into(),
+        ..layout()
+    };
+    let mut cluster = layout.start("lease-ahead");
+    deploy_v1(&cluster, 3, 1);
+    let in_an_hour_ms = rw_standins::plain::unix_ms() + 3_600_000;
+    let lease = serde_json::json!({
+        "holder": "dead", "attempt": 1, "epoch": 1, "until_ms": in_an_hour_ms,
+    });
+    let put = serde_json::json!({ "key": "lease/replace/cuts", "value": lease.to_string() });
+    let txn = serde_json::json!({ "conditions": [], "puts": [put], "deletes": [] });
+    let url = format!("{}/table/commit", cluster.deployment.platform.url);
+    assert_eq!(post(&url, &txn).0, 200);
+    let serving = (0..4).find(|index| {
+        let records: rw_standins::engine::Records = cluster.records(&format!("engine-{index}"));
+        !records.loads.is_empty()
+    });
+    cluster.kill(&format!("engine-{}", serving.expect("a host serves")));
+    wait_for_event(&cluster, "HostsReplaced");
+    cluster.wait_fulfilled("entry-0", "cuts", "v1");
+}
+
 #[test]
 fn missing_spare_host_is_reported() {
     let mut cluster = layout().start("no-spare");
