Host: split the weights reconciler by job

The task that downloads versions, the choice of target versions and the sending of statuses move to files of their own; the order of statuses becomes a type, `StatusSequence`, which tests can start from any time.

--- a/crates/rw-fleet/src/cluster_state.rs
+++ b/crates/rw-fleet/src/cluster_state.rs
@@ -13,6 +13,7 @@
 use crate::departures::Departures;
 use crate::row_compression::{compress, decompress};
 use crate::snapshot::ReceivedStatus;
+use crate::status_sequence::is_newer;
 use crate::{BackendServer, PlatformCodec, RequestedWeights, RowContent, Snapshot};
 
 /// Tombstones of deleted rows kept so that other daemons learn of the deletion.
@@ -201,7 +202,7 @@
     pub fn apply_status(&self, status: ServerStatus) {
         let mut state = self.state();
         let old = state.snapshot.server_statuses.get(&status.server);
-        if old.is_some_and(|old| old.status.sequence >= status.sequence) {
+        if old.is_some_and(|old| !is_newer(status.sequence, old.status.sequence)) {
             return;
         }
         let mut snapshot = Snapshot::clone(&state.snapshot);
--- a/crates/rw-fleet/src/host/archive.rs
+++ b/crates/rw-fleet/src/host/archive.rs
@@ -15,7 +15,7 @@
 use super::chunk_store::version_name;
 use super::clients::Result;
 use super::download::{own_peer, Downloader, TargetVersion};
-use super::weights_reconciler::target;
+use super::target_version::target;
 use super::{BackendClient, ChunkStore, OriginClient};
 use crate::{Cx, PlatformCodec};
 
--- a/crates/rw-fleet/src/host/mod.rs
+++ b/crates/rw-fleet/src/host/mod.rs
@@ -8,6 +8,9 @@
 mod fetch_manifest;
 mod staged_chunk_reader;
 mod staging;
+mod status_sender;
+mod target_version;
+mod version_downloads;
 mod weights_reconciler;
 
 pub use archive::ObjectArchive;
--- a/crates/rw-fleet/src/host/staged_chunk_reader.rs
+++ b/crates/rw-fleet/src/host/staged_chunk_reader.rs
@@ -7,7 +7,8 @@
 
 use super::chunk_store::version_name;
 use super::download::TargetVersion;
-use super::weights_reconciler::{own_engine, read_report, target, BACKEND_TIMEOUT};
+use super::target_version::{own_engine, target};
+use super::weights_reconciler::{read_report, BACKEND_TIMEOUT};
 use super::{BackendClient, ChunkStore, OriginClient, StagedChunkRequest};
 use crate::{Cx, PlatformCodec};
 
--- a/crates/rw-fleet/src/host/weights_reconciler.rs
+++ b/crates/rw-fleet/src/host/weights_reconciler.rs
@@ -6,44 +6,33 @@
 use std::time::Duration;
 
 use rw_observe::Event;
-use rw_protocol::{rendezvous_rank, Manifest, Name, ServerStatus};
+use rw_protocol::{rendezvous_rank, Manifest, Name};
 use rw_weights::load_delay;
 use tokio::time::timeout;
 
 use super::archive::ArchiveWriter;
 use super::chunk_store::version_name;
-use super::download::{download_version, TargetVersion};
+use super::download::TargetVersion;
 use super::staged_chunk_reader::StagedChunkReader;
 use super::staging::StagingArea;
+use super::status_sender::StatusSender;
+use super::target_version::{next_target, own_engine};
+use super::version_downloads::{download_versions, Progress, UNKNOWN_VERSION};
 use super::{
     BackendClient, BackendReport, ChunkStore, LoadOrder, LoadOutcome, ObjectArchive, OriginClient,
     StagedChunkRequest,
 };
 use crate::snapshot::ENFORCEMENT_MARGIN;
-use crate::{peers, Cx, Engine, PlatformCodec};
+use crate::{Cx, Engine, PlatformCodec};
 
 /// Interval between polls of the backend server.
-const POLL_INTERVAL: Duration = Duration::from_millis(100);
+pub(super) const POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Timeout of one call to the backend server on the same machine, and of fetching a
 /// manifest from the origin while another host waits for a staged chunk.
 pub(super) const BACKEND_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time before callers' requests require new weights at which the last server
 /// starts to load: entries first have to learn that it accepts no more requests.
 const LAST_LOAD_MARGIN: Duration = Duration::from_millis(300);
-/// Interval at which the status of a server that accepts no requests is repeated
-/// for entries that missed it.
-const STATUS_INTERVAL: Duration = Duration::from_secs(2);
-
-/// Loaded version of a server that has not reported one yet.
-const UNKNOWN_VERSION: u64 = u64::MAX;
-
-/// Versions that a host has reached, shared by its tasks.
-struct Progress {
-    // Version that the server has loaded.
-    loaded: AtomicU64,
-    // Newest downloaded version.
-    downloaded: AtomicU64,
-}
 
 /// Polls the backend server and reconciles its weights while the daemon runs.
 pub async fn reconcile_weights<D, B, O, A>(
@@ -92,82 +81,25 @@
         store,
         backend,
         progress,
-        last_status: None,
         staging,
         scheduled_load: None,
-        status_sequence: rw_coord::unix_ms(),
-        status_sent_at: Duration::ZERO,
+        status_sender: StatusSender::new(),
     };
     while ticks.recv_async().await.is_ok() {
         reconciler.reconcile().await;
     }
 }
 
-// Downloads versions ahead of their loading, in the order in which they were
-// requested.
-async fn download_versions<D: PlatformCodec, O: OriginClient, A: ObjectArchive>(
-    cx: Arc<Cx<D>>,
-    store: Arc<ChunkStore>,
-    origin: O,
-    archive: A,
-    progress: Arc<Progress>,
-) {
-    let ticks = cx.timer.subscribe(POLL_INTERVAL);
-    while ticks.recv_async().await.is_ok() {
-        let loaded = progress.loaded.load(Ordering::Relaxed);
-        let downloaded = progress.downloaded.load(Ordering::Relaxed);
-        if loaded == UNKNOWN_VERSION {
-            continue;
-        }
-        let Some(target) = next_target(&cx, loaded.max(downloaded)) else {
-            continue;
-        };
-        if store.is_complete(&version_name(&target.model, target.version)) {
-            progress.downloaded.store(target.version, Ordering::Relaxed);
-            continue;
-        }
-        let download = download_version(&cx, &store, &origin, &archive, &target);
-        tokio::select! {
-            _ = download => {
-                progress.downloaded.store(target.version, Ordering::Relaxed);
-                let retained = [target.version, target.version.saturating_sub(1), loaded];
-                store.retain_versions(&retained.map(|version| version_name(&target.model, version)));
-            }
-            () = wait_until_superseded(&cx, &progress, &target) => {}
-        }
-    }
-}
-
-async fn wait_until_superseded<D: PlatformCodec>(
-    cx: &Cx<D>,
-    progress: &Progress,
-    target: &TargetVersion,
-) {
-    let ticks = cx.timer.subscribe(POLL_INTERVAL);
-    while ticks.recv_async().await.is_ok() {
-        let loaded = progress.loaded.load(Ordering::Relaxed);
-        let downloaded = progress.downloaded.load(Ordering::Relaxed);
-        let current = next_target(cx, loaded.max(downloaded));
-        if current.is_none_or(|current| current.version != target.version) {
-            return;
-        }
-    }
-}
-
 struct WeightsReconciler<D, B> {
     cx: Arc<Cx<D>>,
     store: Arc<ChunkStore>,
     backend: B,
     progress: Arc<Progress>,
-    last_status: Option<ServerStatus>,
     staging: StagingArea<B>,
     // Version to load next, and the time since the daemon's start at which this
     // host may load it.
     scheduled_load: Option<(u64, Duration)>,
-    // Sequence number of the last status. Starts at the current time, so that a
-    // restarted daemon continues with higher numbers.
-    status_sequence: u64,
-    status_sent_at: Duration,
+    status_sender: StatusSender,
 }
 
 impl<D: PlatformCodec, B: BackendClient> WeightsReconciler<D, B> {
@@ -251,31 +183,10 @@
     }
 
     fn send_status(&mut self, model: &Name, weights: u64, accepting: bool) {
-        let Some(server) = self.own_server() else {
-            return;
-        };
-        let unchanged = self.last_status.as_ref().is_some_and(|last_status| {
-            last_status.server == server
-                && last_status.weights == weights
-                && last_status.accepting == accepting
-        });
-        let sent_recently = self.cx.now() < self.status_sent_at + STATUS_INTERVAL;
-        // The status of a server that accepts requests is not repeated, as the
-        // server's own row contains the same.
-        if unchanged && (sent_recently || accepting) {
-            return;
+        if let Some(server) = self.own_server() {
+            self.status_sender
+                .send(&self.cx, server, model, weights, accepting);
         }
-        self.status_sequence += 1;
-        let status = ServerStatus {
-            server,
-            model: model.clone(),
-            weights,
-            accepting,
-            sequence: self.status_sequence,
-        };
-        peers::broadcast_status(&self.cx, &status);
-        self.last_status = Some(status);
-        self.status_sent_at = self.cx.now();
     }
 
     // Time since the daemon's start at which this host may load the version.
@@ -396,33 +307,3 @@
         Err(_) => None,
     }
 }
-
-pub(super) fn own_engine<D: PlatformCodec>(cx: &Cx<D>) -> Option<Arc<Engine>> {
-    let snapshot = cx.cluster.snapshot();
-    snapshot
-        .cfg
-        .as_ref()?
-        .service(&cx.settings.service)?
-        .engine
-        .clone()
-}
-
-pub(super) fn target<D: PlatformCodec>(cx: &Cx<D>, version: u64) -> Option<TargetVersion> {
-    let engine = own_engine(cx)?;
-    let snapshot = cx.cluster.snapshot();
-    Some(TargetVersion {
-        model: engine.model.clone(),
-        version,
-        origin: snapshot.cfg.as_ref()?.origin()?.clone(),
-        engine,
-    })
-}
-
-// Next version to load or download after `after`.
-pub(super) fn next_target<D: PlatformCodec>(cx: &Cx<D>, after: u64) -> Option<TargetVersion> {
-    let engine = own_engine(cx)?;
-    let snapshot = cx.cluster.snapshot();
-    let uptime = rw_coord::uptime();
-    let version = snapshot.next_version(&engine.model, after, &cx.settings.bounds, uptime)?;
-    target(cx, version)
-}
--- a/crates/rw-fleet/src/lib.rs
+++ b/crates/rw-fleet/src/lib.rs
@@ -24,6 +24,7 @@
 mod seeds;
 mod settings;
 mod snapshot;
+mod status_sequence;
 mod store_feed;
 mod weights_ages;
 
@@ -40,4 +41,5 @@
 pub use run::{run, ExternalClients};
 pub use settings::{Bounds, DaemonSettings, FleetRole};
 pub use snapshot::{ReceivedStatus, RequestedWeights, Snapshot};
+pub use status_sequence::StatusSequence;
 pub use store_feed::long_poll_timeout;
