Entries: take the statuses of a restarted host whatever its clock shows

Seen: after a host's clock was stepped back and its daemon restarted, entries ignored what it said about its server: one that was ready again stayed without requests until the last status expired after 6 s, and one that was loading got requests it refused.

Cause: a daemon numbers its statuses from the Unix time of its start, and entries took the higher number for the newer status. Ruled out: a restarted server beside the same daemon, whose statuses go on counting.

Change: the bits of the number above the lowest 16 identify the process, the others count its statuses. Among statuses of one process the higher number is the newer; one of another process replaces the known one. The field and its type stay. Entries of the previous build see higher numbers from this build and take them; entries of this build take numbers of the previous build, also after a return to it. Entries of the previous build that knew a status of this build ignore those of a host that returns to the previous build until its server's row goes. A status that an ended process sent and that arrives after the first of its successor counts until the next status: a wrong pause ends after 6 s, a missing one with the repetition after 2 s.

Measured: on the old code `a_restarted_host_is_believed_whatever_its_clock` failed with steps of -2 s and -1 h and passed with 0, 2 s and 1 h (1 run).

--- a/crates/rw-fleet/src/cluster_state.rs
+++ b/crates/rw-fleet/src/cluster_state.rs
@@ -13,7 +13,7 @@
 use crate::departures::Departures;
 use crate::row_compression::{compress, decompress};
 use crate::snapshot::ReceivedStatus;
-use crate::status_sequence::is_newer;
+use crate::status_sequence::supersedes;
 use crate::{BackendServer, PlatformCodec, RequestedWeights, RowContent, Snapshot};
 
 /// Tombstones of deleted rows kept so that other daemons learn of the deletion.
@@ -198,11 +198,11 @@
     }
 
     /// Applies the status of a backend server, sent by the daemon beside it,
-    /// unless a newer one was received before.
+    /// unless a newer one of the same process was received before.
     pub fn apply_status(&self, status: ServerStatus) {
         let mut state = self.state();
         let old = state.snapshot.server_statuses.get(&status.server);
-        if old.is_some_and(|old| !is_newer(status.sequence, old.status.sequence)) {
+        if old.is_some_and(|old| !supersedes(status.sequence, old.status.sequence)) {
             return;
         }
         let mut snapshot = Snapshot::clone(&state.snapshot);
--- a/crates/rw-fleet/src/status_sequence.rs
+++ b/crates/rw-fleet/src/status_sequence.rs
@@ -1,5 +1,9 @@
 //! Order of the statuses that a daemon sends about its backend server.
 
+/// Low bits of a sequence number that count the statuses of one process; the bits above
+/// identify the process.
+const COUNT_BITS: u32 = 16;
+
 /// Numbers the statuses of one process of a daemon.
 ///
 /// ```
@@ -10,10 +14,10 @@
 pub struct StatusSequence(u64);
 
 impl StatusSequence {
-    /// Creates the sequence of a process that started at this Unix time in ms, so that a
-    /// restarted daemon continues with higher numbers.
+    /// Creates the sequence of a process that started at this Unix time in ms, which
+    /// tells it from other processes and does not order them.
     pub fn new(started_ms: u64) -> Self {
-        StatusSequence(started_ms)
+        StatusSequence(started_ms << COUNT_BITS)
     }
 
     /// Returns the next sequence number.
@@ -23,8 +27,10 @@
     }
 }
 
-/// Whether a status with this sequence number is newer than the one with the known
-/// number.
-pub(crate) fn is_newer(sequence: u64, known: u64) -> bool {
-    sequence > known
+/// Whether a status that arrives with this sequence number replaces the known one. A
+/// status of another process always does: that process was started later, even if the
+/// clock of its machine shows an earlier time.
+pub(crate) fn supersedes(sequence: u64, known: u64) -> bool {
+    let process = |sequence: u64| sequence >> COUNT_BITS;
+    process(sequence) != process(known) || sequence > known
 }
--- a/crates/rw-fleet/tests/cluster_state.rs
+++ b/crates/rw-fleet/tests/cluster_state.rs
@@ -6,7 +6,7 @@
 
 use common::{cluster, ids, row, table_version};
 use rstest::rstest;
-use rw_fleet::{Bounds, RequestedWeights, Snapshot};
+use rw_fleet::{Bounds, RequestedWeights, Snapshot, StatusSequence};
 use rw_protocol::{RequestedVersionAge, ServerStatus, StoredRow};
 
 fn server(key: &str, version: u64, addr: &str) -> StoredRow {
@@ -229,3 +229,53 @@
     assert!(paused(0) && paused(4));
     assert!(!paused(7));
 }
+
+fn status(sequence: u64, accepting: bool) -> ServerStatus {
+    ServerStatus {
+        server: "a".into(),
+        model: "m".into(),
+        weights: 1,
+        accepting,
+        sequence,
+    }
+}
+
+/// Guards against entries that ignore what a restarted host says about its server
+/// because the host's clock was stepped back.
+#[rstest]
+fn a_restarted_host_is_believed_whatever_its_clock(
+    #[values(-3_600_000, -2_000, 0, 2_000, 3_600_000)] step_ms: i64,
+) {
+    let cluster = cluster();
+    let is_paused = || {
+        let snapshot = cluster.snapshot();
+        snapshot.is_paused(&"a".into(), rw_coord::uptime())
+    };
+    let started_ms = 1_800_000_000_000u64;
+    let restarted_ms = (started_ms + 500).saturating_add_signed(step_ms);
+    let mut first = StatusSequence::new(started_ms);
+    cluster.apply_status(status(first.advance(), true));
+    cluster.apply_status(status(first.advance(), false));
+    assert!(is_paused());
+    let mut restarted = StatusSequence::new(restarted_ms);
+    cluster.apply_status(status(restarted.advance(), true));
+    assert!(!is_paused());
+    cluster.apply_status(status(restarted.advance(), false));
+    assert!(is_paused());
+    // The previous build numbers its statuses from the Unix time.
+    cluster.apply_status(status(restarted_ms + 1, true));
+    assert!(!is_paused());
+}
+
+/// Guards against a status that overtakes an earlier one of the same process and is
+/// then undone by it.
+#[test]
+fn a_late_status_of_the_same_process_is_ignored() {
+    let cluster = cluster();
+    let mut sequence = StatusSequence::new(1_800_000_000_000);
+    let (earlier, later) = (sequence.advance(), sequence.advance());
+    cluster.apply_status(status(later, true));
+    cluster.apply_status(status(earlier, false));
+    let snapshot = cluster.snapshot();
+    assert!(!snapshot.is_paused(&"a".into(), rw_coord::uptime()));
+}
--- a/crates/rw-protocol/src/generated.rs
+++ b/crates/rw-protocol/src/generated.rs
@@ -909,7 +909,7 @@
     ///Whether the server accepts new requests.
     pub accepting: bool,
     pub model: crate::Name,
-    ///Sequence number, which increases with each status from the same daemon.
+    ///Sequence number. The bits above the lowest 16 identify the process that sent the status; the number increases with each of its statuses.
     pub sequence: u64,
     pub server: crate::Name,
     ///Version of the loaded weights; 0 if none are loaded.
