--- a/crates/rw-routing/tests/overload.rs
+++ b/crates/rw-routing/tests/overload.rs
@@ -15,6 +15,9 @@
     RequestRequirements, SlotRotation, WindowedRetryBudget,
 };
 
+/// Time at which clocks step, in the middle of a simulation.
+const STEP_AT: Duration = Duration::from_secs(58);
+
 fn engine() -> EngineProfile {
     EngineProfile {
         slots: 12,
@@ -166,7 +169,7 @@
 #[test]
 fn goodput_does_not_fall_under_overload() {
     let runs: Vec<(f64, u32)> = [0.5, 0.8, 1.0, 1.25, 1.5, 2.0, 3.0]
-        .map(simulate_load)
+        .map(|factor| simulate_load(factor, |_, now| now))
         .to_vec();
     let peak = runs.iter().map(|(goodput, _)| *goodput).fold(0.0, f64::max);
     let at = runs
@@ -183,9 +186,57 @@
     }
 }
 
+/// Guards against slots that stay unused, or engines that are flooded, while the clocks
+/// of entries are seconds apart or step.
+#[rstest]
+#[case::apart(|entry, now| now + Duration::from_millis(393) * entry as u32)]
+#[case::two_groups(|entry, now| now + Duration::from_secs(2) * (entry as u32 % 2))]
+#[case::all_step_back(|_, now| if now < STEP_AT { now } else { now - Duration::from_secs(2) })]
+#[case::all_step_forth(|_, now| if now < STEP_AT { now } else { now + Duration::from_secs(2) })]
+#[case::one_steps_back(|entry, now| match entry {
+    3 if now >= STEP_AT => now - Duration::from_secs(2),
+    _ => now,
+})]
+fn clocks_that_differ_cost_no_goodput(#[case] wall_clock: fn(usize, Duration) -> Duration) {
+    for factor in [1.0, 1.5, 3.0] {
+        let (in_step, _) = simulate_load(factor, |_, now| now);
+        let (goodput, max_running_on_engine) = simulate_load(factor, wall_clock);
+        assert!(goodput >= 0.95 * in_step, "{goodput} of {in_step}");
+        // Each of the entries may start one request before it learns of the others'.
+        assert!(
+            max_running_on_engine <= 12 + 11,
+            "{max_running_on_engine} on an engine of 12 slots"
+        );
+    }
+}
+
+/// Guards against an entry that leaves free slots unused for as long as its clock was
+/// stepped.
+#[rstest]
+fn an_entry_keeps_its_turns_when_its_clock_steps(#[values(-2_000, -150, 150, 2_000)] step_ms: i64) {
+    let (server, fresh) = (Name::from("s"), SlotRotation::default());
+    let position = EntryPosition { index: 1, count: 4 };
+    let is_turn = |rotation: &SlotRotation, ms| {
+        let at = Duration::from_millis(ms);
+        rotation.may_acquire(&server, 1, position, at, at)
+    };
+    let mut rounds = (100_000..).step_by(100);
+    let used_ms = rounds.find(|ms| is_turn(&fresh, *ms)).expect("a turn");
+    let mut rotation = fresh.clone();
+    rotation.on_acquired(
+        Duration::from_millis(used_ms),
+        Duration::from_millis(used_ms),
+    );
+    let after_step = (1..=60).map(|n| (used_ms + n * 100).saturating_add_signed(step_ms));
+    let turns: Vec<u64> = after_step.filter(|ms| is_turn(&fresh, *ms)).collect();
+    let lost = turns.iter().filter(|ms| !is_turn(&rotation, **ms));
+    assert!(turns.len() > 1 && lost.count() <= 1, "{turns:?}");
+}
+
 // Simulates an offered load of `factor` times the capacity. Returns the used share
-// of the capacity and the maximum number of requests on one engine.
-fn simulate_load(factor: f64) -> (f64, u32) {
+// of the capacity and the maximum number of requests on one engine. `wall_clock` is the
+// time of day at an entry.
+fn simulate_load(factor: f64, wall_clock: impl Fn(usize, Duration) -> Duration) -> (f64, u32) {
     let profile = engine();
     let (entries, servers, step) = (11usize, 34usize, Duration::from_millis(5));
     let names: Vec<Name> = (0..servers).map(|n| Name::from(format!("s-{n}"))).collect();
@@ -237,8 +288,13 @@
                 .map(|(at, name)| {
                     let load = known_load(at);
                     let free = profile.slots.saturating_sub(load);
-                    let may_acquire =
-                        rotation[entry][at].may_acquire(name, free, position, now, now);
+                    let may_acquire = rotation[entry][at].may_acquire(
+                        name,
+                        free,
+                        position,
+                        wall_clock(entry, now),
+                        now,
+                    );
                     EngineCandidate {
                         max_running: if may_acquire {
                             profile.slots
@@ -254,7 +310,7 @@
                 select_engine(&requirements(false), &engines, 0)
             {
                 let at = names.iter().position(|n| *n == server).expect("known");
-                rotation[entry][at].on_acquired(now, now);
+                rotation[entry][at].on_acquired(wall_clock(entry, now), now);
                 let spread = rng.random_range(0.3..1.7);
                 running.push((at, entry, now + mean_duration.mul_f64(spread)));
                 own[entry][at] += 1;
