--- a/crates/rw-daemon/src/control/zone_reports.rs
+++ b/crates/rw-daemon/src/control/zone_reports.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use rand::seq::SliceRandom;
+use rw_coord::unix_ms;
 use rw_intent::{build_zone_report, ClusterObservation};
 use rw_protocol::{
     HostRecord, HostStatus, Name, PeerReply, PeerRequest, ReportRequest, WatchRequest, ZoneReport,
@@ -38,7 +39,7 @@
     }
     let task_cx = cx.clone();
     let unresolved_claims = tokio::task::spawn_blocking(move || {
-        rw_ledger::unresolved_claims(&task_cx.platform, UNRESOLVED_AFTER_MS)
+        rw_ledger::unresolved_claims(&task_cx.platform, UNRESOLVED_AFTER_MS, unix_ms())
     });
     if let Ok(Ok(claims)) = unresolved_claims.await {
         observed.table_reachable = true;
--- a/crates/rw-daemon/src/operator/reports.rs
+++ b/crates/rw-daemon/src/operator/reports.rs
@@ -63,7 +63,7 @@
 /// Open claims that were made at least `older_ms` milliseconds ago.
 pub(super) fn unresolved(api: &OperatorApi, older_ms: &str) -> ApiResponse {
     let older_ms = older_ms.parse().unwrap_or(0);
-    match rw_ledger::unresolved_claims(&api.cx.platform, older_ms) {
+    match rw_ledger::unresolved_claims(&api.cx.platform, older_ms, unix_ms()) {
         Ok(claims) => ok(&claims),
         Err(err) => fail(503, &format!("{err}; try again")),
     }
--- a/crates/rw-ledger/src/unresolved.rs
+++ b/crates/rw-ledger/src/unresolved.rs
@@ -1,4 +1,3 @@
-use rw_coord::unix_ms;
 use rw_platform::TableService;
 use rw_protocol::{Claim, ClaimState};
 
@@ -8,8 +7,13 @@
 /// Maximum rows read by one scan.
 const SCAN_PAGE_ROWS: usize = 256;
 
-/// Returns the claims that were made at least `min_age_ms` ago and not closed.
-pub fn unresolved_claims<T: TableService>(table: &T, min_age_ms: u64) -> Result<Vec<Claim>> {
+/// Returns the claims that were made at least `min_age_ms` before the Unix time `now_ms`
+/// and not closed.
+pub fn unresolved_claims<T: TableService>(
+    table: &T,
+    min_age_ms: u64,
+    now_ms: u64,
+) -> Result<Vec<Claim>> {
     let mut out = Vec::new();
     let mut after = String::new();
     loop {
@@ -25,7 +29,7 @@
             };
             let is_open = claim.state == ClaimState::Started
                 && row.key.ends_with(&format!("{:016x}", claim.attempt));
-            if is_open && claim.at_ms + min_age_ms <= unix_ms() {
+            if is_open && claim.at_ms + min_age_ms <= now_ms {
                 out.push(claim);
             }
         }
