Unresolved claims: count them only after the default deadline

Seen: the metric of unresolved claims and event 504, which ask operators to settle a call with the customer, counted calls that still ran: with the default deadline of 30 s those of its last 2 s when the counting entry's clock was 2 s ahead, and with longer deadlines every call older than 30 s.

Cause: the age was fixed at 30 s and did not follow `limits.default_deadline_ms`. Ruled out: the claims themselves, which are closed by row version and not by time.

Change: a claim counts 5 s after the default deadline, as for repeats of a call. A call that asks for a longer deadline than the default still counts while it runs.

--- a/crates/rw-daemon/src/control/zone_reports.rs
+++ b/crates/rw-daemon/src/control/zone_reports.rs
@@ -19,8 +19,9 @@
 /// Daemons of a zone that are queried for its report before the zone counts as
 /// unreachable.
 const MAX_ZONE_ATTEMPTS: usize = 3;
-/// Age at which an open claim counts as unresolved.
-const UNRESOLVED_AFTER_MS: u64 = 30_000;
+/// Time after the default deadline at which an open claim counts as unresolved; clocks of
+/// machines differ by less.
+const UNRESOLVED_GRACE_MS: u64 = 5_000;
 
 /// Requests the report of every zone and counts unresolved claims in the table.
 pub async fn collect_reports(cx: &Arc<Context>) -> ClusterObservation {
@@ -39,7 +40,8 @@
     }
     let task_cx = cx.clone();
     let unresolved_claims = tokio::task::spawn_blocking(move || {
-        rw_ledger::unresolved_claims(&task_cx.platform, UNRESOLVED_AFTER_MS, unix_ms())
+        let min_age_ms = task_cx.deployment.limits.default_deadline_ms + UNRESOLVED_GRACE_MS;
+        rw_ledger::unresolved_claims(&task_cx.platform, min_age_ms, unix_ms())
     });
     if let Ok(Ok(claims)) = unresolved_claims.await {
         observed.table_reachable = true;
