Load a version by the deadline of the oldest that it supersedes

Versions of a model requested 1.9 s apart each counted as superseded by the next, so hosts started over with each and loaded none by the first one's deadline; callers would be refused until the last was loaded.

A case with four versions was red before (version 5 at once, now 3) and passes; all earlier cases pass unchanged.

--- a/crates/rw-fleet/src/snapshot.rs
+++ b/crates/rw-fleet/src/snapshot.rs
@@ -86,9 +86,9 @@
     }
 
     /// Version to load next on a server that has `loaded`; `None` when there is
-    /// nothing to do. A version is skipped in favor of the one after it if that
-    /// one was requested early enough to be rolled out by the skipped version's
-    /// deadline, or if the deadline has passed or is not known.
+    /// nothing to do. Versions whose deadline has passed or is not known are skipped
+    /// if there is a later one. Of the others, the newest is loaded that was requested
+    /// early enough to be rolled out by the deadline of the oldest.
     pub fn next_version(
         &self,
         model: &str,
@@ -104,20 +104,19 @@
             return (loaded == 0).then_some(1);
         };
         let supersede_window = bounds.rollout_deadline.mul_f64(SUPERSEDE_SHARE);
-        let is_superseded = |at: usize| {
-            let (Some(requested), Some(next)) = (versions.get(at), versions.get(at + 1)) else {
-                return false;
-            };
-            let Some(age) = requested.age(uptime) else {
-                return true;
-            };
-            let next_age = next.age(uptime).unwrap_or_default();
-            let is_superseded_early = age.saturating_sub(next_age) <= supersede_window;
-            is_superseded_early || age > enforced_after(bounds)
-        };
-        let mut pending = (0..versions.len()).filter(|at| versions[*at].version > loaded);
-        let next = pending.find(|at| !is_superseded(*at));
-        next.map(|at| versions[at].version)
+        let mut pending = versions
+            .iter()
+            .filter(|requested| requested.version > loaded);
+        let in_time = pending.clone().filter_map(|requested| {
+            let age = requested.age(uptime)?;
+            (age <= enforced_after(bounds)).then_some((requested.version, age))
+        });
+        let oldest_age = in_time.clone().next().map(|(_, age)| age);
+        let superseding = in_time.filter(|(_, age)| {
+            oldest_age.is_some_and(|oldest| oldest.saturating_sub(*age) <= supersede_window)
+        });
+        let next = superseding.map(|(version, _)| version).next_back();
+        next.or_else(|| pending.next_back().map(|requested| requested.version))
     }
 
     /// Time since operators requested the oldest version newer than `loaded`,
--- a/crates/rw-fleet/tests/cluster_state.rs
+++ b/crates/rw-fleet/tests/cluster_state.rs
@@ -217,6 +217,8 @@
 #[case::soon_after(&[(2, 0.0), (3, 1.5)], 1, 2.0, Some(3))]
 #[case::long_after(&[(2, 0.0), (3, 4.0)], 1, 4.5, Some(2))]
 #[case::then_the_next(&[(2, 0.0), (3, 4.0)], 2, 5.0, Some(3))]
+#[case::one_after_another(&[(2, 0.0), (3, 1.9), (4, 3.8), (5, 5.7)], 1, 5.8, Some(3))]
+#[case::the_rest_of_them(&[(2, 0.0), (3, 1.9), (4, 3.8), (5, 5.7)], 3, 6.0, Some(5))]
 #[case::too_late_for_the_first(&[(2, 0.0), (3, 4.0)], 1, 7.5, Some(3))]
 #[case::done(&[(2, 0.0), (3, 4.0)], 3, 9.0, None)]
 fn hosts_load_only_the_versions_that_are_needed(
