End the status of a backend server with the start it belongs to

A server that crashed and came back empty under its identity still counted as holding the weights of its earlier start, since the higher of status and row counts and a status went only with the row. Requests were sent there and refused.

A row of another start now removes the status.

--- a/crates/rw-fleet/src/cluster_state.rs
+++ b/crates/rw-fleet/src/cluster_state.rs
@@ -8,14 +8,13 @@
 use rw_coord::{uptime, ChangeNotifier};
 use rw_observe::{Event, Recorder};
 use rw_platform::Revision;
-use rw_protocol::{Name, ServerStatus, StoredRow, TableVersion};
+use rw_protocol::{Name, StoredRow, TableVersion};
 
 use crate::contacts::Contacts;
 use crate::departures::Departures;
 use crate::requested_weights::push_requested;
 use crate::row_compression::{compress, decompress};
-use crate::snapshot::ReceivedStatus;
-use crate::status_sequence::supersedes;
+use crate::server_statuses::remove_outdated_status;
 use crate::weights_record::StoreClock;
 use crate::{BackendServer, PlatformCodec, RequestedWeights, RowContent, Snapshot};
 
@@ -41,7 +40,7 @@
     recorder: Recorder,
     pub(crate) started_at: Duration,
     state: Mutex<State>,
-    changed: ChangeNotifier,
+    pub(crate) changed: ChangeNotifier,
 }
 
 impl<D: PlatformCodec> ClusterState<D> {
@@ -201,25 +200,6 @@
         !self.rows_since(table_versions).is_empty()
     }
 
-    /// Applies the status of a backend server, sent by the daemon beside it,
-    /// unless a newer one of the same process was received before.
-    pub fn apply_status(&self, status: ServerStatus) {
-        let mut state = self.state();
-        let old = state.snapshot.server_statuses.get(&status.server);
-        if old.is_some_and(|old| !supersedes(status.sequence, old.status.sequence)) {
-            return;
-        }
-        let mut snapshot = Snapshot::clone(&state.snapshot);
-        let received = ReceivedStatus {
-            received_at: uptime(),
-            status: status.clone(),
-        };
-        snapshot.server_statuses.insert(status.server, received);
-        state.snapshot = Arc::new(snapshot);
-        drop(state);
-        self.changed.notify();
-    }
-
     fn apply_row(
         &self,
         state: &mut State,
@@ -325,6 +305,7 @@
                 }
                 snapshot.servers.retain(|_, old| !conflict(old));
                 self.log_server_change(snapshot, &server);
+                remove_outdated_status(snapshot, &server);
                 if !server.ready {
                     departures.record(&server);
                 }
--- a/crates/rw-fleet/src/lib.rs
+++ b/crates/rw-fleet/src/lib.rs
@@ -24,6 +24,7 @@
 mod row_compression;
 mod run;
 mod seeds;
+mod server_statuses;
 mod settings;
 mod snapshot;
 mod status_sequence;
--- a/crates/rw-fleet/tests/cluster_state.rs
+++ b/crates/rw-fleet/tests/cluster_state.rs
@@ -234,6 +234,29 @@
     );
 }
 
+/// Guards against requests to a server that crashed and came back empty under its
+/// identity, because the weights of its earlier start still count.
+#[test]
+fn a_status_ends_with_the_start_of_its_server() {
+    let cluster = cluster();
+    let started = |version, start| {
+        let fields = format!("server 10.0.0.1:1 ready {start}");
+        cluster.apply(vec![row("servers", "a", version, &fields)], &[]);
+        let snapshot = cluster.snapshot();
+        snapshot.loaded_version(&snapshot.servers["a"])
+    };
+    assert_eq!(started(1, 7), 0);
+    cluster.apply_status(ServerStatus {
+        server: "a".into(),
+        model: "m".into(),
+        weights: 3,
+        accepting: true,
+        sequence: 5,
+    });
+    assert_eq!(started(2, 7), 3, "the row may lag behind the status");
+    assert_eq!(started(3, 8), 0);
+}
+
 /// A host's daemon reports that its server is busy and then sends nothing more.
 #[test]
 fn a_server_is_paused_only_while_its_daemon_reports_it() {
