Report a call as not run only if no attempt of it may have run

Callers saw `not_run` for idempotent calls and drafts that had run, even several times: a host broke off or answered busy, the call was retried, and the retries ended with a refusal.

Cause: `run_call` forgot earlier attempts. Every way out that refuses gave its own "not run": all attempts used, no host selected (queue, retry budget, configuration, stop of the entry), and a refusal whose retry time lies after the deadline. The busy answer of a plain service was thrown away besides.

Ruled out: calls that are not idempotent are never retried after a failure, so claims were not recorded as not run; `PeerError::Unreachable` is given only before the request is sent.

Change: `run_call` keeps the outcome of the last attempt that may have run and returns it in place of a refusal: "unknown" with that attempt's reason, or the backend server's busy answer, as for calls that are not idempotent. The sink hands its parts over instead of discarding them, and the answer is part of the outcome.

--- a/crates/rw-daemon/src/entry/at_most_once.rs
+++ b/crates/rw-daemon/src/entry/at_most_once.rs
@@ -29,7 +29,7 @@
 /// idempotent and have a key are claimed in the ledger first.
 pub async fn run_plain_call(entry: &Arc<Entry>, call: &CallerRequest) -> CallOutcome {
     if call.idempotent || call.idempotency_key.is_empty() {
-        return run_buffered(entry, call).await;
+        return run_call(entry, call, &mut BufferSink::default()).await;
     }
     let req = ClaimRequest {
         team: call.team.clone(),
@@ -53,16 +53,8 @@
     }
 }
 
-async fn run_buffered(entry: &Arc<Entry>, call: &CallerRequest) -> CallOutcome {
-    let mut body = BufferSink::default();
-    match run_call(entry, call, &mut body).await {
-        CallOutcome::Answered(status, _) => CallOutcome::Answered(status, body.0),
-        other => other,
-    }
-}
-
 async fn run_claimed(entry: &Arc<Entry>, call: &CallerRequest, open: OpenClaim) -> CallOutcome {
-    let outcome = run_buffered(entry, call).await;
+    let outcome = run_call(entry, call, &mut BufferSink::default()).await;
     let recorded = match &outcome {
         CallOutcome::Answered(status, body) => {
             Some(RecordedOutcome::Answered(*status, body.clone()))
--- a/crates/rw-daemon/src/entry/call.rs
+++ b/crates/rw-daemon/src/entry/call.rs
@@ -33,14 +33,14 @@
     fn send_part(&mut self, body: Blob) -> impl std::future::Future<Output = bool> + Send;
     /// Whether any part has reached the caller.
     fn has_sent(&self) -> bool;
-    /// Discards the parts of a failed attempt before a retry.
-    fn discard(&mut self);
+    /// Removes and returns the parts of an attempt that have not reached the caller.
+    fn take(&mut self) -> Vec<u8>;
 }
 
 /// Buffers the answer, so that the caller gets either the complete answer or
 /// none of it.
 #[derive(Default)]
-pub struct BufferSink(pub Vec<u8>);
+pub struct BufferSink(Vec<u8>);
 
 impl AnswerSink for BufferSink {
     async fn send_part(&mut self, body: Blob) -> bool {
@@ -52,8 +52,8 @@
         false
     }
 
-    fn discard(&mut self) {
-        self.0.clear();
+    fn take(&mut self) -> Vec<u8> {
+        std::mem::take(&mut self.0)
     }
 }
 
@@ -70,7 +70,7 @@
 }
 
 /// Dispatches a call, with retries, until its outcome is final. The parts of
-/// the answer go to `sink`.
+/// the answer go to `sink`; those that it still holds are part of the outcome.
 pub async fn run_call<S: AnswerSink>(
     entry: &Arc<Entry>,
     call: &CallerRequest,
@@ -79,22 +79,23 @@
     let cx = &entry.cx;
     let expires_at = cx.now() + call.timeout;
     let mut exclude: Vec<Name> = Vec::new();
-    let mut is_retry = false;
+    // Outcome of the last attempt that may have run.
+    let mut failure: Option<CallOutcome> = None;
     for _ in 0..MAX_ATTEMPTS {
+        let is_retry = failure.is_some();
         let selection = match select_host(entry, call, &exclude, is_retry, expires_at).await {
             Ok(selection) => selection,
-            Err(outcome) => return outcome,
+            Err(refusal) => return failure.unwrap_or(refusal),
         };
         match dispatch(entry, call, &selection, expires_at, sink).await {
             // A plain service may have run the call in spite of a busy status, so
             // only idempotent calls are retried at another host.
-            Attempt::Answered(STATUS_UNAVAILABLE | STATUS_TOO_MANY_REQUESTS)
+            Attempt::Answered(status @ (STATUS_UNAVAILABLE | STATUS_TOO_MANY_REQUESTS))
                 if call.idempotent && !sink.has_sent() =>
             {
-                sink.discard();
-                is_retry = true;
+                failure = Some(CallOutcome::Answered(status, sink.take()));
             }
-            Attempt::Answered(status) => return CallOutcome::Answered(status, Vec::new()),
+            Attempt::Answered(status) => return CallOutcome::Answered(status, sink.take()),
             Attempt::CallerGone => return CallOutcome::Unknown("the caller went away".to_string()),
             Attempt::NotRun {
                 reason,
@@ -102,20 +103,22 @@
                 ..
             } => {
                 if cx.now() + retry_after >= expires_at {
-                    return CallOutcome::NotRun(reason, retry_after);
+                    return failure.unwrap_or(CallOutcome::NotRun(reason, retry_after));
                 }
             }
             Attempt::Failed(reason) => {
                 if !call.idempotent || sink.has_sent() || cx.now() >= expires_at {
                     return CallOutcome::Unknown(reason);
                 }
-                sink.discard();
-                is_retry = true;
+                sink.take();
+                failure = Some(CallOutcome::Unknown(reason));
             }
         }
         exclude.push(selection.host);
     }
-    CallOutcome::NotRun("every host that was asked refused".to_string(), RETRY_AFTER)
+    failure.unwrap_or_else(|| {
+        CallOutcome::NotRun("every host that was asked refused".to_string(), RETRY_AFTER)
+    })
 }
 
 async fn select_host(
--- a/crates/rw-daemon/src/entry/caller_server.rs
+++ b/crates/rw-daemon/src/entry/caller_server.rs
@@ -145,10 +145,9 @@
 
 // Runs a call to a model engine for a caller that wants an unstreamed answer.
 async fn run_engine_call(entry: &Arc<Entry>, call: &CallerRequest) -> CallOutcome {
-    let mut events = BufferSink::default();
-    match run_call(entry, call, &mut events).await {
-        CallOutcome::Answered(200, _) => {
-            CallOutcome::Answered(200, join_stream_events(&events.0, &call.request_id))
+    match run_call(entry, call, &mut BufferSink::default()).await {
+        CallOutcome::Answered(200, events) => {
+            CallOutcome::Answered(200, join_stream_events(&events, &call.request_id))
         }
         CallOutcome::Answered(status, _) => {
             let body = json!({"error": {"outcome": "answered", "reason": "the engine refused the request"}});
@@ -198,7 +197,9 @@
 
     // Parts that were sent cannot be taken back; once there are any, a failure is
     // not retried.
-    fn discard(&mut self) {}
+    fn take(&mut self) -> Vec<u8> {
+        Vec::new()
+    }
 }
 
 // The response head is sent with the first part, so that a call that did not run
--- a/crates/rw-standins/src/caller.rs
+++ b/crates/rw-standins/src/caller.rs
@@ -124,13 +124,43 @@
     key: &str,
     body: &str,
 ) -> Outcome {
-    let mut req = minreq::post(format!("{entry}/v1/services/checkout/{operation}"))
+    send_plain_call(plain_request(entry, team, operation, key, body), body)
+}
+
+/// Like [`call_plain_service`], with a deadline instead of the default one.
+pub fn call_plain_service_within(
+    entry: &str,
+    team: &str,
+    operation: &str,
+    key: &str,
+    body: &str,
+    deadline_ms: u64,
+) -> Outcome {
+    let req = plain_request(entry, team, operation, key, body);
+    send_plain_call(
+        req.with_header("x-deadline-ms", deadline_ms.to_string()),
+        body,
+    )
+}
+
+fn plain_request(
+    entry: &str,
+    team: &str,
+    operation: &str,
+    key: &str,
+    body: &str,
+) -> minreq::Request {
+    let req = minreq::post(format!("{entry}/v1/services/checkout/{operation}"))
         .with_header("x-team", team)
         .with_body(body)
         .with_timeout(REQUEST_TIMEOUT_S);
-    if !key.is_empty() {
-        req = req.with_header("idempotency-key", key);
+    match key {
+        "" => req,
+        key => req.with_header("idempotency-key", key),
     }
+}
+
+fn send_plain_call(req: minreq::Request, body: &str) -> Outcome {
     let res = match req.send() {
         Ok(res) => res,
         Err(err) => return Outcome::Cut(err.to_string()),
--- /dev/null
+++ b/tests/refusals.rs
@@ -0,0 +1,92 @@
+//! A call that is reported as not run did not run and never will.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use rw_standins::caller::{call_plain_service, call_plain_service_within, Outcome};
+use rw_standins::client::wait_for;
+use rw_standins::cluster::Cluster;
+use rw_standins::layout::Layout;
+use rw_standins::plain::{unix_ms, Behaviour, CallRecord};
+
+fn start(name: &str, plain: usize) -> Cluster {
+    let layout = Layout {
+        entries: 1,
+        engines: 0,
+        plain,
+        ..Layout::default()
+    };
+    let cluster = layout.start(name);
+    wait_for("checkout answers", || {
+        let url = cluster.entry_url("entry-0");
+        let answer = call_plain_service(&url, "arima", "stock", "", "hello");
+        matches!(answer, Outcome::Answered(_)).then_some(())
+    });
+    cluster
+}
+
+fn runs(cluster: &Cluster, body: &str) -> Vec<CallRecord> {
+    let mut records: Vec<CallRecord> = cluster.records("plain-0");
+    records.retain(|record| record.body == body);
+    records
+}
+
+// Guards against "not run" for an idempotent call that ran at hosts whose answers were
+// lost, whether no host was left or the attempts were used up.
+#[rstest]
+#[case::no_host_left(2)]
+#[case::attempts_used_up(7)]
+fn lookup_that_ran_is_not_reported_as_not_run(#[case] hosts: usize) {
+    let cluster = start(&format!("lookup-lost-{hosts}"), hosts);
+    let lose_all = Behaviour {
+        lose_every: 1,
+        ..Behaviour::default()
+    };
+    cluster.set_behaviour("plain-0", &lose_all);
+    let url = cluster.entry_url("entry-0");
+    let answer = call_plain_service(&url, "arima", "stock", "", "lookup");
+    assert!(runs(&cluster, "lookup").len() > 1);
+    assert_eq!(answer, Outcome::Unknown);
+}
+
+// Guards against "not run" for an idempotent call that a plain service answered with a
+// busy status: it may have run, and the service's answer was withheld from the caller.
+#[test]
+fn lookup_that_every_host_answers_as_busy_gets_that_answer() {
+    let cluster = start("lookup-busy", 2);
+    let busy = Behaviour {
+        status: 503,
+        ..Behaviour::default()
+    };
+    cluster.set_behaviour("plain-0", &busy);
+    let url = cluster.entry_url("entry-0");
+    let answer = call_plain_service(&url, "arima", "stock", "", "lookup");
+    assert_eq!(runs(&cluster, "lookup").len(), 2);
+    assert_eq!(answer, Outcome::Refused(503));
+}
+
+// Guards against "not run" for an idempotent call that broke off at one host shortly
+// before its deadline and was then refused by another.
+#[test]
+fn lookup_that_broke_off_and_was_refused_elsewhere_is_not_reported_as_not_run() {
+    let mut cluster = start("lookup-refused", 2);
+    let slow = Behaviour {
+        call_ms: 10_000,
+        ..Behaviour::default()
+    };
+    cluster.set_behaviour("plain-0", &slow);
+    let url = cluster.entry_url("entry-0");
+    let caller = std::thread::spawn(move || {
+        call_plain_service_within(&url, "arima", "stock", "", "lookup", 2_000)
+    });
+    let record = wait_for("the call runs", || runs(&cluster, "lookup").pop());
+    // The other host asks to retry after 200 ms, which is past the deadline.
+    let stop_at_ms = record.at_ms + 1_900;
+    std::thread::sleep(Duration::from_millis(stop_at_ms.saturating_sub(unix_ms())));
+    let url = cluster.daemon("plain-0").backend_url.clone();
+    let addr = url
+        .trim_start_matches("http://")
+        .trim_end_matches("/checkout");
+    cluster.kill(&format!("plain@{addr}"));
+    assert_eq!(caller.join().expect("no panic"), Outcome::Unknown);
+}
