Tell a repeat that a call with a long deadline is in progress

Callers that gave a keyed call more than `limits.default_deadline_ms` and asked again got "unknown" while the call still ran, from the default deadline plus 5 s on, although the answer was recorded later.

Cause: `already_started` compared the claim's age with the default deadline; the claim did not hold the call's own.

Ruled out: a bound on `x-deadline-ms`, which would refuse callers that are served today; a time limit in every claim, because entries of an older version refuse rows with unknown fields and would tell every repeat during an upgrade that it was not run.

Change: a claim holds the time limit of a call that has more than the default, and the repeat compares with that. Sums of times are saturating, since the header has no upper bound.

--- a/crates/rw-daemon/src/entry/at_most_once.rs
+++ b/crates/rw-daemon/src/entry/at_most_once.rs
@@ -21,8 +21,7 @@
 /// Background attempts to close or withdraw a claim before it is reported as
 /// unresolved and left to operators.
 const MAX_CLOSE_ATTEMPTS: u32 = 30;
-/// Time after the default deadline during which a claimed call still counts as
-/// running.
+/// Time after its deadline during which a claimed call still counts as running.
 const RUNNING_GRACE_MS: u64 = 5_000;
 
 /// Runs a plain call and returns its complete answer. Calls that are not
@@ -31,11 +30,15 @@
     if call.idempotent || call.idempotency_key.is_empty() {
         return run_call(entry, call, &mut BufferSink::default()).await;
     }
+    let timeout_ms = call.timeout.as_millis() as u64;
+    let default_ms = entry.cx.deployment.limits.default_deadline_ms;
     let req = ClaimRequest {
         team: call.team.clone(),
         key: call.idempotency_key.clone(),
         hash: request_hash(call),
         attempt: rand::random(),
+        // A claim without a time limit can also be read by entries of an older version.
+        timeout_ms: (timeout_ms > default_ms).then_some(timeout_ms),
     };
     let (ledger, claim_req) = (entry.ledger.clone(), req.clone());
     let claim_result = tokio::task::spawn_blocking(move || ledger.claim(&claim_req)).await;
@@ -43,7 +46,9 @@
         Ok(Ok(ClaimOutcome::Claimed(open))) => run_claimed(entry, call, open).await,
         Ok(Ok(ClaimOutcome::Answered(status, body))) => CallOutcome::Answered(status, body),
         Ok(Ok(ClaimOutcome::Mismatch)) => CallOutcome::Refused(RequestError::key_reused()),
-        Ok(Ok(ClaimOutcome::Started(at_ms))) => already_started(entry, at_ms),
+        Ok(Ok(ClaimOutcome::Started { at_ms, timeout_ms })) => {
+            already_started(at_ms, timeout_ms.unwrap_or(default_ms))
+        }
         Ok(Err(err @ rw_ledger::Error::Unknown(_))) => {
             tokio::spawn(withdraw_claim(entry.clone(), req));
             CallOutcome::NotRun(err.to_string(), RETRY_AFTER)
@@ -103,9 +108,9 @@
     matches!(closed, Ok(Ok(())))
 }
 
-fn already_started(entry: &Entry, at_ms: u64) -> CallOutcome {
-    let max_running_ms = entry.cx.deployment.limits.default_deadline_ms + RUNNING_GRACE_MS;
-    if at_ms + max_running_ms > unix_ms() {
+fn already_started(at_ms: u64, timeout_ms: u64) -> CallOutcome {
+    let max_running_ms = timeout_ms.saturating_add(RUNNING_GRACE_MS);
+    if at_ms.saturating_add(max_running_ms) > unix_ms() {
         return CallOutcome::InProgress(RETRY_AFTER);
     }
     CallOutcome::Unknown("an earlier call with this idempotency key has an unknown end".to_string())
--- a/crates/rw-ledger/src/ledger.rs
+++ b/crates/rw-ledger/src/ledger.rs
@@ -23,6 +23,8 @@
     pub hash: Name,
     /// Random id of this attempt to run the call.
     pub attempt: u64,
+    /// Time limit of the call in ms; `None` for the default deadline.
+    pub timeout_ms: Option<u64>,
 }
 
 /// A claim that this process holds and has to close.
@@ -39,9 +41,13 @@
     Claimed(OpenClaim),
     /// The call ran before and was answered with this status and body.
     Answered(u32, Vec<u8>),
-    /// The call is running or its outcome is unknown. It was claimed at this Unix
-    /// time in ms.
-    Started(u64),
+    /// The call is running or its outcome is unknown.
+    Started {
+        /// Unix time of the claim in ms.
+        at_ms: u64,
+        /// Time limit of the call in ms; `None` for the default deadline.
+        timeout_ms: Option<u64>,
+    },
     /// The key was used before, with another request.
     Mismatch,
 }
@@ -67,6 +73,13 @@
     format!("claim/{team}/{key}")
 }
 
+fn started(claim: &Claim) -> ClaimOutcome {
+    ClaimOutcome::Started {
+        at_ms: claim.at_ms,
+        timeout_ms: claim.timeout_ms,
+    }
+}
+
 fn index_key(attempt: u64) -> String {
     format!("open/{attempt:016x}")
 }
@@ -94,7 +107,7 @@
         }
         match claim.state {
             ClaimState::Answered => self.recorded_answer(claim),
-            ClaimState::Started => Ok(ClaimOutcome::Started(claim.at_ms)),
+            ClaimState::Started => Ok(started(&claim)),
             ClaimState::NotRun => self.write_claim(req, row.version),
         }
     }
@@ -110,6 +123,7 @@
             body: String::new(),
             owner: self.owner.clone(),
             at_ms: unix_ms(),
+            timeout_ms: req.timeout_ms,
         };
         let index = IndexUpdate::Put(Put {
             key: index_key(req.attempt),
@@ -137,7 +151,7 @@
         }
         match claim.state {
             ClaimState::Answered => self.recorded_answer(claim),
-            _ => Ok(ClaimOutcome::Started(claim.at_ms)),
+            _ => Ok(started(&claim)),
         }
     }
 
--- a/crates/rw-protocol/src/generated.rs
+++ b/crates/rw-protocol/src/generated.rs
@@ -175,6 +175,9 @@
     pub state: ClaimState,
     pub status: u32,
     pub team: crate::Name,
+    ///Time limit of the call; absent for the default deadline.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub timeout_ms: ::std::option::Option<u64>,
 }
 ///Progress of a claimed call.
 ///
--- a/tests/refusals.rs
+++ b/tests/refusals.rs
@@ -10,10 +10,15 @@
 use rw_standins::plain::{unix_ms, Behaviour, CallRecord};
 
 fn start(name: &str, plain: usize) -> Cluster {
+    start_with(name, plain, "")
+}
+
+fn start_with(name: &str, plain: usize, settings: &str) -> Cluster {
     let layout = Layout {
-        entries: 1,
+        entries: 2,
         engines: 0,
         plain,
+        extra_settings: settings.to_string(),
         ..Layout::default()
     };
     let cluster = layout.start(name);
@@ -90,3 +95,38 @@
     cluster.kill(&format!("plain@{addr}"));
     assert_eq!(caller.join().expect("no panic"), Outcome::Unknown);
 }
+
+// Guards against "unknown" for a repeat while the call still runs: the age of its claim
+// was compared with the default deadline, although the caller had given it more time.
+#[test]
+fn repeat_of_a_call_beyond_the_default_deadline_is_in_progress() {
+    let cluster = start_with("long", 1, "[limits]\ndefault_deadline_ms = 1000");
+    let slow = Behaviour {
+        call_ms: 9_000,
+        ..Behaviour::default()
+    };
+    cluster.set_behaviour("plain-0", &slow);
+    let charge = |entry: &str| {
+        let url = cluster.entry_url(entry);
+        call_plain_service_within(&url, "penal", "charge", "order-1", "order-1", 30_000)
+    };
+    std::thread::scope(|scope| {
+        let caller = scope.spawn(|| charge("entry-0"));
+        wait_for(
+            "a call older than the default deadline and its grace",
+            || {
+                let run = runs(&cluster, "order-1").pop()?;
+                (unix_ms() > run.at_ms + 6_500).then_some(())
+            },
+        );
+        let repeat = charge("entry-1");
+        let acceptable = matches!(repeat, Outcome::InProgress | Outcome::Answered(_));
+        assert!(acceptable, "{repeat:?}");
+        let answer = caller.join().expect("no panic");
+        assert_eq!(answer, Outcome::Answered(String::new()));
+    });
+    wait_for("the recorded answer", || {
+        (charge("entry-1") == Outcome::Answered(String::new())).then_some(())
+    });
+    assert_eq!(runs(&cluster, "order-1").len(), 1);
+}
