Let refused offers earn no retries

Operators saw more retries than `limits.retry_ratio` allows exactly when hosts refused calls, which is when a retry storm starts.

After a failure followed by a refusal the offer cost a second retry, although the first had not run.

Ruled out: the token bucket itself (`RetryBudget` keeps its bound), and offers that cost retries: a refused call did not run, and `docs/design/routing.md` says that a refusal costs none.

Change: a request for a host is a first attempt (earns), a reoffer after a refusal (neither) or a retry after an attempt that may have run (costs). Stand-in engines can refuse completions.

--- a/crates/rw-daemon/src/entry/call.rs
+++ b/crates/rw-daemon/src/entry/call.rs
@@ -11,7 +11,8 @@
 use rw_routing::{HostQuery, HostSelection};
 
 use super::dispatcher::{
-    DispatchOutcome, DispatchReport, DispatcherMessage, SelectionRequest, SelectionResult,
+    AttemptKind, DispatchOutcome, DispatchReport, DispatcherMessage, SelectionRequest,
+    SelectionResult,
 };
 use super::request::CallerRequest;
 use super::respond::CallOutcome;
@@ -81,9 +82,9 @@
     let mut exclude: Vec<Name> = Vec::new();
     // Outcome of the last attempt that may have run.
     let mut failure: Option<CallOutcome> = None;
+    let mut kind = AttemptKind::First;
     for _ in 0..MAX_ATTEMPTS {
-        let is_retry = failure.is_some();
-        let selection = match select_host(entry, call, &exclude, is_retry, expires_at).await {
+        let selection = match select_host(entry, call, &exclude, kind, expires_at).await {
             Ok(selection) => selection,
             Err(refusal) => return failure.unwrap_or(refusal),
         };
@@ -94,6 +95,7 @@
                 if call.idempotent && !sink.has_sent() =>
             {
                 failure = Some(CallOutcome::Answered(status, sink.take()));
+                kind = AttemptKind::Retry;
             }
             Attempt::Answered(status) => return CallOutcome::Answered(status, sink.take()),
             Attempt::CallerGone => return CallOutcome::Unknown("the caller went away".to_string()),
@@ -105,6 +107,7 @@
                 if cx.now() + retry_after >= expires_at {
                     return failure.unwrap_or(CallOutcome::NotRun(reason, retry_after));
                 }
+                kind = AttemptKind::Reoffer;
             }
             Attempt::Failed(reason) => {
                 if !call.idempotent || sink.has_sent() || cx.now() >= expires_at {
@@ -112,6 +115,7 @@
                 }
                 sink.take();
                 failure = Some(CallOutcome::Unknown(reason));
+                kind = AttemptKind::Retry;
             }
         }
         exclude.push(selection.host);
@@ -125,7 +129,7 @@
     entry: &Entry,
     call: &CallerRequest,
     exclude: &[Name],
-    is_retry: bool,
+    attempt: AttemptKind,
     expires_at: Duration,
 ) -> Result<HostSelection, CallOutcome> {
     let mut query = HostQuery {
@@ -158,7 +162,7 @@
             priority: call.priority,
             deadline: expires_at,
             submitted_at: entry.cx.now(),
-            is_retry,
+            attempt,
             selection_tx: tx,
         }));
     match rx.recv_async().await {
--- a/crates/rw-daemon/src/entry/dispatcher.rs
+++ b/crates/rw-daemon/src/entry/dispatcher.rs
@@ -41,6 +41,17 @@
     CallerGone,
 }
 
+/// How a request for a host counts towards the retry budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptKind {
+    /// The first attempt of a call, which earns a share of a retry.
+    First,
+    /// The previous host did not run the call; neither earns nor costs a retry.
+    Reoffer,
+    /// The previous attempt may have run; costs a retry.
+    Retry,
+}
+
 /// A request for a host that can run a call.
 pub struct SelectionRequest {
     /// What the host has to provide.
@@ -53,9 +64,8 @@
     pub deadline: Duration,
     /// Time since the daemon's start at which the request was submitted.
     pub submitted_at: Duration,
-    /// Whether an earlier attempt of this call failed; retries draw on the
-    /// retry budget.
-    pub is_retry: bool,
+    /// How the request counts towards the retry budget.
+    pub attempt: AttemptKind,
     /// Receives the result; disconnected once the call is cancelled.
     pub selection_tx: flume::Sender<SelectionResult>,
 }
@@ -181,11 +191,14 @@
 
     fn enqueue(&mut self, call: SelectionRequest) {
         let now = self.cx.now();
-        if call.is_retry && !self.retry_budget.take() {
-            return refuse(call, "too many calls are being repeated", RETRY_AFTER);
-        }
-        if !call.is_retry {
-            self.retry_budget.on_first_attempt();
+        match call.attempt {
+            AttemptKind::First => self.retry_budget.on_first_attempt(),
+            AttemptKind::Reoffer => {}
+            AttemptKind::Retry => {
+                if !self.retry_budget.take() {
+                    return refuse(call, "too many calls are being repeated", RETRY_AFTER);
+                }
+            }
         }
         let queued = QueuedRequest {
             team: call.team.clone(),
--- a/crates/rw-standins/src/engine.rs
+++ b/crates/rw-standins/src/engine.rs
@@ -35,6 +35,8 @@
     pub truncate_every: u64,
     /// Close the connection of state and completion requests without a response.
     pub down: bool,
+    /// Refuse completion requests with status 503.
+    pub refuse: bool,
 }
 
 impl Default for Behaviour {
@@ -48,6 +50,7 @@
             fencing: false,
             truncate_every: 0,
             down: false,
+            refuse: false,
         }
     }
 }
@@ -224,13 +227,17 @@
             Ok(body) => body,
             Err(err) => return req.reply(400, &err),
         };
-        let (down, loaded) = {
+        let (down, refuse, loaded) = {
             let state = self.state();
-            (state.behaviour.down, !state.version.is_empty())
+            let behaviour = &state.behaviour;
+            (behaviour.down, behaviour.refuse, !state.version.is_empty())
         };
         if down {
             return req.drop_connection();
         }
+        if refuse {
+            return req.reply(503, &"refused");
+        }
         if !loaded {
             return req.reply(503, &"no model is loaded");
         }
--- a/tests/refusals.rs
+++ b/tests/refusals.rs
@@ -1,13 +1,18 @@
 //! A call that is reported as not run did not run and never will.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use rstest::rstest;
-use rw_standins::caller::{call_plain_service, call_plain_service_within, Outcome};
+use rw_standins::caller::{
+    call_plain_service, call_plain_service_within, completion_body, Outcome,
+};
 use rw_standins::client::wait_for;
 use rw_standins::cluster::Cluster;
+use rw_standins::engine;
 use rw_standins::layout::Layout;
 use rw_standins::plain::{unix_ms, Behaviour, CallRecord};
+use rw_tests::{deploy_v1, TOKENS};
 
 fn start(name: &str, plain: usize) -> Cluster {
     start_with(name, plain, "")
@@ -130,3 +135,63 @@
     });
     assert_eq!(runs(&cluster, "order-1").len(), 1);
 }
+
+// Guards against retries beyond the budget: a call that hosts refused counted as a
+// first attempt each time it was offered to another host, and earned further retries.
+#[test]
+fn refused_offers_earn_no_retries() {
+    const ENGINES: usize = 8;
+    const BURST_RETRIES: f64 = 10.0;
+    const RETRY_RATIO: f64 = 0.2;
+    let layout = Layout {
+        entries: 1,
+        engines: ENGINES,
+        plain: 0,
+        extra_settings: format!("[limits]\nretry_ratio = {RETRY_RATIO}"),
+        ..Layout::default()
+    };
+    let cluster = layout.start("retry-budget");
+    deploy_v1(&cluster, ENGINES, 1);
+    let names: Vec<String> = (0..ENGINES).map(|n| format!("engine-{n}")).collect();
+    let set_all = |behaviour: &engine::Behaviour| {
+        names
+            .iter()
+            .for_each(|name| cluster.set_behaviour(name, behaviour));
+    };
+    let url = format!("{}/v1/chat/completions", cluster.entry_url("entry-0"));
+    let mut calls = 0;
+    let mut call = |count: usize| {
+        for _ in 0..count {
+            calls += 1;
+            let body = completion_body(&format!("shop|{calls}"), TOKENS, false);
+            let req = minreq::post(&url).with_header("x-team", "arima");
+            req.with_body(body.to_string()).send().expect("an answer");
+        }
+    };
+    let failing = engine::Behaviour {
+        truncate_every: 1,
+        ..engine::Behaviour::default()
+    };
+    let refusing = engine::Behaviour {
+        refuse: true,
+        ..engine::Behaviour::default()
+    };
+    set_all(&failing);
+    call(3);
+    set_all(&refusing);
+    call(10);
+    set_all(&failing);
+    call(3);
+    let records = names.iter().map(|n| cluster.records::<engine::Records>(n));
+    let run_ids: Vec<String> = records
+        .flat_map(|r| r.runs)
+        .map(|run| run.request_id)
+        .collect();
+    let run_calls: BTreeSet<&String> = run_ids.iter().collect();
+    let retries = run_ids.len() - run_calls.len();
+    let budget = BURST_RETRIES + RETRY_RATIO * f64::from(calls);
+    assert!(
+        (1.0..=budget).contains(&(retries as f64)),
+        "{retries} retries, budget {budget}"
+    );
+}
