--- a/crates/rw-daemon/src/control/mod.rs
+++ b/crates/rw-daemon/src/control/mod.rs
@@ -3,6 +3,7 @@
 
 mod poll;
 mod push;
+mod replace;
 mod snapshot;
 mod supervisor;
 mod sync;
@@ -11,6 +12,7 @@
 
 pub use poll::run_poller;
 pub use push::{broadcast_generation, push_to_zone};
+pub use replace::{replace_hosts_of_intent, Replacement};
 pub use supervisor::run_supervisor;
 pub use sync::{handle_push, handle_sync, run_sync};
 pub use view::{ClusterView, SharedView};
--- a/crates/rw-daemon/src/control/supervisor.rs
+++ b/crates/rw-daemon/src/control/supervisor.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rw_coord::{unix_ms, AppendLog, AppendOutcome, LeaseManager};
-use rw_intent::{build_status_report, replace_failed_hosts};
+use rw_coord::unix_ms;
+use rw_intent::build_status_report;
 use rw_observe::Event;
-use rw_protocol::{Change, Generation, HostRecord, HostState, Name, Role, StatusReport};
+use rw_protocol::{HostState, Name, Role, StatusReport};
 
-use super::{collect_reports, snapshot, ClusterView};
+use super::{collect_reports, replace_hosts_of_intent, snapshot, ClusterView, Replacement};
 use crate::Context;
 
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
@@ -151,54 +151,12 @@
                 replace_hosts_of_intent(&task_cx, &name, &failed)
             })
             .await;
-            if matches!(result, Ok(None)) && self.without_spare.insert(intent.clone()) {
+            if matches!(result, Ok(Replacement::NoSpare))
+                && self.without_spare.insert(intent.clone())
+            {
                 cx.recorder
                     .emit(Event::ReplaceFailed, &format!("intent={intent}"));
             }
         }
     }
 }
-
-// Returns `None` if no spare host is available, the intent has no failed host or
-// the intent was removed.
-fn replace_hosts_of_intent(cx: &Context, intent: &Name, failed: &BTreeSet<Name>) -> Option<()> {
-    let lease_duration = Duration::from_millis(cx.deployment.control.lease_ms);
-    let leases = LeaseManager::new(cx.platform.clone(), &cx.name, lease_duration);
-    let lease_name = format!("replace/{intent}");
-    let Ok(lease) = leases.acquire(&lease_name, rand::random()) else {
-        return Some(());
-    };
-    let (base, change) = {
-        let view = cx.view.read();
-        let active = view.cfg.intents().get(intent)?;
-        let hosts: Vec<HostRecord> = view.hosts.values().cloned().collect();
-        (
-            view.cfg.head(),
-            replace_failed_hosts(&view.cfg, active, &hosts, failed, lease.epoch),
-        )
-    };
-    let Some(change) = change else {
-        let _ = leases.release(&lease_name, &lease);
-        return None;
-    };
-    let detail = format!(
-        "intent={intent} gone={} added={}",
-        change.gone.len(),
-        change.added.len()
-    );
-    let plan_id = Name::from(format!("replace-{:016x}", rand::random::<u64>()));
-    let gen = Generation {
-        number: base + 1,
-        plan_id: plan_id.clone(),
-        at_ms: unix_ms(),
-        change: Change::Replace(change),
-    };
-    let log = AppendLog::new(cx.platform.clone(), "config");
-    if let (true, Ok(text)) = (lease.is_valid(), serde_json::to_string(&gen)) {
-        if let Ok(AppendOutcome::Written(_)) = log.append(base, &text, &plan_id) {
-            cx.recorder.emit(Event::HostsReplaced, &detail);
-        }
-    }
-    let _ = leases.release(&lease_name, &lease);
-    Some(())
-}
