Report missing spare hosts only if hosts have failed, and free the lease

Operators could see event 206, "an intent has failed hosts and no spare hosts", for an intent that was removed, or whose hosts another supervisor had just replaced. The lease of a removed intent stayed taken until it expired, so the next intent of that name had its hosts replaced up to `control.lease_ms` later.

Failures to write the change were dropped without a line.

Ruled out: the view that decides is read after the lease is taken, so the decision itself is made on current data.

Change: the steps under the lease are a function of their own and the lease is released after each of its ends; "not needed" is a result of its own. What keeps the change from being written is logged with the intent.

--- a/crates/rw-daemon/src/control/replace.rs
+++ b/crates/rw-daemon/src/control/replace.rs
@@ -1,10 +1,11 @@
 //! Replacement of failed hosts of an intent by spare hosts.
 
 use std::collections::BTreeSet;
+use std::fmt::Display;
 use std::time::Duration;
 
-use rw_coord::{unix_ms, AppendLog, AppendOutcome, LeaseManager};
-use rw_intent::replace_failed_hosts;
+use rw_coord::{unix_ms, AppendLog, AppendOutcome, Error, Lease, LeaseManager};
+use rw_intent::{has_failed_host, replace_failed_hosts};
 use rw_observe::Event;
 use rw_protocol::{Change, Generation, HostRecord, Name};
 
@@ -33,13 +34,35 @@
     let lease_duration = Duration::from_millis(cx.deployment.control.lease_ms);
     let leases = LeaseManager::new(cx.platform.clone(), &cx.name, lease_duration);
     let lease_name = format!("replace/{intent}");
-    let Ok(lease) = leases.acquire(&lease_name, rand::random()) else {
-        return Replacement::Deferred;
+    let lease = match leases.acquire(&lease_name, rand::random()) {
+        Ok(lease) => lease,
+        // Another supervisor is replacing the hosts.
+        Err(Error::Held(..)) => return Replacement::Deferred,
+        Err(err) => return defer(intent, err),
     };
+    let result = replace_under_lease(cx, intent, failed, &lease);
+    if let Err(err) = leases.release(&lease_name, &lease) {
+        log::warn!("lease {lease_name} is not released and expires: {err}");
+    }
+    result
+}
+
+fn defer(intent: &Name, reason: impl Display) -> Replacement {
+    log::warn!("hosts of intent {intent} are not replaced yet: {reason}");
+    Replacement::Deferred
+}
+
+fn replace_under_lease(
+    cx: &Context,
+    intent: &Name,
+    failed: &BTreeSet<Name>,
+    lease: &Lease,
+) -> Replacement {
     let (base, change) = {
         let view = cx.view.read();
-        let Some(active) = view.cfg.intents().get(intent) else {
-            return Replacement::NoSpare;
+        let active = view.cfg.intents().get(intent);
+        let Some(active) = active.filter(|a| has_failed_host(a, &view.hosts, failed)) else {
+            return Replacement::NotNeeded;
         };
         let hosts: Vec<HostRecord> = view.hosts.values().cloned().collect();
         (
@@ -48,7 +71,6 @@
         )
     };
     let Some(change) = change else {
-        let _ = leases.release(&lease_name, &lease);
         return Replacement::NoSpare;
     };
     let detail = format!(
@@ -63,12 +85,23 @@
         at_ms: unix_ms(),
         change: Change::Replace(change),
     };
+    let text = match serde_json::to_string(&gen) {
+        Ok(text) => text,
+        Err(err) => return defer(intent, err),
+    };
+    if !lease.is_valid() {
+        return defer(intent, "the lease has expired");
+    }
     let log = AppendLog::new(cx.platform.clone(), "config");
-    if let (true, Ok(text)) = (lease.is_valid(), serde_json::to_string(&gen)) {
-        if let Ok(AppendOutcome::Written(_)) = log.append(base, &text, &plan_id) {
+    match log.append(base, &text, &plan_id) {
+        Ok(AppendOutcome::Written(_)) => {
             cx.recorder.emit(Event::HostsReplaced, &detail);
+            Replacement::Replaced
+        }
+        Ok(AppendOutcome::Stale(head)) => {
+            let reason = format!("generation {head} was confirmed, planned on {base}");
+            defer(intent, reason)
         }
+        Err(err) => defer(intent, err),
     }
-    let _ = leases.release(&lease_name, &lease);
-    Replacement::Deferred
 }
--- a/crates/rw-intent/src/lib.rs
+++ b/crates/rw-intent/src/lib.rs
@@ -13,7 +13,7 @@
 pub use configuration::{ActiveIntent, Configuration, HostAssignment};
 pub use parse::parse_intent;
 pub use plan::{plan_intent, NetworkTopology, WAVE_COUNT};
-pub use replace::replace_failed_hosts;
+pub use replace::{has_failed_host, replace_failed_hosts};
 pub use report::{build_status_report, build_zone_report, ClusterObservation};
 
 use quick_error::quick_error;
--- a/crates/rw-intent/src/replace.rs
+++ b/crates/rw-intent/src/replace.rs
@@ -4,6 +4,36 @@
 
 use crate::{ActiveIntent, Configuration};
 
+fn has_failed(host: &Name, record: Option<&HostRecord>, failed: &BTreeSet<Name>) -> bool {
+    failed.contains(host) || record.is_none_or(|h| h.state != HostState::Live)
+}
+
+/// Whether any host of an intent has failed: it is in `failed`, or not live in `hosts`.
+///
+/// ```
+/// use std::collections::{BTreeMap, BTreeSet};
+/// use rw_intent::{has_failed_host, ActiveIntent};
+/// let intent = rw_protocol::Intent {
+///     name: "cuts".into(), service: "assistant".into(), model: "m".into(),
+///     version: "v1".into(), teams: Vec::new(), hosts: 1, regions: Vec::new(), finish_by_ms: 0,
+/// };
+/// let mut active = ActiveIntent {
+///     intent, manifest: "m".into(), length: 0, previous: "".into(),
+///     assignments: BTreeMap::new(), since_ms: 0,
+/// };
+/// assert!(!has_failed_host(&active, &BTreeMap::new(), &BTreeSet::new()));
+/// active.assignments.insert("unlisted".into(), 0);
+/// assert!(has_failed_host(&active, &BTreeMap::new(), &BTreeSet::new()));
+/// ```
+pub fn has_failed_host(
+    active: &ActiveIntent,
+    hosts: &BTreeMap<Name, HostRecord>,
+    failed: &BTreeSet<Name>,
+) -> bool {
+    let mut assigned = active.assignments.keys();
+    assigned.any(|host| has_failed(host, hosts.get(host), failed))
+}
+
 /// Selects spare hosts to replace the failed hosts of an intent. Spare hosts of the
 /// same region are preferred. `epoch` is the fencing number of the lease under which
 /// the hosts are replaced.
@@ -28,9 +58,7 @@
     let mut gone = Vec::new();
     let mut added = Vec::new();
     for (host, wave) in &active.assignments {
-        let has_failed =
-            failed.contains(host) || known.get(host).is_none_or(|h| h.state != HostState::Live);
-        if !has_failed {
+        if !has_failed(host, known.get(host).copied(), failed) {
             continue;
         }
         let region = known.get(host).map(|h| &h.region);
