Release the lease of a host whose calls did not drain in time

A host that gave up a switch because calls outlived `limits.drain_ms` kept its lease. A daemon that was restarted then could not order its backend server until the lease expired, up to `control.lease_ms` later, with the problem "no lease to order the backend server".

Cause: `switch_version` returned after the event `DrainTimedOut` without a release; so did a load order that lapsed before it was sent and a lease that could not be renewed.

Ruled out: releasing is safe on these ways, because no load order was sent under the lease; the next pass takes it anew with a higher fencing number. The event itself is true: calls were still running.

Change: `switch_version` releases the lease at each of its ends, and a release that fails is logged.

--- a/crates/rw-daemon/src/host/backend_reconciler.rs
+++ b/crates/rw-daemon/src/host/backend_reconciler.rs
@@ -233,32 +233,43 @@
     // unreachable, no lease can be acquired, so calls are not drained for a load
     // order that cannot be sent.
     async fn switch_version(&self, assignment: &HostAssignment) {
-        let Some(initial_lease) = self.acquire_lease().await else {
+        let Some(mut lease) = self.acquire_lease().await else {
             return;
         };
         self.stop_serving("switching to another version");
         let timeout = Duration::from_millis(self.cx.deployment.limits.drain_ms);
         if !self.admission.wait_until_drained(timeout).await {
             let detail = format!("held={}", self.admission.in_flight());
-            return self.cx.recorder.emit(Event::DrainTimedOut, &detail);
+            self.cx.recorder.emit(Event::DrainTimedOut, &detail);
+            return self.release_lease(&lease);
         }
-        let is_fresh = initial_lease.remaining() > self.lease_ttl() / 2;
-        let lease = if is_fresh {
-            Some(initial_lease)
-        } else {
-            self.acquire_lease().await
-        };
-        if let Some(lease) = lease {
-            self.send_load_order(assignment, lease).await;
+        if lease.remaining() <= self.lease_ttl() / 2 {
+            let Some(renewed) = self.acquire_lease().await else {
+                return self.release_lease(&lease);
+            };
+            lease = renewed;
         }
+        self.send_load_order(assignment, &lease).await;
+        self.release_lease(&lease);
     }
 
     fn lease_ttl(&self) -> Duration {
         Duration::from_millis(self.cx.deployment.control.lease_ms)
     }
 
+    fn lease_name(&self) -> String {
+        format!("runner/{}", self.cx.name)
+    }
+
+    fn release_lease(&self, lease: &Lease) {
+        let name = self.lease_name();
+        if let Err(err) = tokio::task::block_in_place(|| self.leases.release(&name, lease)) {
+            log::warn!("lease {name} is not released and expires: {err}");
+        }
+    }
+
     async fn acquire_lease(&self) -> Option<Lease> {
-        let name = format!("runner/{}", self.cx.name);
+        let name = self.lease_name();
         let acquired = tokio::task::block_in_place(|| self.leases.acquire(&name, rand::random()));
         match acquired {
             Ok(lease) => Some(lease),
@@ -272,7 +283,7 @@
 
     // The lease is checked right before the order is sent, and the order times out
     // before the lease expires. The next pass reads which version is loaded.
-    async fn send_load_order(&self, assignment: &HostAssignment, lease: Lease) {
+    async fn send_load_order(&self, assignment: &HostAssignment, lease: &Lease) {
         let order = LoadOrder {
             model: assignment.model.clone(),
             version: assignment.version.clone(),
@@ -297,8 +308,5 @@
                 .recorder
                 .emit(Event::OrderFailed, &format!("{detail} error={err}"));
         }
-        let name = format!("runner/{}", self.cx.name);
-        // A lease that is not released expires.
-        let _ = tokio::task::block_in_place(|| self.leases.release(&name, &lease));
     }
 }
