Report a call whose claim cannot be read as unknown

A caller that repeated a keyed call was told `not_run` if the row of its claim existed but could not be parsed, for instance because an entry of a newer version had written a field that this one does not know. The call may have run.

Cause: `run_plain_call` took every error of the ledger for "not run".

--- a/crates/rw-daemon/src/entry/at_most_once.rs
+++ b/crates/rw-daemon/src/entry/at_most_once.rs
@@ -53,6 +53,8 @@
             tokio::spawn(withdraw_claim(entry.clone(), req));
             CallOutcome::NotRun(err.to_string(), RETRY_AFTER)
         }
+        // A claim that exists but cannot be read may belong to a call that ran.
+        Ok(Err(err @ rw_ledger::Error::Corrupt(_))) => CallOutcome::Unknown(err.to_string()),
         Ok(Err(err)) => CallOutcome::NotRun(err.to_string(), RETRY_AFTER),
         Err(err) => CallOutcome::NotRun(err.to_string(), RETRY_AFTER),
     }
--- a/tests/refusals.rs
+++ b/tests/refusals.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
+use rw_platform::{HttpPlatform, Put, TableService, Transaction};
 use rw_standins::caller::{
     call_plain_service, call_plain_service_within, completion_body, Outcome,
 };
@@ -136,6 +137,27 @@
     assert_eq!(runs(&cluster, "order-1").len(), 1);
 }
 
+// Guards against "not run" for a call whose claim exists but cannot be read, for instance
+// because an entry of a newer version wrote it: the call may have run.
+#[test]
+fn call_with_an_unreadable_claim_is_unknown() {
+    let cluster = start("unreadable-claim", 1);
+    let settings = &cluster.deployment.platform;
+    let table = HttpPlatform::new(&settings.url, &settings.origin_url, settings.timeout_ms);
+    let txn = Transaction {
+        puts: vec![Put {
+            key: "claim/penal/order-1".to_string(),
+            value: r#"{"state": "settled"}"#.to_string(),
+        }],
+        ..Transaction::default()
+    };
+    assert!(table.commit(&txn).expect("an answer").committed);
+    let url = cluster.entry_url("entry-0");
+    let answer = call_plain_service(&url, "penal", "charge", "order-1", "order-1");
+    assert_eq!(answer, Outcome::Unknown);
+    assert!(runs(&cluster, "order-1").is_empty());
+}
+
 // Guards against retries beyond the budget: a call that hosts refused counted as a
 // first attempt each time it was offered to another host, and earned further retries.
 #[test]
