Count an engine's internal error as a failure, not as a refusal

Callers were told `not_run` for drafts that engines had begun and then answered with a server error such as 500. The retries after it cost nothing of the retry budget, and the host's circuit breaker saw no failure.

Cause: the host reported every server error status of an engine as "the backend server refused", which is a `NotRun`.

Ruled out: 429 and 503 stay refusals, since they say that the engine did not take the call; other client errors stay the caller's answer. Plain services are not concerned: their status is always passed on.

Change: only 429 and 503 are refusals, any other server error is a failure. The stand-in engine can begin completions and answer with a status.

--- a/crates/rw-daemon/src/host/calls.rs
+++ b/crates/rw-daemon/src/host/calls.rs
@@ -27,6 +27,7 @@
 const DEADLINE_GRACE: Duration = Duration::from_secs(1);
 const HTTP_TOO_MANY_REQUESTS: u16 = 429;
 const HTTP_SERVER_ERROR: u16 = 500;
+const HTTP_UNAVAILABLE: u16 = 503;
 
 type BackendResult = std::result::Result<u32, BackendError>;
 
@@ -207,12 +208,14 @@
     async fn finish(&mut self, result: BackendResult) -> Result<()> {
         match result {
             Ok(status) => self.send_end(status).await,
-            Err(BackendError::Refused(status, _)) if is_final_response(status) && !self.started => {
-                self.send_end(u32::from(status)).await
-            }
-            Err(BackendError::Refused(..)) if !self.started => {
+            Err(BackendError::Refused(status, _)) if is_refusal(status) && !self.started => {
                 self.reject("the backend server refused").await
             }
+            Err(BackendError::Refused(status, _))
+                if status < HTTP_SERVER_ERROR && !self.started =>
+            {
+                self.send_end(u32::from(status)).await
+            }
             Err(BackendError::Unreachable(_)) => {
                 self.cx.recorder.emit(
                     Event::BackendUnreachable,
@@ -249,10 +252,11 @@
     Aborted(&'static str),
 }
 
-// A client error other than 429 is passed on to the caller. After any other
-// refusal, the entry may retry at another host.
-fn is_final_response(status: u16) -> bool {
-    status < HTTP_SERVER_ERROR && status != HTTP_TOO_MANY_REQUESTS
+// After these statuses the entry offers the call to another host as not run. Other
+// client errors are passed on to the caller; an engine that answers with another
+// server error may have run the call.
+fn is_refusal(status: u16) -> bool {
+    matches!(status, HTTP_TOO_MANY_REQUESTS | HTTP_UNAVAILABLE)
 }
 
 // Engines report the version that served a request as `MODEL@VERSION`.
--- a/crates/rw-engine/src/types.rs
+++ b/crates/rw-engine/src/types.rs
@@ -14,7 +14,8 @@
         Unreachable(msg: String) {
             display("backend server cannot be reached: {msg}")
         }
-        /// The server refused the call and did not run it.
+        /// The server answered with this status instead of a result. It has not run
+        /// the call if the status says so, as 429 and 503 do.
         Refused(status: u16, msg: String) {
             display("backend server refused with status {status}: {msg}")
         }
--- a/crates/rw-standins/src/engine.rs
+++ b/crates/rw-standins/src/engine.rs
@@ -37,6 +37,9 @@
     pub down: bool,
     /// Refuse completion requests with status 503.
     pub refuse: bool,
+    /// Start each completion, but answer with this status instead of tokens; 0
+    /// disables this.
+    pub fail_status: u16,
 }
 
 impl Default for Behaviour {
@@ -51,6 +54,7 @@
             truncate_every: 0,
             down: false,
             refuse: false,
+            fail_status: 0,
         }
     }
 }
@@ -227,21 +231,24 @@
             Ok(body) => body,
             Err(err) => return req.reply(400, &err),
         };
-        let (down, refuse, loaded) = {
+        let (behaviour, loaded) = {
             let state = self.state();
-            let behaviour = &state.behaviour;
-            (behaviour.down, behaviour.refuse, !state.version.is_empty())
+            (state.behaviour.clone(), !state.version.is_empty())
         };
-        if down {
+        if behaviour.down {
             return req.drop_connection();
         }
-        if refuse {
+        if behaviour.refuse {
             return req.reply(503, &"refused");
         }
         if !loaded {
             return req.reply(503, &"no model is loaded");
         }
         let id = req.header("x-request-id").to_string();
+        if behaviour.fail_status > 0 {
+            self.start_completion(&id, &prompt_text(&body));
+            return req.reply(behaviour.fail_status, &"failed");
+        }
         let priority = req.header("x-priority").parse().unwrap_or(0);
         let Ok(out) = req.into_stream() else { return };
         self.acquire_slot(priority);
--- a/tests/refusals.rs
+++ b/tests/refusals.rs
@@ -6,7 +6,7 @@
 use rstest::rstest;
 use rw_platform::{HttpPlatform, Put, TableService, Transaction};
 use rw_standins::caller::{
-    call_plain_service, call_plain_service_within, completion_body, Outcome,
+    call_plain_service, call_plain_service_within, completion_body, request_completion, Outcome,
 };
 use rw_standins::client::wait_for;
 use rw_standins::cluster::Cluster;
@@ -76,6 +76,31 @@
     assert_eq!(answer, Outcome::Refused(503));
 }
 
+// Guards against "not run" for a draft that engines began and failed with an internal
+// error, which counted as a refusal.
+#[test]
+fn draft_that_fails_at_the_engines_is_not_reported_as_not_run() {
+    let layout = Layout {
+        engines: 2,
+        plain: 0,
+        ..Layout::default()
+    };
+    let cluster = layout.start("engine-fails");
+    deploy_v1(&cluster, 2, 1);
+    let failing = engine::Behaviour {
+        fail_status: 500,
+        ..engine::Behaviour::default()
+    };
+    for name in ["engine-0", "engine-1"] {
+        cluster.set_behaviour(name, &failing);
+    }
+    let url = cluster.entry_url("entry-0");
+    let answer = request_completion(&url, "arima", "shop|1", TOKENS, 5_000);
+    let records: engine::Records = cluster.records("engine-0");
+    assert_eq!(records.runs.len(), 1);
+    assert_eq!(answer, Outcome::Unknown);
+}
+
 // Guards against "not run" for an idempotent call that broke off at one host shortly
 // before its deadline and was then refused by another.
 #[test]
