Count a claim as unresolved only after its call's deadline

Operators saw calls that still ran as "calls with an unknown end", with event 504 and a status that is not healthy, once they had run for 30 s.

Cause: the supervisor counted every open claim of that age; it had no way to know the call's deadline before claims held it.

Ruled out: `ragworttack unresolved`, which lists open claims by the age that the operator asks for.

Change: a claim with a time limit counts only after it.

--- a/crates/rw-daemon/src/control/zone_reports.rs
+++ b/crates/rw-daemon/src/control/zone_reports.rs
@@ -6,9 +6,11 @@
 use std::sync::Arc;
 
 use rand::seq::SliceRandom;
+use rw_coord::unix_ms;
 use rw_intent::{build_zone_report, ClusterObservation};
 use rw_protocol::{
-    HostRecord, HostStatus, Name, PeerReply, PeerRequest, ReportRequest, WatchRequest, ZoneReport,
+    Claim, HostRecord, HostStatus, Name, PeerReply, PeerRequest, ReportRequest, WatchRequest,
+    ZoneReport,
 };
 use tokio::task::JoinSet;
 
@@ -18,7 +20,7 @@
 /// Daemons of a zone that are queried for its report before the zone counts as
 /// unreachable.
 const MAX_ZONE_ATTEMPTS: usize = 3;
-/// Age at which an open claim counts as unresolved.
+/// Age at which an open claim counts as unresolved, unless its call has more time.
 const UNRESOLVED_AFTER_MS: u64 = 30_000;
 
 /// Requests the report of every zone and counts unresolved claims in the table.
@@ -42,7 +44,10 @@
     });
     if let Ok(Ok(claims)) = unresolved_claims.await {
         observed.table_reachable = true;
-        observed.unresolved = claims.len() as u64;
+        let now_ms = unix_ms();
+        let deadline_ms = |c: &Claim| c.at_ms.saturating_add(c.timeout_ms.unwrap_or_default());
+        let overdue = claims.iter().filter(|c| deadline_ms(c) <= now_ms);
+        observed.unresolved = overdue.count() as u64;
     }
     observed
 }
