--- a/crates/rw-daemon/src/control/zone_reports.rs
+++ b/crates/rw-daemon/src/control/zone_reports.rs
@@ -19,8 +19,8 @@
 /// Daemons of a zone that are queried for its report before the zone counts as
 /// unreachable.
 const MAX_ZONE_ATTEMPTS: usize = 3;
-/// Time after the default deadline at which an open claim counts as unresolved; clocks of
-/// machines differ by less.
+/// Time after the deadline of its call at which an open claim counts as unresolved; clocks
+/// of machines differ by less.
 const UNRESOLVED_GRACE_MS: u64 = 5_000;
 
 /// Requests the report of every zone and counts unresolved claims in the table.
@@ -39,13 +39,20 @@
         }
     }
     let task_cx = cx.clone();
+    let now_ms = unix_ms();
     let unresolved_claims = tokio::task::spawn_blocking(move || {
         let min_age_ms = task_cx.deployment.limits.default_deadline_ms + UNRESOLVED_GRACE_MS;
-        rw_ledger::unresolved_claims(&task_cx.platform, min_age_ms, unix_ms())
+        rw_ledger::unresolved_claims(&task_cx.platform, min_age_ms, now_ms)
     });
     if let Ok(Ok(claims)) = unresolved_claims.await {
         observed.table_reachable = true;
-        observed.unresolved = claims.len() as u64;
+        let overdue = claims.iter().filter(|claim| {
+            let age_ms = now_ms.saturating_sub(claim.at_ms);
+            claim
+                .timeout_ms
+                .is_none_or(|ms| age_ms >= ms.saturating_add(UNRESOLVED_GRACE_MS))
+        });
+        observed.unresolved = overdue.count() as u64;
     }
     observed
 }
--- a/crates/rw-ledger/tests/clocks.rs
+++ b/crates/rw-ledger/tests/clocks.rs
@@ -75,6 +75,7 @@
         body: String::new(),
         owner: "other".into(),
         at_ms,
+        timeout_ms: None,
     };
     let put = |key: &str, value: String| Put {
         key: key.into(),
@@ -132,8 +133,13 @@
         key: "k".into(),
         hash: "h".into(),
         attempt: 8,
+        timeout_ms: None,
     };
-    assert_eq!(ledger.claim(&req), Ok(ClaimOutcome::Started(at_ms)));
+    let started = ClaimOutcome::Started {
+        at_ms,
+        timeout_ms: None,
+    };
+    assert_eq!(ledger.claim(&req), Ok(started));
     req.key = "other".into();
     let Ok(ClaimOutcome::Claimed(open)) = ledger.claim(&req) else {
         panic!("a new key is claimed");
--- a/crates/rw-standins/src/engine.rs
+++ b/crates/rw-standins/src/engine.rs
@@ -35,6 +35,11 @@
     pub truncate_every: u64,
     /// Close the connection of state and completion requests without a response.
     pub down: bool,
+    /// Refuse completion requests with status 503.
+    pub refuse: bool,
+    /// Start each completion, but answer with this status instead of tokens; 0
+    /// disables this.
+    pub fail_status: u16,
 }
 
 impl Default for Behaviour {
@@ -48,6 +53,8 @@
             fencing: false,
             truncate_every: 0,
             down: false,
+            refuse: false,
+            fail_status: 0,
         }
     }
 }
@@ -224,17 +231,24 @@
             Ok(body) => body,
             Err(err) => return req.reply(400, &err),
         };
-        let (down, loaded) = {
+        let (behaviour, loaded) = {
             let state = self.state();
-            (state.behaviour.down, !state.version.is_empty())
+            (state.behaviour.clone(), !state.version.is_empty())
         };
-        if down {
+        if behaviour.down {
             return req.drop_connection();
         }
+        if behaviour.refuse {
+            return req.reply(503, &"refused");
+        }
         if !loaded {
             return req.reply(503, &"no model is loaded");
         }
         let id = req.header("x-request-id").to_string();
+        if behaviour.fail_status > 0 {
+            self.start_completion(&id, &prompt_text(&body));
+            return req.reply(behaviour.fail_status, &"failed");
+        }
         let priority = req.header("x-priority").parse().unwrap_or(0);
         let Ok(out) = req.into_stream() else { return };
         self.acquire_slot(priority);
--- a/tests/outcomes.rs
+++ b/tests/outcomes.rs
@@ -155,6 +155,7 @@
             body: String::new(),
             owner: "entry-1".into(),
             at_ms: rw_standins::plain::unix_ms() - age_ms,
+            timeout_ms: None,
         };
         let value = serde_json::to_string(&claim).expect("a claim is JSON");
         let key = format!("claim/penal/{}", claim.key);
