--- a/crates/rw-fleet/src/peers.rs
+++ b/crates/rw-fleet/src/peers.rs
@@ -112,9 +112,11 @@
                 break;
             }
         }
+        // Read first, so that a row which arrives in between is sent again later.
+        let known = cluster.table_versions();
         RowsReply {
             rows: cluster.rows_since(&req.known),
-            known: cluster.table_versions(),
+            known,
             in_touch: self.cx.sync.is_connected(),
         }
     }
