Daemons that start from a peer learn which servers left

Seen: after the store came back from an older copy, a daemon that takes its rows from a peer sent requests to servers that had left before, as the copy lists them as ready. The peer itself refused them.

Cause: departures are kept beside the rows and no row carries them. A deleted row has no content, so nothing says which heartbeats are outdated; a row of the copy that the peer ignores was stored and passed on as ready; and of two servers at one address the replaced one counted as left only if its row was applied first.

Ruled out: the order of versions, which keeps the draining case right already.

Change: a deleted row of a server keeps its last content; an ignored row is passed on as deleted; the replaced server counts as left in either order. No message changes: an older daemon ignores the content of a deleted row. At most 2,000 such rows are kept, as before.

--- a/crates/rw-fleet/src/cluster_state.rs
+++ b/crates/rw-fleet/src/cluster_state.rs
@@ -11,6 +11,7 @@
 
 use crate::contacts::Contacts;
 use crate::departures::Departures;
+use crate::kept_content::keep_newer_content;
 use crate::row_compression::{compress, decompress};
 use crate::snapshot::ReceivedStatus;
 use crate::{BackendServer, PlatformCodec, RequestedWeights, RowContent, Snapshot};
@@ -231,6 +232,10 @@
             return false;
         }
         let mut row = compress(row);
+        let is_server = *row.table == *self.codec.tables().servers;
+        if is_server && row.deleted && row.value.as_ref().is_empty() {
+            keep_newer_content(&mut row, state.rows.get(&row_key));
+        }
         let content = match row.deleted {
             true => Ok(RowContent::Other),
             false => self.codec.decode(&decompress(&row)),
@@ -240,6 +245,7 @@
                 let departures = &mut state.departures;
                 if !self.apply_content(departures, snapshot, &row, content, first_read) {
                     keep_newer_content(&mut row, state.rows.get(&row_key));
+                    row.deleted |= is_server && !snapshot.servers.contains_key(&row.key);
                 }
             }
             Err(err) => {
@@ -312,6 +318,7 @@
                 let wrote_later =
                     |old: &&Arc<BackendServer>| conflict(old) && old.written_at > server.written_at;
                 if snapshot.servers.values().any(|old| wrote_later(&old)) {
+                    departures.record(&server);
                     return true;
                 }
                 for old in snapshot.servers.values().filter(|old| conflict(old)) {
@@ -356,6 +363,8 @@
                 departures.record(&server);
                 let detail = format!("server={} gone=true row_version={}", row.key, row.version);
                 self.recorder.emit(Event::ServerChanged, &detail);
+            } else {
+                departures.record_tombstone(&*self.codec, row);
             }
         } else if *row.table == *tables.daemons {
             snapshot.daemons.remove(&row.key);
@@ -367,15 +376,6 @@
     Revision::from(version).era
 }
 
-// Other daemons that start from this row have to get the newer content, too, until
-// it is written again.
-fn keep_newer_content(row: &mut StoredRow, known: Option<&StoredRow>) {
-    if let Some(known) = known.filter(|known| !known.deleted) {
-        row.value = known.value.clone();
-        row.packed = known.packed;
-    }
-}
-
 fn prune_tombstones(state: &mut State) {
     let deleted = state.rows.values().filter(|row| row.deleted);
     let mut versions: Vec<u64> = deleted.map(|row| row.version).collect();
--- a/crates/rw-fleet/src/departures.rs
+++ b/crates/rw-fleet/src/departures.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeMap;
 
 use rw_platform::Revision;
-use rw_protocol::Name;
+use rw_protocol::{Name, StoredRow};
 
-use crate::BackendServer;
+use crate::row_compression::decompress;
+use crate::{BackendServer, PlatformCodec, RowContent};
 
 /// Maximum number of departures that are remembered; the oldest are dropped first.
 const MAX_DEPARTURES: usize = 2000;
@@ -41,6 +42,19 @@
         }
     }
 
+    /// Records that a server left before this daemon learned of it, with the content that
+    /// its deleted row kept.
+    pub fn record_tombstone<D: PlatformCodec>(&mut self, codec: &D, row: &StoredRow) {
+        if !row.deleted || row.value.as_ref().is_empty() {
+            return;
+        }
+        match codec.decode(&decompress(row)) {
+            Ok(RowContent::Server(server)) => self.record(&server),
+            Ok(_) => log::debug!("deleted row {} held no server", row.key),
+            Err(err) => log::debug!("content of deleted row {} is unreadable: {err}", row.key),
+        }
+    }
+
     /// Whether a row is an older copy, of an earlier heartbeat than the one before the
     /// server left. Within one era the store's versions order the rows.
     pub fn is_outdated(&self, server: &BackendServer) -> bool {
--- a/crates/rw-fleet/src/lib.rs
+++ b/crates/rw-fleet/src/lib.rs
@@ -15,6 +15,7 @@
 mod error;
 mod follow;
 pub mod host;
+mod kept_content;
 mod peer_selection;
 mod peers;
 mod random;
--- a/crates/rw-fleet/tests/common/mod.rs
+++ b/crates/rw-fleet/tests/common/mod.rs
@@ -108,7 +108,9 @@
     })
 }
 
-pub fn cluster() -> Arc<ClusterState<TextCodec>> {
+pub type TextCluster = ClusterState<TextCodec>;
+
+pub fn cluster() -> Arc<TextCluster> {
     ClusterState::new(
         Arc::new(text_codec()),
         Recorder::new("d".into(), Metrics::new()),
--- a/crates/rw-fleet/tests/eras.rs
+++ b/crates/rw-fleet/tests/eras.rs
@@ -116,6 +116,42 @@
     assert!(accepts());
 }
 
+// Guards against a daemon that starts from a peer and brings a server back that left
+// before, because the peer's rows do not say so.
+#[rstest]
+#[case::gone(row("servers", "a", at(1, 60), ""))]
+#[case::draining(server("a", at(1, 60), "10.0.0.1:1 draining 100 8"))]
+#[case::replaced_by_earlier_id(server("0", at(1, 60), "10.0.0.1:1"))]
+#[case::replaced_by_later_id(server("b", at(1, 60), "10.0.0.1:1"))]
+fn departure_reaches_daemons_that_start_later(
+    #[case] leaving: StoredRow,
+    #[values(false, true)] peer_has_read_the_copy: bool,
+) {
+    let (cluster, later) = (cluster(), common::cluster());
+    let ready = "10.0.0.1:1 ready 100 7";
+    for row in [server("a", at(1, 50), ready), leaving] {
+        let known = [table_version("servers", row.version)];
+        cluster.apply(vec![row], &known);
+    }
+    let read_copy = |cluster: &common::TextCluster| {
+        let rows = vec![server("a", at(2, 50), ready)];
+        cluster.replace_table(&"servers".into(), rows, at(2, 51));
+    };
+    if peer_has_read_the_copy {
+        read_copy(&cluster);
+    }
+    later.apply(cluster.rows_since(&[]), &cluster.table_versions());
+    read_copy(&later);
+    let accepts = || {
+        let snapshot = later.snapshot();
+        snapshot.servers.get("a").is_some_and(|server| server.ready)
+    };
+    assert!(!accepts());
+    let heartbeat = server("a", at(2, 53), "10.0.0.1:1 ready 100 9");
+    later.apply(vec![heartbeat], &[table_version("servers", at(2, 53))]);
+    assert!(accepts());
+}
+
 #[test]
 fn another_run_under_the_id_of_a_server_that_left_is_used() {
     let cluster = cluster();
