Requests between daemons end with their last data

Seen: a request to another daemon failed with "inactive stream" although it had been answered. An entry that starts gave up on the only running one, in 3 of about 140 runs of the tests of its start beside other work; load reports and chunk requests can meet it too.

Cause: the client sent the message and the end of the stream in two steps. A peer that answered between them closed the stream, and the second step failed.

Ruled out: time limits (the failure came after less than 1 ms) and a peer that was gone (it answered the next request).

Change: the last data frame carries the end of the stream.

Test last_data_of_a_request_ends_its_stream: red in 3 of 3 runs before, green in 5 of 5 after.

--- a/crates/rw-peer/src/client.rs
+++ b/crates/rw-peer/src/client.rs
@@ -51,9 +51,7 @@
         let head = head.map_err(|err| Error::Unreachable(err.to_string()))?;
         let unreachable = |err: h2::Error| Error::Unreachable(err.to_string());
         let (response, stream) = sender.send_request(head, false).map_err(unreachable)?;
-        let mut tx = FrameTx::new(stream);
-        tx.send(req).await?;
-        tx.finish()?;
+        FrameTx::new(stream).send_last(req).await?;
         Ok(FrameRx::new(response.await?.into_body()))
     }
 
