A daemon that starts from a peer drops servers of the earlier era, too

Seen: a daemon that took its rows from a peer within 2.5 s after the store came back kept servers that never wrote again, for as long as it ran, and tried them.

Cause: whether rows of an earlier era may remain was noted only when a table known from one era advanced to the next. A daemon that learned both from a peer at once never did.

Change: it is noted as well when a table is learned together with rows of an earlier era. The rows are searched once for each table. `era` moves to a file of its own.

--- a/crates/rw-fleet/src/cluster_state.rs
+++ b/crates/rw-fleet/src/cluster_state.rs
@@ -11,6 +11,7 @@
 
 use crate::contacts::Contacts;
 use crate::departures::Departures;
+use crate::eras::{era, has_earlier_rows};
 use crate::kept_content::keep_newer_content;
 use crate::row_compression::{compress, decompress};
 use crate::snapshot::ReceivedStatus;
@@ -95,6 +96,8 @@
             changed |= self.apply_row(&mut state, &mut snapshot, row, first_read);
         }
         for table in table_versions {
+            let is_first = !state.table_versions.contains_key(&table.table);
+            let has_earlier_rows = is_first && has_earlier_rows(state.rows.values(), table);
             let known = state.table_versions.entry(table.table.clone()).or_default();
             let starts_era = *known > 0 && era(table.version) > era(*known);
             if starts_era {
@@ -106,7 +109,7 @@
                 self.recorder.emit(Event::StoreRestored, &detail);
             }
             *known = (*known).max(table.version);
-            state.has_earlier_eras |= starts_era;
+            state.has_earlier_eras |= starts_era || has_earlier_rows;
             changed |= starts_era;
         }
         prune_tombstones(&mut state);
@@ -372,10 +375,6 @@
     }
 }
 
-fn era(version: u64) -> u32 {
-    Revision::from(version).era
-}
-
 fn prune_tombstones(state: &mut State) {
     let deleted = state.rows.values().filter(|row| row.deleted);
     let mut versions: Vec<u64> = deleted.map(|row| row.version).collect();
--- a/crates/rw-fleet/src/lib.rs
+++ b/crates/rw-fleet/src/lib.rs
@@ -12,6 +12,7 @@
 mod context;
 mod departures;
 pub mod entry;
+mod eras;
 mod error;
 mod follow;
 pub mod host;
--- a/crates/rw-fleet/tests/eras.rs
+++ b/crates/rw-fleet/tests/eras.rs
@@ -186,6 +186,25 @@
     assert!(!cluster.has_earlier_eras());
 }
 
+// Guards against a daemon that starts from a peer just after the return and keeps, for as
+// long as it runs, a server that never wrote again.
+#[test]
+fn rows_of_an_earlier_era_that_a_peer_still_has_are_dropped_like_own_ones() {
+    let (cluster, later) = (cluster(), common::cluster());
+    let rows = vec![
+        server("a", at(1, 50), "10.0.0.1:1"),
+        server("b", at(1, 60), "10.0.0.2:1"),
+    ];
+    cluster.apply(rows, &[table_version("servers", at(1, 61))]);
+    let copy = vec![server("a", at(2, 50), "10.0.0.1:1")];
+    cluster.replace_table(&"servers".into(), copy, at(2, 55));
+    later.apply(cluster.rows_since(&[]), &cluster.table_versions());
+    assert_eq!(ids(&later.snapshot()), ["a", "b"]);
+    assert!(later.has_earlier_eras());
+    later.drop_earlier_eras();
+    assert_eq!(ids(&later.snapshot()), ["a"]);
+}
+
 #[test]
 fn two_returns_in_a_row_keep_the_order() {
     let cluster = cluster();
