An entry that starts takes over what running entries know

Seen: an entry that started after the store came back from an older copy, or whose first read of the store lagged, was ready with the older configuration. Until operators wrote again it admitted revoked keys, accepted old weights and used servers that had left.

Cause: a starting entry took only the store's tables. Once it had read them, their versions equalled those of the running entries, so nobody noticed that it knew less.

Ruled out: a decision by the era. It says that the store came back, but not when, and a read that lags shows the fault without one. Merging rows of equal versions afterwards: the entry would be ready before.

Change: the first reads of the operators' and servers' tables take effect after the rows of a running entry, which is asked as soon as the store lists the entries. Store readers are followed afterwards. Event StateTakenOver says which entry answered.

--- a/crates/rw-fleet/src/follow.rs
+++ b/crates/rw-fleet/src/follow.rs
@@ -9,6 +9,7 @@
 
 use crate::peer_selection::{known_entries, nearest, store_readers};
 use crate::seeds::{discover_entries, STARTUP_RETRY_DELAY};
+use crate::startup::{take_over_rows, wait_for_end, StartupGate};
 use crate::store_feed::{follow_store, should_follow_store, sync_all_tables};
 use crate::{Cx, FleetRole, PlatformCodec};
 use rw_coord::Backoff;
@@ -90,11 +91,20 @@
     }
     let tables = cx.codec.tables();
     let tables = [tables.operator, tables.servers, tables.daemons];
+    let (listed_tx, listed) = flume::bounded(0);
+    let (taken_over_tx, taken_over) = flume::bounded(0);
+    tokio::spawn(take_over_rows(cx.clone(), listed, taken_over_tx));
     for (index, table) in tables.into_iter().enumerate() {
-        tokio::spawn(follow_store(cx.clone(), store.clone(), index, table));
+        let gate = match table == cx.codec.tables().daemons {
+            true => StartupGate::Lists {
+                _listed: listed_tx.clone(),
+            },
+            false => StartupGate::Waits(taken_over.clone()),
+        };
+        tokio::spawn(follow_store(cx.clone(), store.clone(), index, table, gate));
     }
     for index in 0..FOLLOWED_READERS {
-        tokio::spawn(follow_reader(cx.clone(), index));
+        tokio::spawn(follow_reader(cx.clone(), index, taken_over.clone()));
     }
     tokio::spawn(poll_entries_while_disconnected(cx.clone()));
 }
@@ -102,7 +112,13 @@
 // Follows the store reader at `index` among the nearest. When it does not
 // answer, moves on to the next one, and the entry reads the store itself for a
 // while.
-async fn follow_reader<D: PlatformCodec>(cx: Arc<Cx<D>>, index: usize) {
+async fn follow_reader<D: PlatformCodec>(
+    cx: Arc<Cx<D>>,
+    index: usize,
+    taken_over: flume::Receiver<()>,
+) {
+    // Before that, a reader would send all rows once more.
+    wait_for_end(&taken_over).await;
     let mut failures = 0;
     loop {
         let readers = nearest(&cx, store_readers(&cx));
@@ -247,7 +263,7 @@
     }
 }
 
-async fn request_rows<D: PlatformCodec>(
+pub(crate) async fn request_rows<D: PlatformCodec>(
     cx: &Cx<D>,
     addr: &Name,
     wait: Duration,
--- a/crates/rw-fleet/src/lib.rs
+++ b/crates/rw-fleet/src/lib.rs
@@ -26,6 +26,7 @@
 mod seeds;
 mod settings;
 mod snapshot;
+mod startup;
 mod store_feed;
 mod weights_ages;
 
--- a/crates/rw-fleet/src/store_feed.rs
+++ b/crates/rw-fleet/src/store_feed.rs
@@ -11,6 +11,7 @@
 
 use crate::follow::{MAX_RETRY_DELAY, MIN_RETRY_DELAY, OUTAGE_POLL_INTERVAL};
 use crate::peer_selection::{store_readers, MAX_STORE_READERS};
+use crate::startup::StartupGate;
 use crate::{Bounds, Cx, Daemon, PlatformCodec};
 
 /// Longest long-poll timeout at the store. Long, since each long poll is a billed
@@ -83,6 +84,7 @@
     store: S,
     index: usize,
     table: &'static str,
+    mut gate: StartupGate,
 ) {
     let mut backoff = Backoff::new(
         MIN_RETRY_DELAY,
@@ -101,9 +103,12 @@
             continue;
         }
         let result = match initialized {
-            false => sync_table(&cx, &store, &name, failed_reads).await,
+            false => sync_table(&cx, &store, &name, failed_reads, &gate).await,
             true => sync_changes(&cx, &store, &name).await,
         };
+        if matches!(gate, StartupGate::Lists { .. }) {
+            gate = StartupGate::Open;
+        }
         match result {
             Ok(()) => {
                 initialized = true;
@@ -168,12 +173,14 @@
     store: &S,
     table: &Name,
     failed_reads: u32,
+    gate: &StartupGate,
 ) -> Result<(), FeedError> {
     let limit = table_timeout(&cx.settings.bounds, failed_reads);
     let read = tokio::time::timeout(limit, store.read_table(table)).await;
     let read = read
         .map_err(|_| timeout_error())?
         .map_err(FeedError::Failed)?;
+    gate.wait().await;
     cx.cluster.replace_table(table, read.rows, read.version);
     Ok(())
 }
@@ -219,10 +226,11 @@
 /// Reads all tables once.
 pub async fn sync_all_tables<S: TableFeed, D: PlatformCodec>(cx: &Cx<D>, store: &S) {
     let tables = cx.codec.tables();
+    let gate = StartupGate::Open;
     for table in [tables.operator, tables.servers, tables.daemons] {
-        if let Err(err) =
-            sync_table(cx, store, &Name::from(table), MAX_TABLE_TIMEOUT_DOUBLINGS).await
-        {
+        let name = Name::from(table);
+        let read = sync_table(cx, store, &name, MAX_TABLE_TIMEOUT_DOUBLINGS, &gate).await;
+        if let Err(err) = read {
             log::debug!("reading table {table} from the store failed: {err:?}");
             return;
         }
--- a/crates/rw-observe/src/catalogue.rs
+++ b/crates/rw-observe/src/catalogue.rs
@@ -94,6 +94,7 @@
     709 StageRepaired Warn "Staged weights did not match their digests and were staged again." "If it recurs, check the backend server.";
     710 StoreRestored Warn "The store came back from an older copy; its complete tables are read again." "Write again what the copy lacks; configuration and weights in force stay.";
     711 ServerNotice Info "A backend server said that it is leaving, or asked for a pause." "Nothing, unless no other server is left.";
+    712 StateTakenOver Info "An entry that starts took over what a running entry knows, or none answered." "Nothing. If none answers although entries run, check the network.";
 }
 
 /// Renders the event catalogue as a Markdown page.
