--- a/crates/rw-fleet/src/cluster_state.rs
+++ b/crates/rw-fleet/src/cluster_state.rs
@@ -12,6 +12,8 @@
 
 use crate::contacts::Contacts;
 use crate::departures::Departures;
+use crate::eras::{era, has_earlier_rows};
+use crate::kept_content::keep_newer_content;
 use crate::requested_weights::push_requested;
 use crate::row_compression::{compress, decompress};
 use crate::server_statuses::remove_outdated_status;
@@ -97,6 +99,8 @@
             changed |= self.apply_row(&mut state, &mut snapshot, row, first_read);
         }
         for table in table_versions {
+            let is_first = !state.table_versions.contains_key(&table.table);
+            let has_earlier_rows = is_first && has_earlier_rows(state.rows.values(), table);
             let known = state.table_versions.entry(table.table.clone()).or_default();
             let starts_era = *known > 0 && era(table.version) > era(*known);
             if starts_era {
@@ -108,7 +112,7 @@
                 self.recorder.emit(Event::StoreRestored, &detail);
             }
             *known = (*known).max(table.version);
-            state.has_earlier_eras |= starts_era;
+            state.has_earlier_eras |= starts_era || has_earlier_rows;
             changed |= starts_era;
         }
         prune_tombstones(&mut state);
@@ -216,6 +220,10 @@
             return false;
         }
         let mut row = compress(row);
+        let is_server = *row.table == *self.codec.tables().servers;
+        if is_server && row.deleted && row.value.as_ref().is_empty() {
+            keep_newer_content(&mut row, state.rows.get(&row_key));
+        }
         let content = match row.deleted {
             true => Ok(RowContent::Other),
             false => self.codec.decode(&decompress(&row)),
@@ -225,6 +233,7 @@
                 let departures = &mut state.departures;
                 if !self.apply_content(departures, snapshot, &row, content, first_read) {
                     keep_newer_content(&mut row, state.rows.get(&row_key));
+                    row.deleted |= is_server && !snapshot.servers.contains_key(&row.key);
                 }
             }
             Err(err) => {
@@ -298,6 +307,7 @@
                 let wrote_later =
                     |old: &&Arc<BackendServer>| conflict(old) && old.written_at > server.written_at;
                 if snapshot.servers.values().any(|old| wrote_later(&old)) {
+                    departures.record(&server);
                     return true;
                 }
                 for old in snapshot.servers.values().filter(|old| conflict(old)) {
@@ -346,6 +356,8 @@
                 departures.record(&server);
                 let detail = format!("server={} gone=true row_version={}", row.key, row.version);
                 self.recorder.emit(Event::ServerChanged, &detail);
+            } else {
+                departures.record_tombstone(&*self.codec, row);
             }
         } else if *row.table == *tables.daemons {
             snapshot.daemons.remove(&row.key);
@@ -354,19 +366,6 @@
     }
 }
 
-fn era(version: u64) -> u32 {
-    Revision::from(version).era
-}
-
-// Other daemons that start from this row have to get the newer content, too, until
-// it is written again.
-fn keep_newer_content(row: &mut StoredRow, known: Option<&StoredRow>) {
-    if let Some(known) = known.filter(|known| !known.deleted) {
-        row.value = known.value.clone();
-        row.packed = known.packed;
-    }
-}
-
 fn prune_tombstones(state: &mut State) {
     let deleted = state.rows.values().filter(|row| row.deleted);
     let mut versions: Vec<u64> = deleted.map(|row| row.version).collect();
--- a/crates/rw-observe/src/catalogue.rs
+++ b/crates/rw-observe/src/catalogue.rs
@@ -96,6 +96,7 @@
     711 ServerNotice Info "A backend server said that it is leaving, or asked for a pause." "Nothing, unless no other server is left.";
     712 WeightsRequired Info "An entry sends requests only to backend servers with this version of the weights or a newer one." "If servers still hold older weights, check why their rollout is late.";
     713 WeightsRecorded Info "The times at which weights were requested were recorded in the platform's store." "Nothing.";
+    714 StateTakenOver Info "An entry that starts took over what a running entry knows, or none answered." "Nothing. If none answers although entries run, check the network.";
 }
 
 /// Renders the event catalogue as a Markdown page.
