Failure messages of the load tests name the reason that callers were told

Cause: the test caller kept only the time to come back of a "not run" answer.

Change: Outcome::NotRun holds the request id, the reason and the time to come back. assert_all_answered fails under the same condition as before (any request without an answer) and prints, for each, what its caller was told, and the daemons' log lines about these requests and those at level warn and above.

--- a/crates/rw-standins/src/caller.rs
+++ b/crates/rw-standins/src/caller.rs
@@ -6,13 +6,24 @@
 
 const REQUEST_TIMEOUT_S: u64 = 40;
 
+/// Why a call did not run, as told to its caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Id that the entry gave the call.
+    pub request_id: String,
+    /// Reason that the entry gave.
+    pub reason: String,
+    /// Time after which the caller may retry, in milliseconds.
+    pub retry_after_ms: u64,
+}
+
 /// Result of a call as seen by its caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Outcome {
     /// The complete answer, produced by this model version.
     Answered(String),
-    /// The call did not run and may be retried after this many milliseconds.
-    NotRun(u64),
+    /// The call did not run and may be retried.
+    NotRun(Refusal),
     /// A call with the same idempotency key is running.
     InProgress,
     /// The call may have run.
@@ -108,7 +119,11 @@
     let body: Value = serde_json::from_slice(res.as_bytes()).unwrap_or_default();
     let error = &body["error"];
     match error["outcome"].as_str() {
-        Some("not_run") => Outcome::NotRun(error["retry_after_ms"].as_u64().unwrap_or(0)),
+        Some("not_run") => Outcome::NotRun(Refusal {
+            request_id: error["request_id"].as_str().unwrap_or("").to_string(),
+            reason: error["reason"].as_str().unwrap_or("").to_string(),
+            retry_after_ms: error["retry_after_ms"].as_u64().unwrap_or(0),
+        }),
         Some("in_progress") => Outcome::InProgress,
         Some("unknown") => Outcome::Unknown,
         _ => Outcome::Refused(res.status_code),
--- a/crates/rw-standins/src/cluster.rs
+++ b/crates/rw-standins/src/cluster.rs
@@ -20,7 +20,7 @@
 pub struct Cluster {
     /// Parsed deployment file.
     pub deployment: Deployment,
-    log_dir: PathBuf,
+    pub(crate) log_dir: PathBuf,
     settings_path: PathBuf,
     bin_dir: PathBuf,
     proxy_addr: Option<String>,
--- a/crates/rw-standins/src/lib.rs
+++ b/crates/rw-standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cluster;
 pub mod engine;
 pub mod layout;
+mod logs;
 pub mod measure;
 pub mod model;
 pub mod plain;
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -236,7 +236,7 @@
     });
     let refused = outcomes
         .iter()
-        .filter(|(_, o)| matches!(o, Outcome::NotRun(after) if *after > 0))
+        .filter(|(_, o)| matches!(o, Outcome::NotRun(refusal) if refusal.retry_after_ms > 0))
         .count();
     let answered = outcomes
         .iter()
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -282,7 +282,7 @@
     });
     let answer = charge(&cluster, 0, "order-1");
     assert!(
-        matches!(answer, Outcome::NotRun(after) if after > 0),
+        matches!(&answer, Outcome::NotRun(refusal) if refusal.retry_after_ms > 0),
         "{answer:?}"
     );
     assert_eq!(run_count(&cluster, "order-1"), 0);
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -13,7 +13,7 @@
 use rw_standins::layout::{intent, Layout};
 use rw_standins::plain::unix_ms;
 use rw_standins::platform::PlatformFaults;
-use rw_tests::{deploy_v1, unanswered, LoadGenerator};
+use rw_tests::{assert_all_answered, deploy_v1, unanswered, LoadGenerator};
 
 const ENGINES: usize = 4;
 const STREAMS: usize = 24;
@@ -56,11 +56,7 @@
         (load.count() > before + 100).then_some(())
     });
     let outcomes = load.stop();
-    assert!(
-        unanswered(&outcomes).is_empty(),
-        "{:?}",
-        unanswered(&outcomes)
-    );
+    assert_all_answered(&cluster, &outcomes);
     let last = last_run_ms(&cluster, "engine-0").saturating_sub(stop_sent_at_ms);
     assert!(
         last <= MAX_NEW_WORK_MS,
@@ -77,11 +73,7 @@
     let listed_at_ms = unix_ms();
     std::thread::sleep(Duration::from_millis(MAX_NEW_WORK_MS + 500));
     let outcomes = load.stop();
-    assert!(
-        unanswered(&outcomes).is_empty(),
-        "{:?}",
-        unanswered(&outcomes)
-    );
+    assert_all_answered(&cluster, &outcomes);
     let last = last_run_ms(&cluster, "engine-1").saturating_sub(listed_at_ms);
     assert!(
         last <= MAX_NEW_WORK_MS,
@@ -149,11 +141,7 @@
         assert!(start.elapsed() < Duration::from_secs(30));
     }
     let outcomes = load.stop();
-    assert!(
-        unanswered(&outcomes).is_empty(),
-        "{:?}",
-        unanswered(&outcomes)
-    );
+    assert_all_answered(&cluster, &outcomes);
 }
 
 // A caller that reads slowly gets its complete answer although the entry stops
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -114,3 +114,28 @@
     let answered = |o: &Outcome| matches!(o, Outcome::Answered(_));
     outcomes.iter().filter(|(_, o)| !answered(o)).collect()
 }
+
+/// Fails unless every request was answered. The message has what the callers of
+/// the others were told, and the daemons' log lines about these requests and about
+/// anything unusual.
+#[track_caller]
+pub fn assert_all_answered(cluster: &Cluster, outcomes: &[(String, Outcome)]) {
+    let unanswered = unanswered(outcomes);
+    if unanswered.is_empty() {
+        return;
+    }
+    // Lines name a request by its id, or by the key of a charge.
+    let mut names: Vec<String> = Vec::new();
+    let mut message = format!("{} requests were not answered:\n", unanswered.len());
+    for (id, outcome) in unanswered {
+        names.push(format!("key={id} "));
+        if let Outcome::NotRun(refusal) = outcome {
+            names.push(format!("request={} ", refusal.request_id));
+        }
+        message.push_str(&format!("{id}: {outcome:?}\n"));
+    }
+    let is_unusual = |line: &str| line.contains("level=WARN") || line.contains("level=ERROR");
+    let is_about_them = |line: &str| names.iter().any(|name| format!("{line} ").contains(name));
+    let lines = cluster.log_lines(|line| is_unusual(line) || is_about_them(line));
+    panic!("{message}{}", lines.join("\n"));
+}
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -4,7 +4,7 @@
 use rw_standins::engine::Records;
 use rw_standins::layout::{intent, Layout};
 use rw_standins::model::model_hash;
-use rw_tests::{deploy_v1, unanswered, LoadGenerator, CHUNK_BYTES, MODEL_BYTES};
+use rw_tests::{assert_all_answered, deploy_v1, LoadGenerator, CHUNK_BYTES, MODEL_BYTES};
 
 const ENGINES: usize = 8;
 
@@ -50,11 +50,7 @@
     cluster.signal("engine-0", "TERM");
     assert_eq!(cluster.wait_exit("engine-0"), Some(0));
     let outcomes = load.stop();
-    assert!(
-        unanswered(&outcomes).is_empty(),
-        "{:?}",
-        unanswered(&outcomes)
-    );
+    assert_all_answered(&cluster, &outcomes);
 
     for index in 0..ENGINES {
         let records: Records = cluster.records(&format!("engine-{index}"));
@@ -80,10 +76,6 @@
         (res.status_code == 503).then_some(())
     });
     let outcomes = load.stop();
-    assert!(
-        unanswered(&outcomes).is_empty(),
-        "{:?}",
-        unanswered(&outcomes)
-    );
+    assert_all_answered(&cluster, &outcomes);
     assert_eq!(cluster.wait_exit("entry-0"), Some(0));
 }
