Log why a call was answered "not run"

Seen: an entry answered "not run" and wrote no line about it; only the caller knew the reason and the request id.

Cause: respond() counted the outcome and logged nothing.

Change: one info line with request id, outcome, reason and time to come back. It is not an event: refusals under overload would push all other events out of the 4096 that the timeline keeps.

--- a/crates/rw-daemon/src/entry/caller_server.rs
+++ b/crates/rw-daemon/src/entry/caller_server.rs
@@ -130,6 +130,14 @@
 
 fn respond(entry: &Entry, request_id: &Name, outcome: CallOutcome) -> Response<Body> {
     entry.cx.recorder.metrics().count_call(outcome.name());
+    // Not an event: under overload, refusals would push all others out of the timeline.
+    if let CallOutcome::NotRun(reason, retry_after) = &outcome {
+        log::info!(
+            "request={request_id} outcome={} reason={reason:?} retry_after_ms={}",
+            outcome.name(),
+            retry_after.as_millis()
+        );
+    }
     outcome.into_response(request_id)
 }
 
--- a/tests/outcomes.rs
+++ b/tests/outcomes.rs
@@ -3,7 +3,7 @@
 use std::process::Command;
 
 use rw_protocol::EventRecord;
-use rw_standins::caller::call_plain_service;
+use rw_standins::caller::{call_plain_service, Outcome};
 use rw_standins::client::{get, wait_for};
 use rw_standins::cluster::Cluster;
 use rw_standins::layout::{intent, Layout};
@@ -127,7 +127,7 @@
     let url = cluster.entry_url("entry-0");
     wait_for("checkout answers", || {
         let answer = call_plain_service(&url, "arima", "stock", "", "x");
-        matches!(answer, rw_standins::caller::Outcome::Answered(_)).then_some(())
+        matches!(answer, Outcome::Answered(_)).then_some(())
     });
     cluster.set_behaviour(
         "plain-0",
@@ -144,6 +144,27 @@
     assert!(text.contains("key order-1"), "{text}");
 }
 
+// A caller was told that its call did not run, but no daemon's log said why.
+#[test]
+fn call_that_did_not_run_leaves_a_line_with_its_id_and_reason() {
+    let cluster = layout().start("not-run-line");
+    cluster.set_platform_faults(&PlatformFaults {
+        table_down: true,
+        ..PlatformFaults::default()
+    });
+    let url = cluster.entry_url("entry-0");
+    let answer = call_plain_service(&url, "penal", "charge", "order-1", "goat");
+    let Outcome::NotRun(refusal) = answer else {
+        panic!("{answer:?}");
+    };
+    assert!(refusal.reason.contains("table service is down"));
+    wait_for("the line", || {
+        let lines = cluster.log_lines(|l| l.contains(&format!("request={} ", refusal.request_id)));
+        let has_reason = |l: &String| l.contains(&format!("reason={:?}", refusal.reason));
+        lines.iter().any(has_reason).then_some(())
+    });
+}
+
 #[test]
 fn table_outage_and_recovery_are_reported() {
     let cluster = layout().start("outage");
