Withdraw a claim also when its write has not arrived yet

Seen: a charge was answered "not run, retry after 1 s". Its claim took effect after that, and repeats with its key were answered "in progress" for 35 s and then "unknown", though the charge never ran.

Cause: a claim whose write got no answer is withdrawn. The withdrawal read the row and was done when it was absent, or still that of an earlier attempt; the write could arrive later, and nothing closed it.

Ruled out: waiting longer before the read, as no wait bounds a write on its way.

Change: the withdrawal writes the row as "not run" in these cases, too, under the condition that the late write has. Whichever comes first, the other conflicts; if the withdrawal conflicts, it is repeated in the background as after any other failure.

--- a/crates/rw-ledger/src/ledger.rs
+++ b/crates/rw-ledger/src/ledger.rs
@@ -99,8 +99,8 @@
         }
     }
 
-    fn write_claim(&self, req: &ClaimRequest, version: u64) -> Result<ClaimOutcome> {
-        let claim = Claim {
+    fn new_claim(&self, req: &ClaimRequest) -> Claim {
+        Claim {
             team: req.team.clone(),
             key: req.key.clone(),
             request_hash: req.hash.clone(),
@@ -110,7 +110,11 @@
             body: String::new(),
             owner: self.owner.clone(),
             at_ms: unix_ms(),
-        };
+        }
+    }
+
+    fn write_claim(&self, req: &ClaimRequest, version: u64) -> Result<ClaimOutcome> {
+        let claim = self.new_claim(req);
         let index = IndexUpdate::Put(Put {
             key: index_key(req.attempt),
             value: claim_key(&req.team, &req.key),
@@ -173,18 +177,22 @@
         }
     }
 
-    /// Closes a claim as not run if its write, whose outcome was unknown, took
-    /// effect. This function blocks.
+    /// Closes a claim as not run, although the outcome of its write is unknown. This
+    /// function blocks.
+    ///
+    /// The write may still be on its way to the table service. A row that it could
+    /// change is therefore written, so that it conflicts.
     pub fn withdraw(&self, req: &ClaimRequest) -> Result<()> {
         let key = claim_key(&req.team, &req.key);
-        let Some(row) = self.platform.read(&key)? else {
-            return Ok(());
+        let (claim, version) = match self.platform.read(&key)? {
+            None => (self.new_claim(req), 0),
+            Some(row) => (parse(&key, &row.value)?, row.version),
+        };
+        let claim = match claim.state {
+            ClaimState::NotRun if claim.attempt != req.attempt => self.new_claim(req),
+            ClaimState::Started if claim.attempt == req.attempt => claim,
+            _ => return Ok(()),
         };
-        let claim = parse(&key, &row.value)?;
-        if claim.attempt != req.attempt || claim.state != ClaimState::Started {
-            return Ok(());
-        }
-        let version = row.version;
         self.close(OpenClaim { claim, version }, RecordedOutcome::NotRun)
     }
 
