Repeat a claim that the table service does not answer until the call's deadline

Seen: beside a high load a few callers of charges were answered "not run, retry after 1 s" during planned stops and a rollout, with almost 30 s of their deadline left. Of all ways to "not run", only a failed claim gives a time of 1 s.

Cause: one reply of the table service later than platform.timeout_ms (2 s) ended the call, whether it was the read before the claim (reported as if the platform had refused) or the write of the claim. The time for the claim did not count towards the deadline.

Ruled out: the paths of dispatcher (500 ms), host admission (10 to 200 ms) and backend servers (200 ms), which give other times; a late answer to a write that took effect, which is read back; a longer time limit, which moves the limit only.

Change: the ledger tells a read without an answer (NoAnswer) from a refusal. A claim without an answer is repeated, with the same attempt id, until the call's deadline; a row that holds the attempt is its own earlier write. The caller is answered at the deadline at the latest; a claim that succeeds after that is closed as not run. The run gets the time that the claim left. A refusal (503, no listener) is still answered at once. Each repeat leaves a line with the request id.

--- a/crates/rw-daemon/src/entry/at_most_once.rs
+++ b/crates/rw-daemon/src/entry/at_most_once.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use rw_coord::{unix_ms, Backoff};
-use rw_ledger::{ClaimOutcome, ClaimRequest, OpenClaim, RecordedOutcome};
+use rw_ledger::{ClaimOutcome, ClaimRequest, Error as LedgerError, OpenClaim, RecordedOutcome};
 use rw_observe::Event;
 use rw_protocol::{chunk_hash, rendezvous_rank, Name};
+use tokio::task::JoinHandle;
 
 use super::call::{run_call, BufferSink};
 use super::caller_server::InFlightGuard;
@@ -16,8 +17,11 @@
 use super::Entry;
 
 const RETRY_AFTER: Duration = Duration::from_secs(1);
+const DEADLINE_PASSED: &str = "the deadline passed before the call was claimed";
 const INITIAL_BACKOFF: Duration = Duration::from_millis(200);
 const MAX_BACKOFF: Duration = Duration::from_secs(10);
+/// Maximum delay between repeats of a claim, during which its caller waits.
+const MAX_CLAIM_BACKOFF: Duration = Duration::from_secs(2);
 /// Background attempts to close or withdraw a claim before it is reported as
 /// unresolved and left to operators.
 const MAX_CLOSE_ATTEMPTS: u32 = 30;
@@ -31,28 +35,86 @@
     if call.idempotent || call.idempotency_key.is_empty() {
         return run_buffered(entry, call).await;
     }
-    let req = ClaimRequest {
-        team: call.team.clone(),
-        key: call.idempotency_key.clone(),
-        hash: request_hash(call),
-        attempt: rand::random(),
+    let expires_at = entry.cx.now() + call.timeout;
+    let mut task = tokio::spawn(claim(entry.clone(), call.clone(), expires_at));
+    let Ok(claimed) = tokio::time::timeout(call.timeout, &mut task).await else {
+        tokio::spawn(abandon_claim(entry.clone(), task));
+        return CallOutcome::NotRun(DEADLINE_PASSED.to_string(), RETRY_AFTER);
     };
-    let (ledger, claim_req) = (entry.ledger.clone(), req.clone());
-    let claim_result = tokio::task::spawn_blocking(move || ledger.claim(&claim_req)).await;
-    match claim_result {
-        Ok(Ok(ClaimOutcome::Claimed(open))) => run_claimed(entry, call, open).await,
+    match claimed {
+        Ok(Ok(ClaimOutcome::Claimed(open))) => {
+            let time_left = expires_at.saturating_sub(entry.cx.now());
+            let call = CallerRequest {
+                timeout: time_left,
+                ..call.clone()
+            };
+            run_claimed(entry, &call, open).await
+        }
         Ok(Ok(ClaimOutcome::Answered(status, body))) => CallOutcome::Answered(status, body),
         Ok(Ok(ClaimOutcome::Mismatch)) => CallOutcome::Refused(RequestError::key_reused()),
         Ok(Ok(ClaimOutcome::Started(at_ms))) => already_started(entry, at_ms),
-        Ok(Err(err @ rw_ledger::Error::Unknown(_))) => {
-            tokio::spawn(withdraw_claim(entry.clone(), req));
-            CallOutcome::NotRun(err.to_string(), RETRY_AFTER)
-        }
         Ok(Err(err)) => CallOutcome::NotRun(err.to_string(), RETRY_AFTER),
         Err(err) => CallOutcome::NotRun(err.to_string(), RETRY_AFTER),
     }
 }
 
+// A table service that does not answer may only be slow: the claim is repeated until
+// the call's deadline. A table service that refuses ends the call at once.
+async fn claim(
+    entry: Arc<Entry>,
+    call: CallerRequest,
+    expires_at: Duration,
+) -> rw_ledger::Result<ClaimOutcome> {
+    let req = ClaimRequest {
+        team: call.team.clone(),
+        key: call.idempotency_key.clone(),
+        hash: request_hash(&call),
+        attempt: rand::random(),
+    };
+    let mut backoff = Backoff::new(INITIAL_BACKOFF, MAX_CLAIM_BACKOFF, req.attempt);
+    let mut may_be_written = false;
+    let mut result = claim_once(&entry, &req).await;
+    loop {
+        let err = match result {
+            Err(err) => err,
+            Ok(outcome) => return Ok(outcome),
+        };
+        may_be_written |= matches!(err, LedgerError::Unknown(_));
+        let delay = backoff.next_delay();
+        let time_left = expires_at.saturating_sub(entry.cx.now());
+        let turn = async {
+            tokio::time::sleep(delay).await;
+            entry.claim_repeats.acquire().await
+        };
+        let permit = match err.is_unanswered() && delay < time_left {
+            true => tokio::time::timeout(time_left, turn).await.ok(),
+            false => None,
+        };
+        let Some(_permit) = permit else {
+            if may_be_written {
+                tokio::spawn(withdraw_claim(entry.clone(), req));
+            }
+            return Err(err);
+        };
+        log::warn!("request={} claim is repeated: {err}", call.request_id);
+        result = claim_once(&entry, &req).await;
+    }
+}
+
+// The call was answered as not run while it was being claimed.
+async fn abandon_claim(entry: Arc<Entry>, task: JoinHandle<rw_ledger::Result<ClaimOutcome>>) {
+    let _in_flight = InFlightGuard::new(&entry);
+    if let Ok(Ok(ClaimOutcome::Claimed(open))) = task.await {
+        close_claim(&entry, open, RecordedOutcome::NotRun).await;
+    }
+}
+
+async fn claim_once(entry: &Arc<Entry>, req: &ClaimRequest) -> rw_ledger::Result<ClaimOutcome> {
+    let (ledger, req) = (entry.ledger.clone(), req.clone());
+    let result = tokio::task::spawn_blocking(move || ledger.claim(&req)).await;
+    result.unwrap_or_else(|err| Err(LedgerError::Unknown(err.to_string())))
+}
+
 async fn run_buffered(entry: &Arc<Entry>, call: &CallerRequest) -> CallOutcome {
     let mut body = BufferSink::default();
     match run_call(entry, call, &mut body).await {
@@ -62,7 +124,10 @@
 }
 
 async fn run_claimed(entry: &Arc<Entry>, call: &CallerRequest, open: OpenClaim) -> CallOutcome {
-    let outcome = run_buffered(entry, call).await;
+    let outcome = match call.timeout.is_zero() {
+        true => CallOutcome::NotRun(DEADLINE_PASSED.to_string(), RETRY_AFTER),
+        false => run_buffered(entry, call).await,
+    };
     let recorded = match &outcome {
         CallOutcome::Answered(status, body) => {
             Some(RecordedOutcome::Answered(*status, body.clone()))
--- a/crates/rw-daemon/src/entry/mod.rs
+++ b/crates/rw-daemon/src/entry/mod.rs
@@ -14,15 +14,21 @@
 
 use rw_ledger::Ledger;
 use rw_platform::HttpPlatform;
+use tokio::sync::Semaphore;
 
 use crate::Context;
 use std::sync::Arc;
 
+/// Claims that are repeated at the same time. Each takes a blocking thread until the
+/// platform's time limit.
+const MAX_CLAIM_REPEATS: usize = 64;
+
 /// State of an entry, beyond the [`Context`] that every daemon has.
 pub struct Entry {
     pub(crate) cx: Arc<Context>,
     pub(crate) dispatcher: Dispatcher,
     pub(crate) ledger: Ledger<HttpPlatform>,
+    pub(crate) claim_repeats: Semaphore,
 }
 
 impl Entry {
@@ -33,6 +39,7 @@
             cx,
             dispatcher,
             ledger,
+            claim_repeats: Semaphore::new(MAX_CLAIM_REPEATS),
         })
     }
 }
--- a/crates/rw-ledger/src/ledger.rs
+++ b/crates/rw-ledger/src/ledger.rs
@@ -82,6 +82,9 @@
     }
 
     /// Claims a call before it is dispatched. This function blocks.
+    ///
+    /// After [`Error::NoAnswer`] and [`Error::Unknown`] the same attempt may be
+    /// claimed again: at most one of its writes takes effect.
     pub fn claim(&self, req: &ClaimRequest) -> Result<ClaimOutcome> {
         let key = claim_key(&req.team, &req.key);
         let row = self.platform.read(&key)?;
@@ -89,14 +92,10 @@
             return self.write_claim(req, 0);
         };
         let claim = parse(&key, &row.value)?;
-        if claim.request_hash != req.hash {
-            return Ok(ClaimOutcome::Mismatch);
-        }
-        match claim.state {
-            ClaimState::Answered => self.recorded_answer(claim),
-            ClaimState::Started => Ok(ClaimOutcome::Started(claim.at_ms)),
-            ClaimState::NotRun => self.write_claim(req, row.version),
+        if claim.state == ClaimState::NotRun && claim.request_hash == req.hash {
+            return self.write_claim(req, row.version);
         }
+        self.recorded_claim(req, claim, row.version)
     }
 
     fn new_claim(&self, req: &ClaimRequest) -> Claim {
@@ -129,18 +128,30 @@
         }
     }
 
-    // Another attempt with the same key wrote its claim first: returns its outcome.
+    // Another write to the key took effect first: returns its outcome.
     fn resolve_conflict(&self, req: &ClaimRequest) -> Result<ClaimOutcome> {
         let key = claim_key(&req.team, &req.key);
         let Some(row) = self.platform.read(&key)? else {
             return Err(Error::Unavailable("the claim vanished".to_string()));
         };
-        let claim = parse(&key, &row.value)?;
+        self.recorded_claim(req, parse(&key, &row.value)?, row.version)
+    }
+
+    fn recorded_claim(
+        &self,
+        req: &ClaimRequest,
+        claim: Claim,
+        version: u64,
+    ) -> Result<ClaimOutcome> {
         if claim.request_hash != req.hash {
             return Ok(ClaimOutcome::Mismatch);
         }
         match claim.state {
             ClaimState::Answered => self.recorded_answer(claim),
+            // An earlier write of this attempt, whose answer was lost.
+            ClaimState::Started if claim.attempt == req.attempt => {
+                Ok(ClaimOutcome::Claimed(OpenClaim { claim, version }))
+            }
             _ => Ok(ClaimOutcome::Started(claim.at_ms)),
         }
     }
--- a/crates/rw-ledger/src/lib.rs
+++ b/crates/rw-ledger/src/lib.rs
@@ -18,6 +18,10 @@
         Unavailable(msg: String) {
             display("claims cannot be written now: {msg}")
         }
+        /// The platform did not answer in time; the claim was not written.
+        NoAnswer(msg: String) {
+            display("the claim could not be read: {msg}")
+        }
         /// The outcome of the write is unknown; the claim may have been written.
         Unknown(msg: String) {
             display("it is not known whether the claim was written: {msg}")
@@ -34,6 +38,21 @@
 
 impl From<rw_platform::Error> for Error {
     fn from(err: rw_platform::Error) -> Self {
-        Error::Unavailable(err.to_string())
+        match err {
+            rw_platform::Error::Unknown(msg) => Error::NoAnswer(msg),
+            err => Error::Unavailable(err.to_string()),
+        }
+    }
+}
+
+impl Error {
+    /// Whether the platform did not answer, in contrast to a refusal.
+    ///
+    /// ```
+    /// assert!(rw_ledger::Error::Unknown("timeout".into()).is_unanswered());
+    /// assert!(!rw_ledger::Error::Unavailable("down".into()).is_unanswered());
+    /// ```
+    pub fn is_unanswered(&self) -> bool {
+        matches!(self, Error::NoAnswer(_) | Error::Unknown(_))
     }
 }
--- a/crates/rw-ledger/tests/late_writes.rs
+++ b/crates/rw-ledger/tests/late_writes.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use rstest::rstest;
+use rw_coord::unix_ms;
 use rw_ledger::{ClaimOutcome, ClaimRequest, Error, Ledger, RecordedOutcome};
 use rw_platform::{Commit, Error as PlatformError, ObjectStore, Result, Row};
 use rw_platform::{TableService, Transaction};
@@ -13,6 +14,7 @@
     rows: BTreeMap<String, Row>,
     version: u64,
     hold_next: bool,
+    deliver_at_next: bool,
     held: Vec<Transaction>,
 }
 
@@ -43,6 +45,12 @@
             conflicts,
         }
     }
+
+    fn deliver(&mut self) {
+        for txn in std::mem::take(&mut self.held) {
+            self.apply(&txn);
+        }
+    }
 }
 
 /// A table that can hold back a commit: its caller gets no answer, and it takes
@@ -60,10 +68,7 @@
     }
 
     fn deliver_held_commits(&self) {
-        let mut state = self.state();
-        for txn in std::mem::take(&mut state.held) {
-            state.apply(&txn);
-        }
+        self.state().deliver();
     }
 }
 
@@ -74,6 +79,9 @@
             state.held.push(txn.clone());
             return Err(PlatformError::Unknown("no answer".into()));
         }
+        if std::mem::take(&mut state.deliver_at_next) {
+            state.deliver();
+        }
         Ok(state.apply(txn))
     }
 
@@ -138,3 +146,37 @@
     let third = ledger.claim(&request(3));
     assert!(matches!(third, Ok(ClaimOutcome::Started(_))), "{third:?}");
 }
+
+// A charge whose claim was written late could only be answered "in progress",
+// although it was not running.
+#[rstest]
+#[case::written_before_the_repeat("before")]
+#[case::written_during_the_repeat("during")]
+#[case::written_after_the_repeat("after")]
+fn repeated_claim_of_one_attempt_is_held_once(#[case] delivery: &str) {
+    let (table, ledger) = ledger(false);
+    table.hold_next_commit();
+    let claim = ledger.claim(&request(1));
+    assert!(matches!(claim, Err(Error::Unknown(_))), "{claim:?}");
+    match delivery {
+        "before" => table.deliver_held_commits(),
+        "during" => table.state().deliver_at_next = true,
+        _ => {}
+    }
+    // Both writes of the attempt have the time in their value.
+    let written_at_ms = unix_ms();
+    while unix_ms() == written_at_ms {
+        std::thread::yield_now();
+    }
+    let repeated = ledger.claim(&request(1));
+    table.deliver_held_commits();
+    let Ok(ClaimOutcome::Claimed(open)) = repeated else {
+        panic!("{repeated:?}");
+    };
+    let other = ledger.claim(&request(2));
+    assert!(matches!(other, Ok(ClaimOutcome::Started(_))), "{other:?}");
+    let answer = RecordedOutcome::Answered(200, b"done".to_vec());
+    assert_eq!(ledger.close(open, answer), Ok(()));
+    let recorded = ClaimOutcome::Answered(200, b"done".to_vec());
+    assert_eq!(ledger.claim(&request(2)), Ok(recorded));
+}
--- a/crates/rw-standins/src/platform.rs
+++ b/crates/rw-standins/src/platform.rs
@@ -17,6 +17,9 @@
 /// Chunks that the weight store serves in one window.
 const STORE_CHUNKS_PER_WINDOW: u32 = 20;
 
+/// Prefix of the keys of claims.
+const CLAIM_PREFIX: &str = "claim/";
+
 /// Faults that the platform injects. Tests change them at run time.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -26,6 +29,13 @@
     pub table_down: bool,
     /// Delay of each request to the table service in milliseconds.
     pub table_delay_ms: u64,
+    /// Delay in milliseconds of the requests that `slow_claim_reads` and
+    /// `slow_claim_commits` count.
+    pub slow_claim_ms: u64,
+    /// Number of the next reads of a claim to delay.
+    pub slow_claim_reads: u32,
+    /// Number of the next commits with a claim to delay before they take effect.
+    pub slow_claim_commits: u32,
     /// Apply every nth commit but close the connection without a response; 0
     /// disables this.
     pub lose_every: u64,
@@ -208,6 +218,9 @@
         if faults.table_down {
             return req.reply(503, &"table service is down");
         }
+        if self.take_slow_claim(&req) {
+            std::thread::sleep(Duration::from_millis(faults.slow_claim_ms));
+        }
         match req.path.as_str() {
             "/table/commit" => self.commit_transaction(req, &faults),
             "/table/row" => self.get_row(req),
@@ -216,6 +229,21 @@
         }
     }
 
+    // Whether to delay this request, which then counts.
+    fn take_slow_claim(&self, req: &Request) -> bool {
+        let mut state = self.state();
+        let left = match req.path.as_str() {
+            "/table/row" if req.query_value("key").starts_with(CLAIM_PREFIX) => {
+                &mut state.faults.slow_claim_reads
+            }
+            "/table/commit" if has_claim(req) => &mut state.faults.slow_claim_commits,
+            _ => return false,
+        };
+        let is_slow = *left > 0;
+        *left = left.saturating_sub(1);
+        is_slow
+    }
+
     fn commit_transaction(&self, req: Request, faults: &PlatformFaults) {
         let txn = match req.json::<Transaction>() {
             Ok(txn) => txn,
@@ -352,6 +380,11 @@
     }
 }
 
+fn has_claim(req: &Request) -> bool {
+    let txn = req.json::<Transaction>();
+    txn.is_ok_and(|txn| txn.puts.iter().any(|p| p.key.starts_with(CLAIM_PREFIX)))
+}
+
 /// Serves the platform until the process ends.
 pub fn run(addr: &str) -> std::io::Result<()> {
     let platform = Arc::new(Platform {
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -13,7 +13,7 @@
 use rw_standins::layout::{intent, Layout};
 use rw_standins::plain::unix_ms;
 use rw_standins::platform::PlatformFaults;
-use rw_tests::{assert_all_answered, deploy_v1, unanswered, LoadGenerator};
+use rw_tests::{assert_all_answered, deploy_v1, is_charge, unanswered, LoadGenerator};
 
 const ENGINES: usize = 4;
 const STREAMS: usize = 24;
@@ -218,9 +218,3 @@
     cluster.set_platform_faults(&PlatformFaults::default());
     cluster.wait_fulfilled("entry-0", "cuts", "v2");
 }
-
-// Every fourth request of each caller is a charge.
-fn is_charge(id: &str) -> bool {
-    let number = id.rsplit('-').next().and_then(|n| n.parse::<u32>().ok());
-    number.is_some_and(|n| n.is_multiple_of(4))
-}
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -103,6 +103,12 @@
     }
 }
 
+/// Whether the request of a [`LoadGenerator`] with this id is a charge.
+pub fn is_charge(id: &str) -> bool {
+    let number = id.rsplit('-').next().and_then(|n| n.parse::<u32>().ok());
+    number.is_some_and(|n| n.is_multiple_of(4))
+}
+
 /// Requests that were neither answered nor reported as not run.
 pub fn failures(outcomes: &[(String, Outcome)]) -> Vec<&(String, Outcome)> {
     let acceptable = |o: &Outcome| matches!(o, Outcome::Answered(_) | Outcome::NotRun(_));
