End a request to a daemon together with its last part

Seen: beside six busy processes (load average 22) 31 charges were answered "unknown" in 20 runs of the planned stop and rollout tests, with event 500 and reason "stream broke: user error: inactive stream", and event 504, as their claims stayed open. Calls that may be repeated take the same path and are sent again.

Cause: PeerPool::open sent the message and then, as a frame of its own, the end of the stream. A host acts on the message. If it answered before the end was queued, it closed the stream, sending the end failed, and the answer that had arrived was dropped.

Ruled out: hosts that stop and engines, as charges go to plain services, which did not stop; time limits and pings, which give other errors.

Change: FrameTx::send_last puts the end of the stream on the last part; requests use it.

--- a/crates/rw-peer/src/client.rs
+++ b/crates/rw-peer/src/client.rs
@@ -52,8 +52,7 @@
         let unreachable = |err: h2::Error| Error::Unreachable(err.to_string());
         let (response, stream) = sender.send_request(head, false).map_err(unreachable)?;
         let mut tx = FrameTx::new(stream);
-        tx.send(req).await?;
-        tx.finish()?;
+        tx.send_last(req).await?;
         Ok(FrameRx::new(response.await?.into_body()))
     }
 
--- a/crates/rw-peer/src/wire.rs
+++ b/crates/rw-peer/src/wire.rs
@@ -20,13 +20,23 @@
 
     /// Sends one message; waits while the flow-control window is full.
     pub async fn send<T: Serialize>(&mut self, msg: &T) -> Result<()> {
+        self.send_message(msg, false).await
+    }
+
+    /// Sends the last message and, in the same frame as its last part, the end of the
+    /// stream. A peer that answers at once may close the stream before a separate end.
+    pub async fn send_last<T: Serialize>(&mut self, msg: &T) -> Result<()> {
+        self.send_message(msg, true).await
+    }
+
+    async fn send_message<T: Serialize>(&mut self, msg: &T, is_last: bool) -> Result<()> {
         let mut buf = encode(msg)?;
         while !buf.is_empty() {
             self.stream.reserve_capacity(buf.len());
             let capacity = poll_fn(|cx| self.stream.poll_capacity(cx)).await;
             let capacity = capacity.ok_or_else(|| Error::Broken("closed".to_string()))??;
             let part = buf.split_to(capacity.min(buf.len()));
-            self.stream.send_data(part, false)?;
+            self.stream.send_data(part, is_last && buf.is_empty())?;
         }
         Ok(())
     }
