--- a/crates/rw-ledger/src/ledger.rs
+++ b/crates/rw-ledger/src/ledger.rs
@@ -95,6 +95,9 @@
     }
 
     /// Claims a call before it is dispatched. This function blocks.
+    ///
+    /// After [`Error::NoAnswer`] and [`Error::Unknown`] the same attempt may be
+    /// claimed again: at most one of its writes takes effect.
     pub fn claim(&self, req: &ClaimRequest) -> Result<ClaimOutcome> {
         let key = claim_key(&req.team, &req.key);
         let row = self.platform.read(&key)?;
@@ -102,18 +105,14 @@
             return self.write_claim(req, 0);
         };
         let claim = parse(&key, &row.value)?;
-        if claim.request_hash != req.hash {
-            return Ok(ClaimOutcome::Mismatch);
-        }
-        match claim.state {
-            ClaimState::Answered => self.recorded_answer(claim),
-            ClaimState::Started => Ok(started(&claim)),
-            ClaimState::NotRun => self.write_claim(req, row.version),
+        if claim.state == ClaimState::NotRun && claim.request_hash == req.hash {
+            return self.write_claim(req, row.version);
         }
+        self.recorded_claim(req, claim, row.version)
     }
 
-    fn write_claim(&self, req: &ClaimRequest, version: u64) -> Result<ClaimOutcome> {
-        let claim = Claim {
+    fn new_claim(&self, req: &ClaimRequest) -> Claim {
+        Claim {
             team: req.team.clone(),
             key: req.key.clone(),
             request_hash: req.hash.clone(),
@@ -124,7 +123,11 @@
             owner: self.owner.clone(),
             at_ms: unix_ms(),
             timeout_ms: req.timeout_ms,
-        };
+        }
+    }
+
+    fn write_claim(&self, req: &ClaimRequest, version: u64) -> Result<ClaimOutcome> {
+        let claim = self.new_claim(req);
         let index = IndexUpdate::Put(Put {
             key: index_key(req.attempt),
             value: claim_key(&req.team, &req.key),
@@ -139,18 +142,30 @@
         }
     }
 
-    // Another attempt with the same key wrote its claim first: returns its outcome.
+    // Another write to the key took effect first: returns its outcome.
     fn resolve_conflict(&self, req: &ClaimRequest) -> Result<ClaimOutcome> {
         let key = claim_key(&req.team, &req.key);
         let Some(row) = self.platform.read(&key)? else {
             return Err(Error::Unavailable("the claim vanished".to_string()));
         };
-        let claim = parse(&key, &row.value)?;
+        self.recorded_claim(req, parse(&key, &row.value)?, row.version)
+    }
+
+    fn recorded_claim(
+        &self,
+        req: &ClaimRequest,
+        claim: Claim,
+        version: u64,
+    ) -> Result<ClaimOutcome> {
         if claim.request_hash != req.hash {
             return Ok(ClaimOutcome::Mismatch);
         }
         match claim.state {
             ClaimState::Answered => self.recorded_answer(claim),
+            // An earlier write of this attempt, whose answer was lost.
+            ClaimState::Started if claim.attempt == req.attempt => {
+                Ok(ClaimOutcome::Claimed(OpenClaim { claim, version }))
+            }
             _ => Ok(started(&claim)),
         }
     }
@@ -187,18 +202,22 @@
         }
     }
 
-    /// Closes a claim as not run if its write, whose outcome was unknown, took
-    /// effect. This function blocks.
+    /// Closes a claim as not run, although the outcome of its write is unknown. This
+    /// function blocks.
+    ///
+    /// The write may still be on its way to the table service. A row that it could
+    /// change is therefore written, so that it conflicts.
     pub fn withdraw(&self, req: &ClaimRequest) -> Result<()> {
         let key = claim_key(&req.team, &req.key);
-        let Some(row) = self.platform.read(&key)? else {
-            return Ok(());
+        let (claim, version) = match self.platform.read(&key)? {
+            None => (self.new_claim(req), 0),
+            Some(row) => (parse(&key, &row.value)?, row.version),
+        };
+        let claim = match claim.state {
+            ClaimState::NotRun if claim.attempt != req.attempt => self.new_claim(req),
+            ClaimState::Started if claim.attempt == req.attempt => claim,
+            _ => return Ok(()),
         };
-        let claim = parse(&key, &row.value)?;
-        if claim.attempt != req.attempt || claim.state != ClaimState::Started {
-            return Ok(());
-        }
-        let version = row.version;
         self.close(OpenClaim { claim, version }, RecordedOutcome::NotRun)
     }
 
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -103,6 +103,12 @@
     }
 }
 
+/// Whether the request of a [`LoadGenerator`] with this id is a charge.
+pub fn is_charge(id: &str) -> bool {
+    let number = id.rsplit('-').next().and_then(|n| n.parse::<u32>().ok());
+    number.is_some_and(|n| n.is_multiple_of(4))
+}
+
 /// Requests that were neither answered nor reported as not run.
 pub fn failures(outcomes: &[(String, Outcome)]) -> Vec<&(String, Outcome)> {
     let acceptable = |o: &Outcome| matches!(o, Outcome::Answered(_) | Outcome::NotRun(_));
@@ -114,3 +120,28 @@
     let answered = |o: &Outcome| matches!(o, Outcome::Answered(_));
     outcomes.iter().filter(|(_, o)| !answered(o)).collect()
 }
+
+/// Fails unless every request was answered. The message has what the callers of
+/// the others were told, and the daemons' log lines about these requests and about
+/// anything unusual.
+#[track_caller]
+pub fn assert_all_answered(cluster: &Cluster, outcomes: &[(String, Outcome)]) {
+    let unanswered = unanswered(outcomes);
+    if unanswered.is_empty() {
+        return;
+    }
+    // Lines name a request by its id, or by the key of a charge.
+    let mut names: Vec<String> = Vec::new();
+    let mut message = format!("{} requests were not answered:\n", unanswered.len());
+    for (id, outcome) in unanswered {
+        names.push(format!("key={id} "));
+        if let Outcome::NotRun(refusal) = outcome {
+            names.push(format!("request={} ", refusal.request_id));
+        }
+        message.push_str(&format!("{id}: {outcome:?}\n"));
+    }
+    let is_unusual = |line: &str| line.contains("level=WARN") || line.contains("level=ERROR");
+    let is_about_them = |line: &str| names.iter().any(|name| format!("{line} ").contains(name));
+    let lines = cluster.log_lines(|line| is_unusual(line) || is_about_them(line));
+    panic!("{message}{}", lines.join("\n"));
+}
