Withhold extra retries for the first window after a restart

Within one window, servers could get the extra retries of an entry twice or more: an entry that was killed after it had sent its share sent it again right after its restart. All entries that are killed together doubled the extra of a service.

Cause: the retry budget lives in the process and starts empty.

Change: a restarted entry has no extra until a window has passed since its start, so no window holds the extra of two processes. What the ratio gives is available at once. At the first start of the fleet, when no earlier process can have sent any, the extra is available at once, too. Ruled out: writing the spent retries to the store or to other entries, which costs a write or bytes for each retry and is lost when they are away.

The comment on the budget claimed more than holds: the ratio's parts of several entries add up only if a request pays for retries up to a window after it.

--- a/crates/rw-fleet/src/entry/shared.rs
+++ b/crates/rw-fleet/src/entry/shared.rs
@@ -7,6 +7,7 @@
 
 use rw_observe::Event;
 use rw_protocol::Name;
+use rw_routing::ExtraRetries;
 
 use super::attempt::{self, Failure};
 use super::{Call, LoadTracker};
@@ -19,6 +20,7 @@
     /// Load on backend servers.
     pub load_tracker: Arc<LoadTracker>,
     pub(super) open_connections: AtomicUsize,
+    extra_retries: ExtraRetries,
     // Version that requests required last, by model.
     required_weights: Mutex<BTreeMap<Name, u64>>,
 }
@@ -26,10 +28,16 @@
 impl<D: PlatformCodec> Entry<D> {
     /// Creates an entry without open connections.
     pub fn new(cx: Arc<Cx<D>>, load_tracker: Arc<LoadTracker>) -> Arc<Self> {
+        let bounds = &cx.settings.bounds;
+        let extra_retries = match cx.settings.first_start {
+            true => ExtraRetries::at_first_start(bounds.retry_extra),
+            false => ExtraRetries::after_restart(bounds.retry_extra, bounds.retry_window),
+        };
         Arc::new(Entry {
             cx,
             load_tracker,
             open_connections: AtomicUsize::new(0),
+            extra_retries,
             required_weights: Mutex::default(),
         })
     }
@@ -114,9 +122,8 @@
     /// Takes a retry from the retry budget of the call's service; false if it is
     /// spent.
     pub fn try_acquire_retry(&self, call: &Call) -> bool {
-        let total = self.cx.settings.bounds.retry_extra;
-        let share = self.entry_count().map_or(0.0, |n| total / n as f64);
-        self.load_tracker.try_acquire_retry(&call.service, share)
+        let extra = self.extra_retries.share(self.entry_count(), self.cx.now());
+        self.load_tracker.try_acquire_retry(&call.service, extra)
     }
 
     /// Updates the server's circuit breaker, or its backoff, with the result of an
--- a/crates/rw-routing/src/lib.rs
+++ b/crates/rw-routing/src/lib.rs
@@ -25,4 +25,4 @@
 pub use server_notices::{ServerAdmission, ServerNotices};
 pub use slot_rotation::{EntryPosition, SlotRotation};
 pub use slowdown::{median, slowdown, FirstEventTracker};
-pub use windowed_retry::WindowedRetryBudget;
+pub use windowed_retry::{ExtraRetries, WindowedRetryBudget};
--- a/crates/rw-routing/src/windowed_retry.rs
+++ b/crates/rw-routing/src/windowed_retry.rs
@@ -13,7 +13,7 @@
 
 /// Limits retries within any window to a share of the requests in it plus a
 /// constant. If every daemon stays within its limit, all of them together stay within
-/// the sum of the limits.
+/// the sum of the limits, where a request pays for retries up to a window after it.
 ///
 /// ```
 /// use std::time::Duration;
@@ -100,3 +100,48 @@
         is_available
     }
 }
+
+/// Retries that all entries together may send in a window beyond the ratio. Each entry
+/// may send an equal share.
+///
+/// ```
+/// use std::time::Duration;
+/// use rw_routing::ExtraRetries;
+/// let extra = ExtraRetries::after_restart(100.0, Duration::from_secs(10));
+/// assert_eq!(extra.share(Some(4), Duration::from_secs(9)), 0.0);
+/// assert_eq!(extra.share(Some(4), Duration::from_secs(10)), 25.0);
+/// assert_eq!(extra.share(None, Duration::from_secs(10)), 0.0);
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct ExtraRetries {
+    total: f64,
+    withheld_until: Duration,
+}
+
+impl ExtraRetries {
+    /// For a process that no other has preceded.
+    pub fn at_first_start(total: f64) -> Self {
+        ExtraRetries {
+            total,
+            withheld_until: Duration::ZERO,
+        }
+    }
+
+    /// For a process whose predecessor may have sent the whole share just before its
+    /// end. Nothing is available in the first window.
+    pub fn after_restart(total: f64, window: Duration) -> Self {
+        ExtraRetries {
+            total,
+            withheld_until: window,
+        }
+    }
+
+    /// Share of this entry, `uptime` after its process started. `entry_count` is the
+    /// number of entries that share the retries; `None` while it is not known.
+    pub fn share(&self, entry_count: Option<usize>, uptime: Duration) -> f64 {
+        match entry_count {
+            Some(count) if uptime >= self.withheld_until => self.total / count.max(1) as f64,
+            _ => 0.0,
+        }
+    }
+}
