Name the spent retry budget as the reason of a unary refusal

A unary call whose servers reported that they did not run it was refused with "no backend server", to the caller and in its log line, when in fact its retry budget was spent. Streams name the budget already. A restarted entry refuses so more often, as it has no extra retries for a window.

Cause: the refusal was prepared before the first attempt and its reason stayed. Status and Retry-After are as before; the text is the one that streams use.

platform/tests/retry_budget.rs: red before ("no backend server", 1 run), green after (1 run); all tests of rw-adapter and rw-fleet pass (1 run).

--- a/crates/rw-fleet/src/entry/unary.rs
+++ b/crates/rw-fleet/src/entry/unary.rs
@@ -64,6 +64,9 @@
             }
             let is_retry = !self.tried_servers.is_empty();
             if is_retry && !self.entry.try_acquire_retry(self.call) {
+                if let Refusal::NotRun { reason, .. } = &mut fallback {
+                    *reason = "retry budget spent";
+                }
                 return error_response.ok_or(fallback);
             }
             let Some(permit) = self.entry.load_tracker.select_least_loaded(&self.servers()) else {
