--- a/crates/rw-fleet/src/weights_record.rs
+++ b/crates/rw-fleet/src/weights_record.rs
@@ -56,9 +56,9 @@
 }
 
 impl StoreClock {
-    /// Takes a reading from a response. A slow response makes the clock look late, so
-    /// the reading that is furthest ahead counts.
-    pub(crate) fn observe(&mut self, era: u32, clock_ms: u64, uptime: Duration) {
+    /// Takes a reading from a response; returns whether it improves the estimate. A slow
+    /// response makes the clock look late, so the reading that is furthest ahead counts.
+    pub(crate) fn observe(&mut self, era: u32, clock_ms: u64, uptime: Duration) -> bool {
         let is_better = self
             .last
             .is_none_or(|last| (era, clock_ms) > (last.era, last.clock_at(uptime)));
@@ -69,6 +69,7 @@
                 received_at: uptime,
             });
         }
+        is_better
     }
 
     /// Time of the store's clock in milliseconds; `None` before the first reading.
@@ -122,10 +123,9 @@
     pub fn observe_store_clock(&self, version: u64, clock_ms: u64) {
         let mut state = self.state();
         let now = uptime();
-        state
-            .store_clock
-            .observe(Revision::from(version).era, clock_ms, now);
-        if !state.snapshot.weights_records.is_empty() {
+        let era = Revision::from(version).era;
+        let is_better = state.store_clock.observe(era, clock_ms, now);
+        if is_better && !state.snapshot.weights_records.is_empty() {
             let mut snapshot = Snapshot::clone(&state.snapshot);
             snapshot.merge_recorded_ages(&state.store_clock, now);
             state.snapshot = Arc::new(snapshot);
