--- a/crates/rw-fleet/src/codec.rs
+++ b/crates/rw-fleet/src/codec.rs
@@ -1,6 +1,6 @@
 use std::fmt;
 
-use http::HeaderName;
+use http::{HeaderMap, HeaderName};
 use rw_protocol::{Name, StoredRow};
 
 use crate::{BackendServer, Configuration, Daemon, WeightsRecord};
@@ -82,6 +82,9 @@
     fn headers(&self) -> &HeaderNames;
     /// Names of tables.
     fn tables(&self) -> TableNames;
+    /// Parts of a request's prompt that other requests may share, in order. Empty if the
+    /// request does not name them.
+    fn shared_prompt_parts(&self, headers: &HeaderMap) -> Vec<Name>;
     /// Path of the readiness check.
     fn ready_path(&self) -> &'static str;
     /// Decodes a row.
--- a/crates/rw-fleet/src/entry/call.rs
+++ b/crates/rw-fleet/src/entry/call.rs
@@ -39,6 +39,8 @@
     pub deadline: Instant,
     /// Tokens of the prompt; 0 if the caller did not state them.
     pub prompt_tokens: u32,
+    /// Parts of the prompt that other requests may share, in order.
+    pub prompt_parts: Vec<Name>,
     /// Id of the last event that the caller has received; 0 if none.
     pub last_event_id: u64,
 }
--- a/crates/rw-fleet/src/entry/shared.rs
+++ b/crates/rw-fleet/src/entry/shared.rs
@@ -142,10 +142,11 @@
         };
         let Err(failure) = result else { return };
         let detail = format!(
-            "request={} server={server} failure={failure:?} age_ms={} left_ms={}",
+            "request={} server={server} failure={failure:?} age_ms={} left_ms={} prompt_parts={}",
             call.id,
             call.age().as_millis(),
-            call.time_left().as_millis()
+            call.time_left().as_millis(),
+            call.prompt_parts.join(",")
         );
         self.cx.recorder.emit(Event::AttemptFailed, &detail);
         if circuit_opened {
--- a/crates/rw-fleet/tests/common/mod.rs
+++ b/crates/rw-fleet/tests/common/mod.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::HeaderName;
+use http::{HeaderMap, HeaderName};
 use rw_fleet::{
     BackendServer, CallerLimits, ClusterState, Configuration, Daemon, HeaderNames, PlatformCodec,
     RecordedRequest, RowContent, Snapshot, TableNames, WeightsRecord,
@@ -51,6 +51,10 @@
         }
     }
 
+    fn shared_prompt_parts(&self, _: &HeaderMap) -> Vec<Name> {
+        Vec::new()
+    }
+
     fn ready_path(&self) -> &'static str {
         "/"
     }
