--- a/crates/rw-daemon/src/handler.rs
+++ b/crates/rw-daemon/src/handler.rs
@@ -85,7 +85,8 @@
                 PeerRequest::Load(_)
                 | PeerRequest::Rows(_)
                 | PeerRequest::Runner(_)
-                | PeerRequest::Announce(_),
+                | PeerRequest::Announce(_)
+                | PeerRequest::Poison(_),
                 _,
             )
             | (_, None) => {
--- a/crates/rw-fleet/src/entry/shared.rs
+++ b/crates/rw-fleet/src/entry/shared.rs
@@ -10,7 +10,7 @@
 use rw_routing::ExtraRetries;
 
 use super::attempt::{self, Failure};
-use super::{Call, LoadTracker};
+use super::{Call, LoadTracker, PoisonGuard};
 use crate::{BackendServer, Cx, Engine, PlatformCodec, Snapshot};
 
 /// State shared by all requests at an entry.
@@ -19,6 +19,8 @@
     pub cx: Arc<Cx<D>>,
     /// Load on backend servers.
     pub load_tracker: Arc<LoadTracker>,
+    /// Parts of prompts that end backend servers.
+    pub poison_guard: Arc<PoisonGuard>,
     pub(super) open_connections: AtomicUsize,
     extra_retries: ExtraRetries,
     // Version that requests required last, by model.
@@ -27,7 +29,11 @@
 
 impl<D: PlatformCodec> Entry<D> {
     /// Creates an entry without open connections.
-    pub fn new(cx: Arc<Cx<D>>, load_tracker: Arc<LoadTracker>) -> Arc<Self> {
+    pub fn new(
+        cx: Arc<Cx<D>>,
+        load_tracker: Arc<LoadTracker>,
+        poison_guard: Arc<PoisonGuard>,
+    ) -> Arc<Self> {
         let bounds = &cx.settings.bounds;
         let extra_retries = match cx.settings.first_start {
             true => ExtraRetries::at_first_start(bounds.retry_extra),
@@ -36,6 +42,7 @@
         Arc::new(Entry {
             cx,
             load_tracker,
+            poison_guard,
             open_connections: AtomicUsize::new(0),
             extra_retries,
             required_weights: Mutex::default(),
--- a/crates/rw-fleet/src/entry/stream.rs
+++ b/crates/rw-fleet/src/entry/stream.rs
@@ -9,7 +9,8 @@
 use rw_protocol::Name;
 use tokio::time::{timeout, timeout_at, Instant};
 
-use super::attempt::Failure;
+use super::attempt::{self, Failure};
+use super::poison_guard::RUN_TIME;
 use super::response::{caller_headers, event_body, EventSender, ResponseBody};
 use super::stream_opener::{next_events, Opened, OpenedStream, StreamOpener, MIN_ATTEMPT_TIME};
 use super::{Call, Entry, Refusal};
@@ -80,8 +81,10 @@
         let mut current = stream;
         let weights_version = current.weights_version;
         loop {
-            let server = current.permit.server.id.clone();
-            let end = self.forward(&mut current).await;
+            let backend = current.permit.server.clone();
+            let server = backend.id.clone();
+            let first_event_at = Instant::now();
+            let end = self.forward(&mut current, first_event_at).await;
             let last_id = current.reader.last_id();
             drop(current);
             let failure = match end {
@@ -92,8 +95,12 @@
                 RelayEnd::Disconnected => return self.record(Event::CallCancelled, &server, ""),
                 RelayEnd::Failed(failure) => failure,
             };
-            self.entry
-                .record_attempt::<()>(&self.call, &server, &Err(failure.clone()));
+            let result: attempt::Result<()> = Err(failure.clone());
+            self.entry.record_attempt(&self.call, &server, &result);
+            if first_event_at.elapsed() < RUN_TIME {
+                let guard = &self.entry.poison_guard;
+                guard.on_attempt(&self.call, &backend, &result);
+            }
             self.tried_servers.push(server.clone());
             self.sent_attempts += 1;
             match self.resume(last_id, weights_version).await {
@@ -113,12 +120,14 @@
         }
     }
 
-    async fn forward(&mut self, current: &mut OpenedStream) -> RelayEnd {
+    async fn forward(&mut self, current: &mut OpenedStream, first_event_at: Instant) -> RelayEnd {
+        let mut has_run = false;
         let first_events = std::mem::take(&mut current.first_events);
         if !first_events.is_empty() && !self.tx.send(first_events).await {
             return RelayEnd::Disconnected;
         }
         if current.is_complete {
+            self.entry.poison_guard.on_run(&self.call);
             return RelayEnd::Complete;
         }
         let stall = self.call.route.max_event_gap * STALL_GAP_FACTOR;
@@ -137,11 +146,20 @@
             match events {
                 Err(_) => return RelayEnd::Failed(Failure::Timeout),
                 Ok(Err(failure)) => return RelayEnd::Failed(failure),
-                Ok(Ok(None)) => return RelayEnd::Complete,
+                Ok(Ok(None)) => {
+                    self.entry.poison_guard.on_run(&self.call);
+                    return RelayEnd::Complete;
+                }
                 Ok(Ok(Some(events))) => {
                     self.longest_event_gap = self.longest_event_gap.max(last_event_at.elapsed());
                     last_event_at = Instant::now();
                     current.permit.on_event();
+                    let guard = &self.entry.poison_guard;
+                    guard.on_event(&current.permit.server);
+                    if !has_run && first_event_at.elapsed() >= RUN_TIME {
+                        has_run = true;
+                        guard.on_run(&self.call);
+                    }
                     let sent = timeout(self.call.time_left(), self.tx.send(events)).await;
                     if sent != Ok(true) {
                         return RelayEnd::Disconnected;
@@ -155,6 +173,7 @@
         self.call.is_retryable()
             && self.sent_attempts < self.call.route.max_attempts
             && self.call.time_left() > MIN_ATTEMPT_TIME
+            && self.entry.poison_guard.may_repeat(&self.call)
     }
 
     async fn resume(
--- a/crates/rw-fleet/src/entry/stream_opener.rs
+++ b/crates/rw-fleet/src/entry/stream_opener.rs
@@ -45,6 +45,11 @@
 /// others may.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
+/// `Retry-After` of a request with a quarantined part: until an operator or new weights
+/// end the quarantine, it is refused again.
+const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
+const QUARANTINE_REASON: &str = "a part of the prompt ends backend servers";
+
 /// A stream whose first events have been received.
 pub(super) struct OpenedStream {
     pub(super) permit: SlotPermit,
@@ -91,13 +96,30 @@
                 let refusal = self.not_run_refusal("retry budget spent", MIN_RETRY_AFTER);
                 return Err(fallback.unwrap_or(refusal));
             }
+            if self.entry.poison_guard.is_quarantined(self.call) {
+                return Err(self.quarantine_refusal());
+            }
             let permit = match self.select_server().await {
                 Ok(permit) => permit,
                 Err(refusal) => return Err(fallback.unwrap_or(refusal)),
             };
-            let server = permit.server.id.clone();
-            let result = self.start_stream(permit, last_event_id).await;
+            let backend = permit.server.clone();
+            let server = backend.id.clone();
+            let guard = &self.entry.poison_guard;
+            // The part may have become known while the call waited for a slot.
+            if guard.is_quarantined(self.call) {
+                return Err(self.quarantine_refusal());
+            }
+            let result = tokio::select! {
+                result = self.start_stream(permit, last_event_id) => result,
+                // The server may not have begun to answer yet, and then lives on.
+                () = guard.quarantined(self.call) => {
+                    self.sent_attempts += 1;
+                    return Err(self.quarantine_refusal());
+                }
+            };
             self.entry.record_attempt(self.call, &server, &result);
+            guard.on_attempt(self.call, &backend, &result);
             self.tried_servers.push(server);
             match result {
                 Ok(opened) => return Ok(opened),
@@ -141,6 +163,13 @@
         }
     }
 
+    fn quarantine_refusal(&self) -> Refusal {
+        match self.sent_attempts {
+            0 => self.not_run_refusal(QUARANTINE_REASON, QUARANTINE_RETRY_AFTER),
+            _ => Refusal::Failed(QUARANTINE_REASON),
+        }
+    }
+
     fn no_server_refusal(&self) -> Refusal {
         match self.entry.pause_of_all(&self.call.service) {
             Some(pause) => self.not_run_refusal("every backend server asked for a pause", pause),
@@ -151,7 +180,9 @@
     fn can_retry(&self) -> bool {
         let has_attempt_left = self.sent_attempts < self.call.route.max_attempts;
         let may_run_again = self.sent_attempts == 0
-            || (self.call.is_retryable() && self.call.time_left() > MIN_ATTEMPT_TIME);
+            || (self.call.is_retryable()
+                && self.call.time_left() > MIN_ATTEMPT_TIME
+                && self.entry.poison_guard.may_repeat(self.call));
         has_attempt_left && may_run_again && self.not_run_attempts < MAX_NOT_RUN_ATTEMPTS
     }
 
--- a/crates/rw-fleet/src/lib.rs
+++ b/crates/rw-fleet/src/lib.rs
@@ -20,6 +20,7 @@
 mod kept_content;
 mod peer_selection;
 mod peers;
+mod poison_notices;
 mod random;
 mod read_budget;
 mod requested_weights;
--- a/crates/rw-fleet/src/peers.rs
+++ b/crates/rw-fleet/src/peers.rs
@@ -12,7 +12,7 @@
 
 use tokio::time::Instant;
 
-use crate::entry::LoadTracker;
+use crate::entry::{LoadTracker, PoisonGuard};
 use crate::host::ChunkStore;
 use crate::{follow, peer_selection};
 use crate::{Cx, Daemon, PlatformCodec};
@@ -39,6 +39,8 @@
     pub cx: Arc<Cx<D>>,
     /// Load on backend servers, on entries.
     pub load_tracker: Option<Arc<LoadTracker>>,
+    /// Parts of prompts that end backend servers, on entries.
+    pub poison_guard: Option<Arc<PoisonGuard>>,
     /// Stored weights, on hosts.
     pub chunk_store: Option<Arc<ChunkStore>>,
 }
@@ -60,6 +62,12 @@
                 self.cx.cluster.apply_status(status);
                 PeerReply::Noted(Noted {})
             }
+            PeerRequest::Poison(notice) => {
+                if let Some(poison_guard) = &self.poison_guard {
+                    poison_guard.on_notice(notice);
+                }
+                PeerReply::Noted(Noted {})
+            }
             PeerRequest::Chunk(req) => match &self.chunk_store {
                 Some(chunk_store) => chunk_store.serve_chunk(&req).await,
                 None => PeerReply::Missing(Missing { retry_after_ms: 0 }),
@@ -199,8 +207,9 @@
     }
 }
 
-// Does not retry: a lost notification is superseded by a later one.
-fn notify<D: PlatformCodec>(cx: &Arc<Cx<D>>, addr: Name, req: PeerRequest) {
+/// Notifies another daemon. Does not retry: a lost notification is superseded by a later
+/// one.
+pub fn notify<D: PlatformCodec>(cx: &Arc<Cx<D>>, addr: Name, req: PeerRequest) {
     let cx = cx.clone();
     tokio::spawn(async move {
         if let Err(err) = cx.pool.request(&addr, &req, NOTIFY_TIMEOUT).await {
--- a/crates/rw-fleet/src/run.rs
+++ b/crates/rw-fleet/src/run.rs
@@ -12,9 +12,10 @@
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::time::Instant;
 
-use crate::entry::{serve_callers, serve_probe, Entry, LoadTracker};
+use crate::entry::{serve_callers, serve_probe, Entry, LoadTracker, PoisonGuard};
 use crate::host::{reconcile_weights, BackendClient, ChunkStore, ObjectArchive, OriginClient};
 use crate::peers::{broadcast_load, PeerHandler};
+use crate::poison_notices::exchange_poison_notices;
 use crate::weights_record::record_requests;
 use crate::{follow, Cx, Daemon, DaemonSettings, Error, FleetRole, PlatformCodec, Result};
 
@@ -120,17 +121,20 @@
         cx.rng.clone(),
         cx.recorder.clone(),
     );
+    let poison_guard = PoisonGuard::new(cx.recorder.clone());
     let handler = PeerHandler {
         cx: cx.clone(),
         load_tracker: Some(load_tracker.clone()),
+        poison_guard: Some(poison_guard.clone()),
         chunk_store: None,
     };
     tokio::spawn(rw_peer::serve(peers, Arc::new(handler)));
     tokio::spawn(broadcast_load(cx.clone(), load_tracker.clone()));
+    tokio::spawn(exchange_poison_notices(cx.clone(), poison_guard.clone()));
     tokio::spawn(prune_removed_servers(cx.clone(), load_tracker.clone()));
     tokio::spawn(record_requests(cx.clone(), store.clone()));
     tokio::spawn(register(cx.clone(), store));
-    let entry = Entry::new(cx.clone(), load_tracker);
+    let entry = Entry::new(cx.clone(), load_tracker, poison_guard);
     let probed_entry = entry.clone();
     let ready_path = cx.codec.ready_path();
     let answer = move |path: &str| match (path == ready_path, probed_entry.is_ready()) {
@@ -173,6 +177,7 @@
     let handler = PeerHandler {
         cx: cx.clone(),
         load_tracker: None,
+        poison_guard: None,
         chunk_store: Some(chunk_store.clone()),
     };
     tokio::spawn(rw_peer::serve(peers, Arc::new(handler)));
--- a/crates/rw-observe/src/metrics.rs
+++ b/crates/rw-observe/src/metrics.rs
@@ -33,6 +33,8 @@
     pub intents_unfulfilled: Gauge,
     /// Claims of idempotency keys whose outcome is unknown.
     pub claims_unresolved: Gauge,
+    /// Quarantined parts of prompts.
+    pub prompt_parts_quarantined: Gauge,
 }
 
 impl Default for Metrics {
@@ -78,6 +80,8 @@
         let daemons_listed = gauge("daemons_listed", "Daemons known here");
         let intents_unfulfilled = gauge("intents_unfulfilled", "Intents not fulfilled");
         let claims_unresolved = gauge("claims_unresolved", "Claims with an unknown end");
+        let prompt_parts_quarantined =
+            gauge("prompt_parts_quarantined", "Quarantined parts of prompts");
         Metrics {
             registry: Arc::new(reg),
             events,
@@ -90,6 +94,7 @@
             daemons_listed,
             intents_unfulfilled,
             claims_unresolved,
+            prompt_parts_quarantined,
         }
     }
 
--- a/crates/rw-protocol/src/generated.rs
+++ b/crates/rw-protocol/src/generated.rs
@@ -629,6 +629,7 @@
     Rows(RowsRequest),
     Runner(ServerStatus),
     Announce(Announcement),
+    Poison(PoisonNotice),
 }
 impl ::std::convert::From<CallRequest> for PeerRequest {
     fn from(value: CallRequest) -> Self {
@@ -685,6 +686,11 @@
         Self::Announce(value)
     }
 }
+impl ::std::convert::From<PoisonNotice> for PeerRequest {
+    fn from(value: PoisonNotice) -> Self {
+        Self::Poison(value)
+    }
+}
 ///Preview of a change, to be confirmed by an operator.
 ///
 #[derive(Clone, Debug, PartialEq)]
@@ -704,6 +710,31 @@
     pub origin_bytes: u64,
     pub warnings: ::std::vec::Vec<::std::string::String>,
 }
+///What an entry knows about parts of prompts that end backend servers; replaces its previous notice.
+///
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct PoisonNotice {
+    ///Backend servers that other entries believe to have ended and that have sent events.
+    pub alive: ::std::vec::Vec<ServerEventAge>,
+    ///Ends of backend servers that count against a part.
+    pub crashes: ::std::vec::Vec<ServerCrash>,
+    pub entry: crate::Name,
+    ///Quarantines in effect at the entry.
+    pub quarantines: ::std::vec::Vec<QuarantinedParts>,
+    ///Parts suspected by other entries with which requests ran.
+    pub survivals: ::std::vec::Vec<PromptPartAge>,
+}
+///A part of a prompt, and time since a request with it ran.
+///
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct PromptPartAge {
+    pub age_ms: u64,
+    pub part: crate::Name,
+}
 ///Propagates changes along the distribution tree of a zone.
 ///
 #[derive(Clone, Debug, PartialEq)]
@@ -727,6 +758,15 @@
     pub length: u64,
     pub manifest: crate::Name,
 }
+///Parts of a prompt whose combination is quarantined, and since when.
+///
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct QuarantinedParts {
+    pub age_ms: u64,
+    pub parts: ::std::vec::Vec<crate::Name>,
+}
 ///`RagworttackMessages`
 ///
 #[derive(Clone, Debug, PartialEq)]
@@ -887,6 +927,27 @@
     pub service: crate::Name,
     pub version: crate::Name,
 }
+///End of a backend server of which a part of a prompt is suspected.
+///
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServerCrash {
+    pub age_ms: u64,
+    pub part: crate::Name,
+    pub server: crate::Name,
+    pub started_ms: u64,
+}
+///One lifetime of a backend server, and time since its last event.
+///
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServerEventAge {
+    pub age_ms: u64,
+    pub server: crate::Name,
+    pub started_ms: u64,
+}
 ///Load that one entry puts on a backend server.
 ///
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/rw-routing/src/lib.rs
+++ b/crates/rw-routing/src/lib.rs
@@ -4,6 +4,7 @@
 mod circuit_breaker;
 mod engine;
 mod engine_selection;
+mod poison;
 mod policy;
 mod queue;
 mod retry;
@@ -16,6 +17,7 @@
 pub use circuit_breaker::CircuitBreaker;
 pub use engine::{EngineLoad, EngineProfile};
 pub use engine_selection::{select_engine, EngineCandidate, EngineSelection, RequestRequirements};
+pub use poison::{CrashedServer, PoisonDetector, PoisonReport, Quarantine, SuspectedCrash};
 pub use policy::{
     Affinity, AnyPolicy, HostCandidate, LeastLoaded, LoadBalancingPolicy, Random, RoundRobin,
 };
