Record quarantines in the store, and let trials through

A quarantine has to outlast a restart of all entries, an operator has to be able to end it, and a sound part that is held back by mistake has to be found.

--- a/crates/rw-fleet/src/cluster_state.rs
+++ b/crates/rw-fleet/src/cluster_state.rs
@@ -327,6 +327,9 @@
             RowContent::WeightsRecord(record) => {
                 snapshot.weights_records.insert(row.key.clone(), record);
             }
+            RowContent::Quarantine(parts) => {
+                snapshot.quarantines.insert(row.key.clone(), parts);
+            }
             RowContent::Other => self.remove_row(departures, snapshot, row),
         }
         true
@@ -362,6 +365,7 @@
         } else if *row.table == *tables.daemons {
             snapshot.daemons.remove(&row.key);
             snapshot.weights_records.remove(&row.key);
+            snapshot.quarantines.remove(&row.key);
         }
     }
 }
--- a/crates/rw-fleet/src/codec.rs
+++ b/crates/rw-fleet/src/codec.rs
@@ -23,6 +23,8 @@
     Daemon(Daemon),
     /// Record of when weights were requested, written by daemons.
     WeightsRecord(WeightsRecord),
+    /// Parts of a prompt whose combination is quarantined; none if it no longer is.
+    Quarantine(Vec<Name>),
     /// Other content, which daemons ignore.
     Other,
 }
@@ -95,4 +97,8 @@
     fn weights_record_key(&self, model: &str) -> Name;
     /// Encodes the record of a model's requested weights.
     fn encode_weights_record(&self, record: &WeightsRecord) -> Vec<u8>;
+    /// Key of the record of a quarantine, in the daemons' table.
+    fn quarantine_key(&self, parts: &[Name]) -> Name;
+    /// Encodes the record of a quarantine; no parts if it ended.
+    fn encode_quarantine(&self, parts: &[Name]) -> Vec<u8>;
 }
--- a/crates/rw-fleet/src/entry/poison_guard.rs
+++ b/crates/rw-fleet/src/entry/poison_guard.rs
@@ -57,6 +57,7 @@
         &self,
         call: &Call,
         server: &BackendServer,
+        is_repeat: bool,
         result: &attempt::Result<T>,
     ) {
         let broke_off = matches!(result, Err(Failure::Unknown(_) | Failure::Timeout));
@@ -68,7 +69,8 @@
             started_ms: server.started_ms,
         };
         let now = self.now();
-        self.detector().on_crash(&crashed, &call.prompt_parts, now);
+        self.detector()
+            .on_crash(&crashed, &call.prompt_parts, is_repeat, now);
         self.is_active.store(true, Ordering::Relaxed);
     }
 
@@ -93,6 +95,19 @@
         self.is_active() && self.detector().quarantine_of(&call.prompt_parts).is_some()
     }
 
+    /// Whether the call is let through, although it is quarantined, to find out whether it
+    /// still ends servers. Only one of the entries lets calls of a quarantine through.
+    pub(super) fn take_trial(&self, call: &Call, owns: impl Fn(&Name) -> bool) -> bool {
+        if !self.is_active() {
+            return false;
+        }
+        let now = self.now();
+        let mut detector = self.detector();
+        let quarantine = detector.quarantine_of(&call.prompt_parts);
+        let is_owner = quarantine.and_then(|q| q.parts.first()).is_some_and(owns);
+        is_owner && detector.take_trial(&call.prompt_parts, now)
+    }
+
     /// Whether the call may be sent to a further server after one ended under it.
     pub(super) fn may_repeat(&self, call: &Call) -> bool {
         !self.is_active() || self.detector().may_repeat(&call.prompt_parts)
--- a/crates/rw-fleet/src/entry/shared.rs
+++ b/crates/rw-fleet/src/entry/shared.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use rw_observe::Event;
-use rw_protocol::Name;
+use rw_protocol::{rendezvous_rank, Name};
 use rw_routing::ExtraRetries;
 
 use super::attempt::{self, Failure};
@@ -126,6 +126,16 @@
         self.load_tracker.admitted(self.ready_servers(service))
     }
 
+    /// Whether the call is let through although a part of its prompt is quarantined.
+    pub fn take_trial(&self, call: &Call) -> bool {
+        self.poison_guard.take_trial(call, |part| {
+            let snapshot = self.cx.cluster.snapshot();
+            let entries = snapshot.daemons.keys();
+            let owner = entries.min_by_key(|name| rendezvous_rank(part, name));
+            owner == Some(&self.cx.settings.name)
+        })
+    }
+
     /// Takes a retry from the retry budget of the call's service; false if it is
     /// spent.
     pub fn try_acquire_retry(&self, call: &Call) -> bool {
--- a/crates/rw-fleet/src/entry/stream.rs
+++ b/crates/rw-fleet/src/entry/stream.rs
@@ -25,12 +25,14 @@
     entry: &Arc<Entry<D>>,
     call: &Arc<Call>,
 ) -> std::result::Result<Response<ResponseBody>, Refusal> {
+    let is_trial = entry.take_trial(call);
     let mut opener = StreamOpener {
         entry,
         call,
         tried_servers: Vec::new(),
         sent_attempts: 0,
         not_run_attempts: 0,
+        is_trial,
         weights_version: None,
     };
     let stream = match opener.open(call.last_event_id).await? {
@@ -47,6 +49,7 @@
         tx,
         tried_servers,
         sent_attempts,
+        is_trial,
         first_event_latency: call.age(),
         longest_event_gap: Duration::ZERO,
         selection_detail: stream.selection_detail.clone(),
@@ -63,6 +66,8 @@
     tx: EventSender,
     tried_servers: Vec<Name>,
     sent_attempts: u32,
+    // Whether the call was let through although a part of its prompt is quarantined.
+    is_trial: bool,
     // For the log.
     first_event_latency: Duration,
     longest_event_gap: Duration,
@@ -98,8 +103,8 @@
             let result: attempt::Result<()> = Err(failure.clone());
             self.entry.record_attempt(&self.call, &server, &result);
             if first_event_at.elapsed() < RUN_TIME {
-                let guard = &self.entry.poison_guard;
-                guard.on_attempt(&self.call, &backend, &result);
+                let (guard, is_repeat) = (&self.entry.poison_guard, self.sent_attempts > 0);
+                guard.on_attempt(&self.call, &backend, is_repeat, &result);
             }
             self.tried_servers.push(server.clone());
             self.sent_attempts += 1;
@@ -173,6 +178,7 @@
         self.call.is_retryable()
             && self.sent_attempts < self.call.route.max_attempts
             && self.call.time_left() > MIN_ATTEMPT_TIME
+            && !self.is_trial
             && self.entry.poison_guard.may_repeat(&self.call)
     }
 
@@ -190,6 +196,7 @@
             tried_servers: self.tried_servers.clone(),
             sent_attempts: self.sent_attempts,
             not_run_attempts: 0,
+            is_trial: false,
             weights_version,
         };
         let opened = tokio::select! {
--- a/crates/rw-fleet/src/entry/stream_opener.rs
+++ b/crates/rw-fleet/src/entry/stream_opener.rs
@@ -77,6 +77,8 @@
     // Attempts that a server may have executed.
     pub(super) sent_attempts: u32,
     pub(super) not_run_attempts: u32,
+    // Whether the call is let through although a part of its prompt is quarantined.
+    pub(super) is_trial: bool,
     // Version of the weights that a resumed stream requires; `None` for a new
     // stream.
     pub(super) weights_version: Option<u64>,
@@ -96,7 +98,7 @@
                 let refusal = self.not_run_refusal("retry budget spent", MIN_RETRY_AFTER);
                 return Err(fallback.unwrap_or(refusal));
             }
-            if self.entry.poison_guard.is_quarantined(self.call) {
+            if self.is_quarantined() {
                 return Err(self.quarantine_refusal());
             }
             let permit = match self.select_server().await {
@@ -107,19 +109,20 @@
             let server = backend.id.clone();
             let guard = &self.entry.poison_guard;
             // The part may have become known while the call waited for a slot.
-            if guard.is_quarantined(self.call) {
+            if self.is_quarantined() {
                 return Err(self.quarantine_refusal());
             }
             let result = tokio::select! {
                 result = self.start_stream(permit, last_event_id) => result,
                 // The server may not have begun to answer yet, and then lives on.
-                () = guard.quarantined(self.call) => {
+                () = guard.quarantined(self.call), if !self.is_trial => {
                     self.sent_attempts += 1;
                     return Err(self.quarantine_refusal());
                 }
             };
             self.entry.record_attempt(self.call, &server, &result);
-            guard.on_attempt(self.call, &backend, &result);
+            let is_repeat = self.sent_attempts > 0;
+            guard.on_attempt(self.call, &backend, is_repeat, &result);
             self.tried_servers.push(server);
             match result {
                 Ok(opened) => return Ok(opened),
@@ -163,6 +166,10 @@
         }
     }
 
+    fn is_quarantined(&self) -> bool {
+        !self.is_trial && self.entry.poison_guard.is_quarantined(self.call)
+    }
+
     fn quarantine_refusal(&self) -> Refusal {
         match self.sent_attempts {
             0 => self.not_run_refusal(QUARANTINE_REASON, QUARANTINE_RETRY_AFTER),
@@ -182,6 +189,7 @@
         let may_run_again = self.sent_attempts == 0
             || (self.call.is_retryable()
                 && self.call.time_left() > MIN_ATTEMPT_TIME
+                && !self.is_trial
                 && self.entry.poison_guard.may_repeat(self.call));
         has_attempt_left && may_run_again && self.not_run_attempts < MAX_NOT_RUN_ATTEMPTS
     }
--- a/crates/rw-fleet/src/lib.rs
+++ b/crates/rw-fleet/src/lib.rs
@@ -21,6 +21,7 @@
 mod peer_selection;
 mod peers;
 mod poison_notices;
+mod quarantine_record;
 mod random;
 mod read_budget;
 mod requested_weights;
--- a/crates/rw-fleet/src/poison_notices.rs
+++ b/crates/rw-fleet/src/poison_notices.rs
@@ -76,6 +76,7 @@
         server: crash.server.id.clone(),
         started_ms: crash.server.started_ms,
         age_ms: ms(&crash.at),
+        is_repeat: crash.is_repeat,
     });
     let survivals = report.survivals.iter().map(|(part, age)| PromptPartAge {
         part: part.clone(),
@@ -107,6 +108,7 @@
         part: crash.part,
         server: crashed(crash.server, crash.started_ms),
         at: Duration::from_millis(crash.age_ms),
+        is_repeat: crash.is_repeat,
     });
     let survivals = notice.survivals.into_iter();
     let survivals = survivals.map(|s| (s.part, Duration::from_millis(s.age_ms)));
--- a/crates/rw-fleet/src/run.rs
+++ b/crates/rw-fleet/src/run.rs
@@ -16,6 +16,7 @@
 use crate::host::{reconcile_weights, BackendClient, ChunkStore, ObjectArchive, OriginClient};
 use crate::peers::{broadcast_load, PeerHandler};
 use crate::poison_notices::exchange_poison_notices;
+use crate::quarantine_record::follow_quarantines;
 use crate::weights_record::record_requests;
 use crate::{follow, Cx, Daemon, DaemonSettings, Error, FleetRole, PlatformCodec, Result};
 
@@ -133,6 +134,11 @@
     tokio::spawn(exchange_poison_notices(cx.clone(), poison_guard.clone()));
     tokio::spawn(prune_removed_servers(cx.clone(), load_tracker.clone()));
     tokio::spawn(record_requests(cx.clone(), store.clone()));
+    tokio::spawn(follow_quarantines(
+        cx.clone(),
+        poison_guard.clone(),
+        store.clone(),
+    ));
     tokio::spawn(register(cx.clone(), store));
     let entry = Entry::new(cx.clone(), load_tracker, poison_guard);
     let probed_entry = entry.clone();
--- a/crates/rw-fleet/src/snapshot.rs
+++ b/crates/rw-fleet/src/snapshot.rs
@@ -36,6 +36,8 @@
     pub requested_weights: BTreeMap<Name, Vec<RequestedWeights>>,
     /// Records of when weights were requested, by the key of their row.
     pub weights_records: BTreeMap<Name, WeightsRecord>,
+    /// Recorded quarantines by row: the quarantined parts of prompts, none if it ended.
+    pub quarantines: BTreeMap<Name, Vec<Name>>,
     /// Daemons by name.
     pub daemons: BTreeMap<Name, Daemon>,
     /// Latest status of each backend server, by its identity.
--- a/crates/rw-fleet/tests/common/mod.rs
+++ b/crates/rw-fleet/tests/common/mod.rs
@@ -113,6 +113,14 @@
     fn encode_weights_record(&self, _: &WeightsRecord) -> Vec<u8> {
         Vec::new()
     }
+
+    fn quarantine_key(&self, parts: &[Name]) -> Name {
+        parts.join("+").into()
+    }
+
+    fn encode_quarantine(&self, _: &[Name]) -> Vec<u8> {
+        Vec::new()
+    }
 }
 
 fn server_content(row: &StoredRow, fields: &str) -> Result<BackendServer, String> {
--- a/crates/rw-protocol/src/generated.rs
+++ b/crates/rw-protocol/src/generated.rs
@@ -934,6 +934,8 @@
 #[serde(deny_unknown_fields)]
 pub struct ServerCrash {
     pub age_ms: u64,
+    ///Whether a server had ended under the same request before.
+    pub is_repeat: bool,
     pub part: crate::Name,
     pub server: crate::Name,
     pub started_ms: u64,
--- a/crates/rw-routing/src/poison/detector.rs
+++ b/crates/rw-routing/src/poison/detector.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use rw_protocol::Name;
@@ -6,28 +6,37 @@
 use super::survivals::Survivals;
 use super::{CrashedServer, PoisonReport, SuspectedCrash};
 
-/// Ends of servers, with no request that ran in between, after which a part is
-/// quarantined.
+/// Requests under which servers have to end, with none that ran in between, until a part
+/// is quarantined.
 const CRASH_THRESHOLD: usize = 3;
 /// The same for a part with which requests have run lately: many of them are usually in
 /// progress when a server ends for another reason.
 const ESTABLISHED_CRASH_THRESHOLD: usize = 6;
+/// Requests without such a part that have to run in the meantime; while no server answers,
+/// nothing can run that would clear the part.
+const ESTABLISHED_RUNS: usize = 50;
 /// Ends after which a request is not sent to a further server within one call.
 const REPEAT_THRESHOLD: usize = 2;
 /// Time for which a request that ran keeps its parts established.
 const ESTABLISHED_TTL: Duration = Duration::from_secs(120);
 /// Time for which the end of a server counts.
 const CRASH_TTL: Duration = Duration::from_secs(180);
-/// Time from the first suspicion to a quarantine, in which other entries may report that
-/// requests with the part run; two rounds of reports.
-const EXONERATION_TIME: Duration = Duration::from_millis(300);
+/// Time after which the end of a server counts, in which it may prove to live and other
+/// entries may report that requests with the part run.
+const EXONERATION_TIME: Duration = Duration::from_millis(400);
 /// Servers that end within this time end for a common reason, such as a loss of power,
 /// and count as one.
 const COMMON_CAUSE_WINDOW: Duration = Duration::from_millis(30);
 /// Time after its supposed end at which an event proves that a server lives.
-const ALIVE_MARGIN: Duration = Duration::from_millis(300);
+const ALIVE_MARGIN: Duration = Duration::from_millis(200);
 /// Bound of the delay of a report, by which times of different entries may differ.
 const REPORT_DELAY: Duration = Duration::from_secs(1);
+/// Time from the start of a quarantine until one request with its parts is let through,
+/// and from each such request to the next.
+const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(10);
+const TRIAL_INTERVAL: Duration = Duration::from_secs(600);
+/// Requests that are let through in all; each may end a server.
+const MAX_TRIALS: u32 = 2;
 /// Maximum number of suspicions that an entry keeps and reports.
 const MAX_CRASHES: usize = 256;
 const MAX_QUARANTINES: usize = 64;
@@ -43,6 +52,9 @@
     pub since: Duration,
     /// Servers that have ended; 0 if another entry or the store reported the quarantine.
     pub crashes: usize,
+    // When the next request is let through, and how many have been.
+    next_trial: Duration,
+    trials: u32,
 }
 
 impl Quarantine {
@@ -62,10 +74,10 @@
 /// for n in 1..=3 {
 ///     let at = Duration::from_millis(n * 200);
 ///     let server = CrashedServer { id: format!("s-{n}").into(), started_ms: 0 };
-///     detector.on_crash(&server, &parts, at);
+///     detector.on_crash(&server, &parts, false, at);
 ///     detector.on_run(&parts[..1], at + Duration::from_millis(100));
 /// }
-/// let new = detector.evaluate(Duration::from_millis(800));
+/// let new = detector.evaluate(Duration::from_secs(1));
 /// assert_eq!(new[0].parts, ["poison".into()]);
 /// assert!(detector.quarantine_of(&parts).is_some());
 /// assert!(detector.quarantine_of(&parts[..1]).is_none());
@@ -74,6 +86,8 @@
 pub struct PoisonDetector {
     crashes: Vec<SuspectedCrash>,
     survivals: Survivals,
+    // Times of the last requests that ran here.
+    last_runs: VecDeque<Duration>,
     alive: BTreeMap<CrashedServer, Duration>,
     // Parts that an operator released, and when.
     cleared: BTreeMap<Name, Duration>,
@@ -88,8 +102,15 @@
 }
 
 impl PoisonDetector {
-    /// Records that a server ended under a request that had not run for a while.
-    pub fn on_crash(&mut self, server: &CrashedServer, parts: &[Name], now: Duration) {
+    /// Records that a server ended under a request that had not run for a while, and
+    /// whether another had ended under the same request before.
+    pub fn on_crash(
+        &mut self,
+        server: &CrashedServer,
+        parts: &[Name],
+        is_repeat: bool,
+        now: Duration,
+    ) {
         for part in parts {
             let is_known = |c: &SuspectedCrash| c.part == *part && c.server == *server;
             if !self.crashes.iter().any(is_known) {
@@ -97,6 +118,7 @@
                     part: part.clone(),
                     server: server.clone(),
                     at: now,
+                    is_repeat,
                 });
             }
         }
@@ -107,6 +129,10 @@
         for part in parts {
             self.survivals.record(part, now);
         }
+        self.last_runs.push_back(now);
+        if self.last_runs.len() > ESTABLISHED_RUNS {
+            self.last_runs.pop_front();
+        }
     }
 
     /// Records an event of a server, which proves that it lives.
@@ -186,6 +212,23 @@
         self.quarantines.iter().find(|q| q.holds(parts))
     }
 
+    /// Whether a request with these parts is let through to find out whether it still ends
+    /// servers. The caller makes sure that only one entry asks for a quarantine.
+    pub fn take_trial(&mut self, parts: &[Name], now: Duration) -> bool {
+        let holding = |q: &&mut Quarantine| q.holds(parts);
+        let is_due = |q: &Quarantine| q.trials < MAX_TRIALS && now >= q.next_trial;
+        let mut quarantines: Vec<&mut Quarantine> =
+            self.quarantines.iter_mut().filter(holding).collect();
+        if quarantines.is_empty() || !quarantines.iter().all(|q| is_due(q)) {
+            return false;
+        }
+        for quarantine in &mut quarantines {
+            quarantine.trials += 1;
+            quarantine.next_trial = now + TRIAL_INTERVAL;
+        }
+        true
+    }
+
     /// Whether a request with these parts may be sent to a further server after the first
     /// one ended.
     pub fn may_repeat(&self, parts: &[Name]) -> bool {
@@ -244,19 +287,20 @@
             self.adopt(&parts, since);
         }
         self.release_survivors();
-        let mut crashes = self.unexplained_crashes();
+        let mut crashes = self.unexplained_crashes(now);
+        let servers = crashes.values().flat_map(BTreeMap::keys);
+        self.suspected_servers = servers.map(|s| (s.id.clone(), s.clone())).collect();
         let suspects = crashes.iter().filter(|(part, ends)| {
-            !self.is_established(part, now) && count(ends) >= REPEAT_THRESHOLD
+            !self.is_established(part, now) && count(ends.values()) >= REPEAT_THRESHOLD
         });
         self.suspects = suspects.map(|(part, _)| part.clone()).collect();
-        let servers = crashes.values().flat_map(BTreeMap::keys);
-        self.suspected_servers = servers.map(|s| (s.id.clone(), s.clone())).collect();
+        for ends in crashes.values_mut() {
+            ends.retain(|_, end| now >= end.at + EXONERATION_TIME);
+        }
         while let Some(parts) = self.most_suspect(&crashes, now) {
             let ends = crashes.get(&parts[0]).cloned().unwrap_or_default();
             self.push_quarantine(parts, now, ends.len());
-            for other in crashes.values_mut() {
-                other.retain(|server, _| !ends.contains_key(server));
-            }
+            self.explain(&mut crashes, &ends, now);
         }
         let is_new = |q: &&Quarantine| !before.iter().any(|old| old.parts == q.parts);
         self.quarantines.iter().filter(is_new).cloned().collect()
@@ -270,22 +314,30 @@
             parts,
             since,
             crashes,
+            next_trial: since + FIRST_TRIAL_DELAY,
+            trials: 0,
         });
     }
 
     // Parts whose ends of servers are the same cannot be told apart, and are quarantined
     // only where they come together.
     fn most_suspect(&self, crashes: &Ends, now: Duration) -> Option<Vec<Name>> {
-        let candidates = crashes.iter().filter(|(part, ends)| {
-            let threshold = match self.is_established(part, now) {
-                true => ESTABLISHED_CRASH_THRESHOLD,
-                false => CRASH_THRESHOLD,
-            };
-            let first = ends.values().min().copied().unwrap_or(now);
-            count(ends) >= threshold && now >= first + EXONERATION_TIME
-        });
+        let is_candidate = |part: &Name, ends: &BTreeMap<CrashedServer, End>| {
+            let requests = count(ends.values().filter(|end| !end.is_repeat));
+            match self.is_established(part, now) {
+                true => requests >= ESTABLISHED_CRASH_THRESHOLD && self.others_ran_since(ends),
+                false => requests >= CRASH_THRESHOLD,
+            }
+        };
+        let candidates = crashes
+            .iter()
+            .filter(|(part, ends)| is_candidate(part, ends));
         let (_, ends) = candidates.max_by_key(|(part, ends)| {
-            (!self.is_established(part, now), count(ends), ends.len())
+            (
+                !self.is_established(part, now),
+                count(ends.values()),
+                ends.len(),
+            )
         })?;
         let same = crashes
             .iter()
@@ -293,27 +345,46 @@
         Some(same.map(|(part, _)| part.clone()).collect())
     }
 
+    // Whether many requests ran since the first of the ends.
+    fn others_ran_since(&self, ends: &BTreeMap<CrashedServer, End>) -> bool {
+        let first = ends.values().map(|end| end.at).min();
+        self.last_runs.len() >= ESTABLISHED_RUNS && self.last_runs.front().copied() > first
+    }
+
     // Ends of servers by suspected part, without those that a quarantined part explains.
-    fn unexplained_crashes(&self) -> Ends {
+    fn unexplained_crashes(&self, now: Duration) -> Ends {
         let mut ends: Ends = BTreeMap::new();
         let crashes = self.crashes.iter().chain(self.reported_crashes());
         for crash in crashes.filter(|crash| self.counts(crash)) {
             let of_part = ends.entry(crash.part.clone()).or_default();
-            let at = of_part.entry(crash.server.clone()).or_insert(crash.at);
-            *at = crash.at.min(*at);
+            let end = of_part.entry(crash.server.clone()).or_insert(End {
+                at: crash.at,
+                is_repeat: crash.is_repeat,
+            });
+            end.at = crash.at.min(end.at);
+            end.is_repeat &= crash.is_repeat;
         }
         for quarantine in &self.quarantines {
             let explained = match &quarantine.parts[..] {
                 [part] => ends.remove(part).unwrap_or_default(),
                 _ => BTreeMap::new(),
             };
-            for other in ends.values_mut() {
-                other.retain(|server, _| !explained.contains_key(server));
-            }
+            self.explain(&mut ends, &explained, now);
         }
         ends
     }
 
+    // Removes ends that a quarantine explains. A part that is not established and has
+    // further ends may be the true cause, and keeps all of them.
+    fn explain(&self, ends: &mut Ends, explained: &BTreeMap<CrashedServer, End>, now: Duration) {
+        for (part, of_part) in ends {
+            let is_explained = of_part.keys().all(|server| explained.contains_key(server));
+            if is_explained || self.is_established(part, now) {
+                of_part.retain(|server, _| !explained.contains_key(server));
+            }
+        }
+    }
+
     // Whether neither the server lives on, nor a request with the part ran since.
     fn counts(&self, crash: &SuspectedCrash) -> bool {
         let reported = self.reported_alive.get(&crash.server);
@@ -338,14 +409,12 @@
         last.is_some_and(|at| now < at + ESTABLISHED_TTL)
     }
 
-    // Parts with which a request ran since are not at fault.
+    // A quarantine ends when a request with one of its parts ran; what still speaks
+    // against the others is weighed anew.
     fn release_survivors(&mut self) {
         let mut quarantines = std::mem::take(&mut self.quarantines);
-        for quarantine in &mut quarantines {
-            let since = Some(quarantine.since);
-            quarantine.parts.retain(|part| self.last_run(part) <= since);
-        }
-        quarantines.retain(|quarantine| !quarantine.parts.is_empty());
+        let ran = |q: &Quarantine| q.parts.iter().any(|p| self.last_run(p) > Some(q.since));
+        quarantines.retain(|quarantine| !ran(quarantine));
         self.quarantines = quarantines;
     }
 
@@ -363,11 +432,18 @@
     }
 }
 
-type Ends = BTreeMap<Name, BTreeMap<CrashedServer, Duration>>;
+// Ends of servers by suspected part.
+type Ends = BTreeMap<Name, BTreeMap<CrashedServer, End>>;
+
+#[derive(Clone, Copy, Debug)]
+struct End {
+    at: Duration,
+    is_repeat: bool,
+}
 
 // Number of ends that have no common cause.
-fn count(ends: &BTreeMap<CrashedServer, Duration>) -> usize {
-    let mut times: Vec<Duration> = ends.values().copied().collect();
+fn count<'a>(ends: impl Iterator<Item = &'a End>) -> usize {
+    let mut times: Vec<Duration> = ends.map(|end| end.at).collect();
     times.sort_unstable();
     let mut last: Option<Duration> = None;
     let mut count = 0;
--- a/crates/rw-routing/src/poison/evidence.rs
+++ b/crates/rw-routing/src/poison/evidence.rs
@@ -20,6 +20,8 @@
     pub server: CrashedServer,
     /// Time of the end; in reports, its age.
     pub at: Duration,
+    /// Whether a server had ended under the same request before.
+    pub is_repeat: bool,
 }
 
 /// What an entry tells the others; replaces its previous report. Times are ages.
