Tell parts of prompts apart at entries that have just started

The simulation dropped requests that are let through as a trial; they heal a wrong quarantine after 10 s, as in the entry.

--- a/crates/rw-routing/src/poison/detector.rs
+++ b/crates/rw-routing/src/poison/detector.rs
@@ -6,9 +6,8 @@
 use super::survivals::Survivals;
 use super::{CrashedServer, PoisonReport, Quarantine, SuspectedCrash};
 
-/// Requests without such a part that have to run in the meantime; while no server answers,
-/// nothing can run that would clear the part.
-pub(super) const ESTABLISHED_RUNS: usize = 50;
+/// Number of requests that ran last whose times are remembered.
+const REMEMBERED_RUNS: usize = 50;
 /// Bound of the delay of a report, by which times of different entries may differ.
 pub(super) const REPORT_DELAY: Duration = Duration::from_secs(1);
 /// Maximum number of suspicions that an entry keeps and reports.
@@ -25,13 +24,16 @@
 /// use rw_routing::{CrashedServer, PoisonDetector};
 /// let mut detector = PoisonDetector::default();
 /// let parts = ["shared".into(), "poison".into()];
-/// for n in 1..=3 {
+/// for n in 1..=10 {
+///     detector.on_run(&parts[..1], Duration::from_millis(n * 200));
+/// }
+/// for n in 11..=13 {
 ///     let at = Duration::from_millis(n * 200);
 ///     let server = CrashedServer { id: format!("s-{n}").into(), started_ms: 0 };
 ///     detector.on_crash(&server, &parts, false, at);
 ///     detector.on_run(&parts[..1], at + Duration::from_millis(100));
 /// }
-/// let new = detector.evaluate(Duration::from_secs(1));
+/// let new = detector.evaluate(Duration::from_secs(4));
 /// assert_eq!(new[0].parts, ["poison".into()]);
 /// assert!(detector.quarantine_of(&parts).is_some());
 /// assert!(detector.quarantine_of(&parts[..1]).is_none());
@@ -84,7 +86,7 @@
             self.survivals.record(part, now);
         }
         self.last_runs.push_back(now);
-        if self.last_runs.len() > ESTABLISHED_RUNS {
+        if self.last_runs.len() > REMEMBERED_RUNS {
             self.last_runs.pop_front();
         }
     }
--- a/crates/rw-routing/src/poison/evaluation.rs
+++ b/crates/rw-routing/src/poison/evaluation.rs
@@ -5,32 +5,37 @@
 
 use rw_protocol::Name;
 
-use super::detector::{ESTABLISHED_RUNS, MAX_CRASHES, MAX_QUARANTINES};
+use super::detector::{MAX_CRASHES, MAX_QUARANTINES};
 use super::{CrashedServer, PoisonDetector, Quarantine, SuspectedCrash};
 
 /// Requests under which servers have to end, with none that ran in between, until a part
 /// is quarantined.
 const CRASH_THRESHOLD: usize = 3;
-/// Requests that an entry has to have seen run for that; it does not yet know which parts
-/// are sound before.
-const MIN_RUNS: usize = 10;
-/// Requests under which servers have to end until then.
+/// The same at an entry that has seen fewer requests run than `MIN_RUNS`, and so does not
+/// know yet which parts are sound.
 const COLD_CRASH_THRESHOLD: usize = 5;
+const MIN_RUNS: usize = 10;
+/// Time from the first end to a quarantine at such an entry, which needs the evidence of
+/// the others to tell parts apart.
+const COLD_WAIT: Duration = Duration::from_millis(1500);
 /// The same for a part with which requests have run lately: many of them are usually in
 /// progress when a server ends for another reason.
 const ESTABLISHED_CRASH_THRESHOLD: usize = 6;
+/// Requests without such a part that have to run in the meantime; while no server answers,
+/// none can run that would clear it.
+const ESTABLISHED_RUNS: usize = 50;
 /// Time for which a request that ran keeps its parts established.
 const ESTABLISHED_TTL: Duration = Duration::from_secs(120);
 /// Time for which the end of a server counts.
 const CRASH_TTL: Duration = Duration::from_secs(180);
 /// Time after which the end of a server counts, in which it may prove to live and other
 /// entries may report that requests with the part run.
-const EXONERATION_TIME: Duration = Duration::from_millis(400);
+const EXONERATION_TIME: Duration = Duration::from_millis(600);
 /// Servers that end within this time end for a common reason, such as a loss of power,
 /// and count as one.
 const COMMON_CAUSE_WINDOW: Duration = Duration::from_millis(30);
 /// Time after its supposed end at which an event proves that a server lives.
-const ALIVE_MARGIN: Duration = Duration::from_millis(200);
+const ALIVE_MARGIN: Duration = Duration::from_millis(500);
 /// Ends after which a request is not sent to a further server within one call.
 const REPEAT_THRESHOLD: usize = 2;
 
@@ -69,7 +74,10 @@
         }
         while let Some(parts) = self.most_suspect(&crashes, now) {
             let ends = crashes.get(&parts[0]).cloned().unwrap_or_default();
-            self.push_quarantine(parts, now, ends.len());
+            // Ends of parts that cannot be told apart stay unexplained.
+            if !self.quarantines.iter().any(|q| q.parts == parts) {
+                self.push_quarantine(parts, now, ends.len());
+            }
             self.explain(&mut crashes, &ends, now);
         }
         let is_new = |q: &&Quarantine| !before.iter().any(|old| old.parts == q.parts);
@@ -87,6 +95,8 @@
     // Parts whose ends of servers are the same cannot be told apart, and are quarantined
     // only where they come together.
     fn most_suspect(&self, crashes: &Ends, now: Duration) -> Option<Vec<Name>> {
+        let first = crashes.values().map(first_end).min();
+        let cold_until = first.unwrap_or_default().saturating_add(COLD_WAIT);
         let is_candidate = |part: &Name, ends: &BTreeMap<CrashedServer, End>| {
             let requests = count(ends.values().filter(|end| !end.is_repeat));
             if self.is_established(part, now) {
@@ -94,7 +104,7 @@
                     && self.runs_since(ends) >= ESTABLISHED_RUNS;
             }
             match self.last_runs.len() < MIN_RUNS {
-                true => requests >= COLD_CRASH_THRESHOLD,
+                true => requests >= COLD_CRASH_THRESHOLD && now >= cold_until,
                 false => requests >= CRASH_THRESHOLD,
             }
         };
@@ -116,9 +126,8 @@
 
     // Requests that ran here since the first of the ends; no more than are remembered.
     fn runs_since(&self, ends: &BTreeMap<CrashedServer, End>) -> usize {
-        let first = ends.values().map(|end| end.at).min();
-        let since = |at: &&Duration| Some(**at) > first;
-        self.last_runs.iter().filter(since).count()
+        let first = first_end(ends);
+        self.last_runs.iter().filter(|at| **at > first).count()
     }
 
     // Ends of servers by suspected part, without those that a quarantined part explains.
@@ -190,7 +199,9 @@
 
     fn prune(&mut self, now: Duration) {
         let is_recent = |at: Duration| now <= at + CRASH_TTL;
-        self.crashes.retain(|crash| is_recent(crash.at));
+        let mut crashes = std::mem::take(&mut self.crashes);
+        crashes.retain(|crash| is_recent(crash.at) && self.counts(crash));
+        self.crashes = crashes;
         let excess = self.crashes.len().saturating_sub(MAX_CRASHES);
         self.crashes.drain(..excess);
         self.alive.retain(|_, at| is_recent(*at));
@@ -202,6 +213,11 @@
     }
 }
 
+fn first_end(ends: &BTreeMap<CrashedServer, End>) -> Duration {
+    let times = ends.values().map(|end| end.at);
+    times.min().unwrap_or(Duration::MAX)
+}
+
 // Number of ends that have no common cause.
 fn count<'a>(ends: impl Iterator<Item = &'a End>) -> usize {
     let mut times: Vec<Duration> = ends.map(|end| end.at).collect();
--- a/crates/rw-routing/src/poison/quarantine.rs
+++ b/crates/rw-routing/src/poison/quarantine.rs
@@ -8,6 +8,7 @@
 const TRIAL_INTERVAL: Duration = Duration::from_secs(600);
 /// Requests that are let through in all; each may end a server.
 const MAX_TRIALS: u32 = 2;
+
 /// Requests that hold all of `parts` are not sent to servers.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Quarantine {
--- a/crates/rw-routing/tests/poison_prompts.rs
+++ b/crates/rw-routing/tests/poison_prompts.rs
@@ -68,6 +68,13 @@
     }
 }
 
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Admission {
+    Sent,
+    Trial,
+    Held,
+}
+
 #[derive(Clone, Debug)]
 struct Running {
     entry: usize,
@@ -78,6 +85,7 @@
     has_run: bool,
     breaks_off: bool,
     is_repeat: bool,
+    is_trial: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -209,7 +217,8 @@
             let entry = self.rng.random_range(0..self.setup.entries);
             let held_by = self.detectors[entry].quarantine_of(&parts);
             let held_by = held_by.map(|q| q.parts.join(","));
-            let is_held = self.is_held(entry, &parts, now);
+            let admission = self.admission(entry, &parts, now);
+            let is_held = admission == Admission::Held;
             self.out.sound_sent += 1;
             self.out.sound_held += u32::from(is_held);
             self.out.sound_quarantines.extend(held_by);
@@ -219,7 +228,14 @@
                 self.out.sound_held_late += u32::from(is_held);
             }
             if !is_held {
-                self.send(entry, parts, None, false, now);
+                self.send(
+                    entry,
+                    parts,
+                    None,
+                    false,
+                    admission == Admission::Trial,
+                    now,
+                );
             }
         }
         for part in 0..self.setup.poison_per_s.len() {
@@ -231,20 +247,26 @@
             let at = self.setup.poison_position.min(parts.len());
             parts.insert(at, poison(part));
             let entry = self.rng.random_range(0..self.setup.entries);
-            if !self.is_held(entry, &parts, now) {
-                self.send(entry, parts, Some(part), false, now);
+            let admission = self.admission(entry, &parts, now);
+            if admission != Admission::Held {
+                let is_trial = admission == Admission::Trial;
+                self.send(entry, parts, Some(part), false, is_trial, now);
             }
         }
     }
 
-    // Whether the entry holds a request with these parts back.
-    fn is_held(&mut self, entry: usize, parts: &[Name], now: u64) -> bool {
+    // Whether the entry holds a request with these parts back, or lets it through as a
+    // trial.
+    fn admission(&mut self, entry: usize, parts: &[Name], now: u64) -> Admission {
         let Some(quarantine) = self.detectors[entry].quarantine_of(parts) else {
-            return false;
+            return Admission::Sent;
         };
         let owner = quarantine.parts[0].bytes().map(usize::from).sum::<usize>();
         let is_owner = owner % self.setup.entries == entry;
-        !(is_owner && self.detectors[entry].take_trial(parts, ms(now)))
+        match is_owner && self.detectors[entry].take_trial(parts, ms(now)) {
+            true => Admission::Trial,
+            false => Admission::Held,
+        }
     }
 
     fn send(
@@ -253,6 +275,7 @@
         parts: Vec<Name>,
         poison: Option<usize>,
         is_repeat: bool,
+        is_trial: bool,
         now: u64,
     ) {
         let up: Vec<usize> = (0..self.servers.len())
@@ -275,6 +298,7 @@
             has_run: false,
             breaks_off: self.rng.random::<f64>() < self.setup.grey,
             is_repeat,
+            is_trial,
         });
     }
 
@@ -303,7 +327,7 @@
                     .is_none()
                 && self.rng.random::<f64>() < 0.5
             {
-                self.send(req.entry, req.parts, req.poison, true, now);
+                self.send(req.entry, req.parts, req.poison, true, false, now);
             }
         }
     }
@@ -325,7 +349,8 @@
             let mut kept = Vec::new();
             for mut req in std::mem::take(&mut self.servers[n].running) {
                 let detector = &mut self.detectors[req.entry];
-                if detector.quarantine_of(&req.parts).is_some() && now < req.first_event_at {
+                let is_quarantined = detector.quarantine_of(&req.parts).is_some();
+                if is_quarantined && !req.is_trial && now < req.first_event_at {
                     continue; // Taken back before it begins.
                 }
                 if req.breaks_off && now >= req.first_event_at {
@@ -382,9 +407,9 @@
     seeds.and_then(|seeds| seeds.parse().ok()).unwrap_or(20)
 }
 
-fn check(setup: Setup, seeds: u64) {
+fn check_seeds(setup: &Setup, seeds: std::ops::Range<u64>) {
     let mut failures = BTreeMap::new();
-    for seed in 0..seeds {
+    for seed in seeds {
         let out = Simulation::new(setup.clone(), seed).run();
         let later: Vec<u32> = (0..setup.poison_per_s.len())
             .map(|part| out.later_arrivals(part))
@@ -416,7 +441,7 @@
 #[case::beside_a_loss_of_power(Setup { power_loss: 4, poison_from_ms: 10_000, ..Setup::default() })]
 #[case::beside_grey_servers(Setup { grey: 0.06, ..Setup::default() })]
 fn crashing_part_is_held_back_and_sound_requests_go_on(#[case] setup: Setup) {
-    check(setup, seeds());
+    check_seeds(&setup, 0..seeds());
 }
 
 /// Guards against a quarantine where no part is at fault.
@@ -442,6 +467,30 @@
     }
 }
 
+/// Seeds on which the simulations above failed when more of them were tried by hand. All
+/// servers end within 1.3 s of the first request: the routes' parts are held for 10 s.
+#[test]
+fn found_by_hand_routes_are_held_when_all_servers_end_at_once_seed_47() {
+    let setup = Setup {
+        poison_from_ms: 0,
+        ..Setup::default()
+    };
+    check_seeds(&setup, 47..48);
+}
+
+/// Ten of twelve servers end by themselves within 5 s: a session's part is held for two
+/// requests.
+#[test]
+fn found_by_hand_session_is_held_when_most_servers_crash_seed_46() {
+    let setup = Setup {
+        ordinary_crashes: 10,
+        poison_per_s: Vec::new(),
+        ..Setup::default()
+    };
+    let out = Simulation::new(setup, 46).run();
+    assert_eq!(out.sound_held, 0, "{:?}", out.sound_quarantines);
+}
+
 /// Guards against a quarantine that outlives its cause, and against one that returns
 /// from reports of entries that have not heard of its end.
 #[test]
@@ -459,6 +508,26 @@
     assert!(second.quarantine_of(&parts).is_none());
 }
 
+/// Guards against a combination that is quarantined again each time it is weighed.
+#[test]
+fn parts_that_cannot_be_told_apart_are_quarantined_once() {
+    let parts = [Name::from("a"), Name::from("b")];
+    let mut detector = PoisonDetector::default();
+    for n in 0..5 {
+        let server = CrashedServer {
+            id: format!("s-{n}").into(),
+            started_ms: 0,
+        };
+        detector.on_crash(&server, &parts, false, ms(n * 300));
+    }
+    for round in 0..10 {
+        detector.evaluate(ms(3000 + round * 100));
+    }
+    assert_eq!(detector.quarantines().len(), 1);
+    assert!(detector.quarantine_of(&parts).is_some());
+    assert!(detector.quarantine_of(&parts[..1]).is_none());
+}
+
 /// Guards against memory that grows with the number of parts.
 #[test]
 fn memory_is_bounded_over_hundreds_of_thousands_of_parts() {
