Say crash for the end of a server that a prompt causes

Names, comments and texts of lines only, as the field says it; a constant whose comment spoke of another is explained by itself. No decision changes.

--- a/crates/rw-fleet/src/entry/poison_guard.rs
+++ b/crates/rw-fleet/src/entry/poison_guard.rs
@@ -1,4 +1,4 @@
-//! Holds back requests with a part in their prompts that ends backend servers.
+//! Holds back requests with a part in their prompts that crashes backend servers.
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -18,7 +18,7 @@
 /// what a server needs for an event.
 pub(super) const RUN_TIME: Duration = Duration::from_secs(1);
 
-/// The parts of prompts that end backend servers, as this entry knows them.
+/// The parts of prompts that crash backend servers, as this entry knows them.
 pub struct PoisonGuard {
     started: Instant,
     detector: Mutex<PoisonDetector>,
@@ -96,7 +96,7 @@
     }
 
     /// Whether the call is let through, although it is quarantined, to find out whether it
-    /// still ends servers. Only one of the entries lets calls of a quarantine through.
+    /// still crashes servers. Only one of the entries lets calls of a quarantine through.
     pub(super) fn take_trial(&self, call: &Call, owns: impl Fn(&Name) -> bool) -> bool {
         if !self.is_active() {
             return false;
@@ -108,7 +108,7 @@
         is_owner && detector.take_trial(&call.prompt_parts, now)
     }
 
-    /// Whether the call may be sent to a further server after one ended under it.
+    /// Whether the call may be sent to a further server after one crashed under it.
     pub(super) fn may_repeat(&self, call: &Call) -> bool {
         !self.is_active() || self.detector().may_repeat(&call.prompt_parts)
     }
--- a/crates/rw-fleet/src/entry/shared.rs
+++ b/crates/rw-fleet/src/entry/shared.rs
@@ -19,7 +19,7 @@
     pub cx: Arc<Cx<D>>,
     /// Load on backend servers.
     pub load_tracker: Arc<LoadTracker>,
-    /// Parts of prompts that end backend servers.
+    /// Parts of prompts that crash backend servers.
     pub poison_guard: Arc<PoisonGuard>,
     pub(super) open_connections: AtomicUsize,
     extra_retries: ExtraRetries,
--- a/crates/rw-fleet/src/entry/stream_opener.rs
+++ b/crates/rw-fleet/src/entry/stream_opener.rs
@@ -48,7 +48,7 @@
 /// `Retry-After` of a request with a quarantined part: until an operator or new weights
 /// end the quarantine, it is refused again.
 const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
-const QUARANTINE_REASON: &str = "a part of the prompt ends backend servers";
+const QUARANTINE_REASON: &str = "a part of the prompt crashes backend servers";
 
 /// A stream whose first events have been received.
 pub(super) struct OpenedStream {
@@ -114,7 +114,7 @@
             }
             let result = tokio::select! {
                 result = self.start_stream(permit, last_event_id) => result,
-                // The server may not have begun to answer yet, and then lives on.
+                // The server may not have begun to answer yet, and then keeps running.
                 () = guard.quarantined(self.call), if !self.is_trial => {
                     self.sent_attempts += 1;
                     return Err(self.quarantine_refusal());
--- a/crates/rw-fleet/src/peers.rs
+++ b/crates/rw-fleet/src/peers.rs
@@ -39,7 +39,7 @@
     pub cx: Arc<Cx<D>>,
     /// Load on backend servers, on entries.
     pub load_tracker: Option<Arc<LoadTracker>>,
-    /// Parts of prompts that end backend servers, on entries.
+    /// Parts of prompts that crash backend servers, on entries.
     pub poison_guard: Option<Arc<PoisonGuard>>,
     /// Stored weights, on hosts.
     pub chunk_store: Option<Arc<ChunkStore>>,
--- a/crates/rw-fleet/src/poison_notices.rs
+++ b/crates/rw-fleet/src/poison_notices.rs
@@ -1,4 +1,4 @@
-//! Notices in which entries tell each other about parts of prompts that end backend
+//! Notices in which entries tell each other about parts of prompts that crash backend
 //! servers.
 
 use std::collections::BTreeSet;
--- a/crates/rw-observe/src/catalogue.rs
+++ b/crates/rw-observe/src/catalogue.rs
@@ -97,7 +97,7 @@
     712 WeightsRequired Info "An entry sends requests only to backend servers with this version of the weights or a newer one." "If servers still hold older weights, check why their rollout is late.";
     713 WeightsRecorded Info "The times at which weights were requested were recorded in the platform's store." "Nothing.";
     714 StateTakenOver Info "An entry that starts took over what a running entry knows, or none answered." "Nothing. If none answers although entries run, check the network.";
-    715 PromptQuarantined Warn "Backend servers ended one after the other under requests with a part of a prompt in common; the entry refuses requests with it." "Find the cause with the named servers; release the part as docs/OPERATIONS.md says.";
+    715 PromptQuarantined Warn "Backend servers crashed one after the other under requests with a part of a prompt in common; the entry refuses requests with it." "Find the cause with the named servers; release the part as docs/OPERATIONS.md says.";
     716 PromptReleased Info "A quarantined part of a prompt was released: a request with it ran, or an operator released it." "Nothing.";
 }
 
--- a/crates/rw-protocol/src/generated.rs
+++ b/crates/rw-protocol/src/generated.rs
@@ -710,15 +710,15 @@
     pub origin_bytes: u64,
     pub warnings: ::std::vec::Vec<::std::string::String>,
 }
-///What an entry knows about parts of prompts that end backend servers; replaces its previous notice.
+///What an entry knows about parts of prompts that crash backend servers; replaces its previous notice.
 ///
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct PoisonNotice {
-    ///Backend servers that other entries believe to have ended and that have sent events.
+    ///Backend servers that other entries believe to have crashed and that have sent events.
     pub alive: ::std::vec::Vec<ServerEventAge>,
-    ///Ends of backend servers that count against a part.
+    ///Crashes of backend servers that count against a part.
     pub crashes: ::std::vec::Vec<ServerCrash>,
     pub entry: crate::Name,
     ///Quarantines in effect at the entry.
@@ -927,14 +927,14 @@
     pub service: crate::Name,
     pub version: crate::Name,
 }
-///End of a backend server of which a part of a prompt is suspected.
+///Crash of a backend server of which a part of a prompt is suspected.
 ///
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServerCrash {
     pub age_ms: u64,
-    ///Whether a server had ended under the same request before.
+    ///Whether a server had crashed under the same request before.
     pub is_repeat: bool,
     pub part: crate::Name,
     pub server: crate::Name,
--- a/crates/rw-routing/src/poison/detector.rs
+++ b/crates/rw-routing/src/poison/detector.rs
@@ -16,7 +16,7 @@
 const MAX_CLEARED: usize = 256;
 const MAX_PEERS: usize = 4096;
 
-/// Finds parts of prompts that end servers. Performs no I/O; all times are those of one
+/// Finds parts of prompts that crash servers. Performs no I/O; all times are those of one
 /// steady clock of the entry.
 ///
 /// ```
@@ -53,13 +53,13 @@
     pub(super) reported_alive: BTreeMap<CrashedServer, Duration>,
     pub(super) quarantines: Vec<Quarantine>,
     pub(super) suspects: BTreeSet<Name>,
-    // Servers that are believed to have ended.
+    // Servers that are believed to have crashed.
     pub(super) suspected_servers: BTreeMap<Name, CrashedServer>,
 }
 
 impl PoisonDetector {
-    /// Records that a server ended under a request that had not run for a while, and
-    /// whether another had ended under the same request before.
+    /// Records that a server crashed under a request that had not run for a while, and
+    /// whether another had crashed under the same request before.
     pub fn on_crash(
         &mut self,
         server: &CrashedServer,
@@ -91,7 +91,7 @@
         }
     }
 
-    /// Records an event of a server, which proves that it lives.
+    /// Records an event of a server, which proves that it is alive.
     pub fn on_event(&mut self, server: &str, started_ms: u64, now: Duration) {
         let suspected = self.suspected_servers.get(server);
         if let Some(server) = suspected.filter(|server| server.started_ms == started_ms) {
@@ -168,7 +168,7 @@
         self.quarantines.iter().find(|q| q.holds(parts))
     }
 
-    /// Whether a request with these parts is let through to find out whether it still ends
+    /// Whether a request with these parts is let through to find out whether it still crashes
     /// servers. The caller makes sure that only one entry asks for a quarantine.
     pub fn take_trial(&mut self, parts: &[Name], now: Duration) -> bool {
         let holding = |q: &&mut Quarantine| q.holds(parts);
@@ -184,7 +184,7 @@
     }
 
     /// Whether a request with these parts may be sent to a further server after the first
-    /// one ended.
+    /// one crashed.
     pub fn may_repeat(&self, parts: &[Name]) -> bool {
         !parts.iter().any(|part| self.suspects.contains(part))
     }
--- a/crates/rw-routing/src/poison/evaluation.rs
+++ b/crates/rw-routing/src/poison/evaluation.rs
@@ -8,42 +8,42 @@
 use super::detector::{MAX_CRASHES, MAX_QUARANTINES};
 use super::{CrashedServer, PoisonDetector, Quarantine, SuspectedCrash};
 
-/// Requests under which servers have to end, with none that ran in between, until a part
-/// is quarantined.
+/// Requests under which servers have to crash, with none that ran in between, until a
+/// part is quarantined.
 const CRASH_THRESHOLD: usize = 3;
 /// The same at an entry that has seen fewer requests run than `MIN_RUNS`, and so does not
 /// know yet which parts are sound.
 const COLD_CRASH_THRESHOLD: usize = 5;
 const MIN_RUNS: usize = 10;
-/// Time from the first end to a quarantine at such an entry, which needs the evidence of
+/// Time from the first crash to a quarantine at such an entry, which needs the evidence of
 /// the others to tell parts apart.
 const COLD_WAIT: Duration = Duration::from_millis(1500);
 /// The same for a part with which requests have run lately: many of them are usually in
-/// progress when a server ends for another reason.
+/// progress when a server crashes for another reason.
 const ESTABLISHED_CRASH_THRESHOLD: usize = 6;
 /// Requests without such a part that have to run in the meantime; while no server answers,
 /// none can run that would clear it.
 const ESTABLISHED_RUNS: usize = 50;
 /// Time for which a request that ran keeps its parts established.
 const ESTABLISHED_TTL: Duration = Duration::from_secs(120);
-/// Time for which the end of a server counts.
+/// Time for which a crash counts.
 const CRASH_TTL: Duration = Duration::from_secs(180);
-/// Time after which the end of a server counts, in which it may prove to live and other
+/// Time after which a crash counts. In it, the server may prove to be alive, and other
 /// entries may report that requests with the part run.
 const EXONERATION_TIME: Duration = Duration::from_millis(600);
-/// Servers that end within this time end for a common reason, such as a loss of power,
-/// and count as one.
+/// Servers that crash within this time have a common cause, such as a loss of power, and
+/// count as one.
 const COMMON_CAUSE_WINDOW: Duration = Duration::from_millis(30);
-/// Time after its supposed end at which an event proves that a server lives.
+/// Time after its supposed crash at which an event proves that a server is alive.
 const ALIVE_MARGIN: Duration = Duration::from_millis(500);
-/// Ends after which a request is not sent to a further server within one call.
+/// Crashes after which a call is not retried at a further server.
 const REPEAT_THRESHOLD: usize = 2;
 
-// Ends of servers by suspected part.
-type Ends = BTreeMap<Name, BTreeMap<CrashedServer, End>>;
+// Crashed servers by suspected part.
+type Crashes = BTreeMap<Name, BTreeMap<CrashedServer, Crash>>;
 
 #[derive(Clone, Copy, Debug)]
-struct End {
+struct Crash {
     at: Duration,
     is_repeat: bool,
 }
@@ -62,23 +62,23 @@
             self.adopt(&parts, since);
         }
         self.release_survivors();
-        let mut crashes = self.unexplained_crashes(now);
-        let servers = crashes.values().flat_map(BTreeMap::keys);
+        let mut by_part = self.unexplained_crashes(now);
+        let servers = by_part.values().flat_map(BTreeMap::keys);
         self.suspected_servers = servers.map(|s| (s.id.clone(), s.clone())).collect();
-        let suspects = crashes.iter().filter(|(part, ends)| {
-            !self.is_established(part, now) && count(ends.values()) >= REPEAT_THRESHOLD
+        let suspects = by_part.iter().filter(|(part, crashes)| {
+            !self.is_established(part, now) && count(crashes.values()) >= REPEAT_THRESHOLD
         });
         self.suspects = suspects.map(|(part, _)| part.clone()).collect();
-        for ends in crashes.values_mut() {
-            ends.retain(|_, end| now >= end.at + EXONERATION_TIME);
+        for crashes in by_part.values_mut() {
+            crashes.retain(|_, crash| now >= crash.at + EXONERATION_TIME);
         }
-        while let Some(parts) = self.most_suspect(&crashes, now) {
-            let ends = crashes.get(&parts[0]).cloned().unwrap_or_default();
-            // Ends of parts that cannot be told apart stay unexplained.
+        while let Some(parts) = self.most_suspect(&by_part, now) {
+            let crashes = by_part.get(&parts[0]).cloned().unwrap_or_default();
+            // Parts that cannot be told apart are suspected until one of them is cleared.
             if !self.quarantines.iter().any(|q| q.parts == parts) {
-                self.push_quarantine(parts, now, ends.len());
+                self.push_quarantine(parts, now, crashes.len());
             }
-            self.explain(&mut crashes, &ends, now);
+            self.explain(&mut by_part, &crashes, now);
         }
         let is_new = |q: &&Quarantine| !before.iter().any(|old| old.parts == q.parts);
         self.quarantines.iter().filter(is_new).cloned().collect()
@@ -92,71 +92,76 @@
             .push(Quarantine::new(parts, since, crashes));
     }
 
-    // Parts whose ends of servers are the same cannot be told apart, and are quarantined
+    // Parts that are suspected of the same crashes cannot be told apart, and are quarantined
     // only where they come together.
-    fn most_suspect(&self, crashes: &Ends, now: Duration) -> Option<Vec<Name>> {
-        let first = crashes.values().map(first_end).min();
+    fn most_suspect(&self, by_part: &Crashes, now: Duration) -> Option<Vec<Name>> {
+        let first = by_part.values().map(first_crash).min();
         let cold_until = first.unwrap_or_default().saturating_add(COLD_WAIT);
-        let is_candidate = |part: &Name, ends: &BTreeMap<CrashedServer, End>| {
-            let requests = count(ends.values().filter(|end| !end.is_repeat));
+        let is_candidate = |part: &Name, crashes: &BTreeMap<CrashedServer, Crash>| {
+            let requests = count(crashes.values().filter(|crash| !crash.is_repeat));
             if self.is_established(part, now) {
                 return requests >= ESTABLISHED_CRASH_THRESHOLD
-                    && self.runs_since(ends) >= ESTABLISHED_RUNS;
+                    && self.runs_since(crashes) >= ESTABLISHED_RUNS;
             }
             match self.last_runs.len() < MIN_RUNS {
                 true => requests >= COLD_CRASH_THRESHOLD && now >= cold_until,
                 false => requests >= CRASH_THRESHOLD,
             }
         };
-        let candidates = crashes
+        let candidates = by_part
             .iter()
-            .filter(|(part, ends)| is_candidate(part, ends));
-        let (_, ends) = candidates.max_by_key(|(part, ends)| {
+            .filter(|(part, crashes)| is_candidate(part, crashes));
+        let (_, crashes) = candidates.max_by_key(|(part, crashes)| {
             (
                 !self.is_established(part, now),
-                count(ends.values()),
-                ends.len(),
+                count(crashes.values()),
+                crashes.len(),
             )
         })?;
-        let same = crashes
+        let same = by_part
             .iter()
-            .filter(|(_, other)| other.keys().eq(ends.keys()));
+            .filter(|(_, other)| other.keys().eq(crashes.keys()));
         Some(same.map(|(part, _)| part.clone()).collect())
     }
 
-    // Requests that ran here since the first of the ends; no more than are remembered.
-    fn runs_since(&self, ends: &BTreeMap<CrashedServer, End>) -> usize {
-        let first = first_end(ends);
+    // Requests that ran here since the first of the crashes; no more than are remembered.
+    fn runs_since(&self, crashes: &BTreeMap<CrashedServer, Crash>) -> usize {
+        let first = first_crash(crashes);
         self.last_runs.iter().filter(|at| **at > first).count()
     }
 
-    // Ends of servers by suspected part, without those that a quarantined part explains.
-    fn unexplained_crashes(&self, now: Duration) -> Ends {
-        let mut ends: Ends = BTreeMap::new();
-        let crashes = self.crashes.iter().chain(self.reported_crashes());
-        for crash in crashes.filter(|crash| self.counts(crash)) {
-            let of_part = ends.entry(crash.part.clone()).or_default();
-            let end = of_part.entry(crash.server.clone()).or_insert(End {
-                at: crash.at,
-                is_repeat: crash.is_repeat,
+    // Crashes by suspected part, without those that a quarantined part explains.
+    fn unexplained_crashes(&self, now: Duration) -> Crashes {
+        let mut by_part: Crashes = BTreeMap::new();
+        let suspected = self.crashes.iter().chain(self.reported_crashes());
+        for suspected in suspected.filter(|crash| self.counts(crash)) {
+            let crashes = by_part.entry(suspected.part.clone()).or_default();
+            let crash = crashes.entry(suspected.server.clone()).or_insert(Crash {
+                at: suspected.at,
+                is_repeat: suspected.is_repeat,
             });
-            end.at = crash.at.min(end.at);
-            end.is_repeat &= crash.is_repeat;
+            crash.at = suspected.at.min(crash.at);
+            crash.is_repeat &= suspected.is_repeat;
         }
         for quarantine in &self.quarantines {
             let explained = match &quarantine.parts[..] {
-                [part] => ends.remove(part).unwrap_or_default(),
+                [part] => by_part.remove(part).unwrap_or_default(),
                 _ => BTreeMap::new(),
             };
-            self.explain(&mut ends, &explained, now);
+            self.explain(&mut by_part, &explained, now);
         }
-        ends
+        by_part
     }
 
-    // Removes ends that a quarantine explains. A part that is not established and has
-    // further ends may be the true cause, and keeps all of them.
-    fn explain(&self, ends: &mut Ends, explained: &BTreeMap<CrashedServer, End>, now: Duration) {
-        for (part, of_part) in ends {
+    // Removes crashes that a quarantine explains. A part that is not established and has
+    // further crashes may be the true cause, and keeps all of them.
+    fn explain(
+        &self,
+        crashes: &mut Crashes,
+        explained: &BTreeMap<CrashedServer, Crash>,
+        now: Duration,
+    ) {
+        for (part, of_part) in crashes {
             let is_explained = of_part.keys().all(|server| explained.contains_key(server));
             if is_explained || self.is_established(part, now) {
                 of_part.retain(|server, _| !explained.contains_key(server));
@@ -164,7 +169,7 @@
         }
     }
 
-    // Whether neither the server lives on, nor a request with the part ran since.
+    // Whether neither the server is alive, nor a request with the part ran since.
     pub(super) fn counts(&self, crash: &SuspectedCrash) -> bool {
         let reported = self.reported_alive.get(&crash.server);
         let last_event = self.alive.get(&crash.server).max(reported);
@@ -213,14 +218,14 @@
     }
 }
 
-fn first_end(ends: &BTreeMap<CrashedServer, End>) -> Duration {
-    let times = ends.values().map(|end| end.at);
+fn first_crash(crashes: &BTreeMap<CrashedServer, Crash>) -> Duration {
+    let times = crashes.values().map(|crash| crash.at);
     times.min().unwrap_or(Duration::MAX)
 }
 
-// Number of ends that have no common cause.
-fn count<'a>(ends: impl Iterator<Item = &'a End>) -> usize {
-    let mut times: Vec<Duration> = ends.map(|end| end.at).collect();
+// Number of crashes that have no common cause.
+fn count<'a>(crashes: impl Iterator<Item = &'a Crash>) -> usize {
+    let mut times: Vec<Duration> = crashes.map(|crash| crash.at).collect();
     times.sort_unstable();
     let mut last: Option<Duration> = None;
     let mut count = 0;
--- a/crates/rw-routing/src/poison/evidence.rs
+++ b/crates/rw-routing/src/poison/evidence.rs
@@ -11,27 +11,27 @@
     pub started_ms: u64,
 }
 
-/// End of a server of which a part of a prompt is suspected.
+/// Crash of a server of which a part of a prompt is suspected.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SuspectedCrash {
     /// The suspected part.
     pub part: Name,
-    /// The server that ended.
+    /// The server that crashed.
     pub server: CrashedServer,
-    /// Time of the end; in reports, its age.
+    /// Time of the crash; in reports, its age.
     pub at: Duration,
-    /// Whether a server had ended under the same request before.
+    /// Whether a server had crashed under the same request before.
     pub is_repeat: bool,
 }
 
 /// What an entry tells the others; replaces its previous report. Times are ages.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct PoisonReport {
-    /// Ends of servers, by suspected part.
+    /// Crashes, by suspected part.
     pub crashes: Vec<SuspectedCrash>,
     /// Suspected parts with which a request ran, and when the last one did.
     pub survivals: Vec<(Name, Duration)>,
-    /// Servers that were believed to have ended and have sent events, and when the last.
+    /// Servers that were believed to have crashed and have sent events, and when the last.
     pub alive: Vec<(CrashedServer, Duration)>,
     /// Quarantined combinations of parts, and since when.
     pub quarantines: Vec<(Vec<Name>, Duration)>,
--- a/crates/rw-routing/src/poison/mod.rs
+++ b/crates/rw-routing/src/poison/mod.rs
@@ -1,7 +1,7 @@
-//! Finds the part of a prompt that ends every server which begins to answer it, so that
+//! Finds the part of a prompt that crashes every server which begins to answer it, so that
 //! requests with the part can be quarantined while those that share its other parts go on.
 //!
-//! A part is suspected of the end of each server at which a request with it had not yet
+//! A part is suspected of the crash of each server at which a request with it had not yet
 //! run for a while. It is cleared when any request with it does run for a while. Entries
 //! exchange what they suspect and what they saw run, as a state that replaces the last.
 
--- a/crates/rw-routing/src/poison/quarantine.rs
+++ b/crates/rw-routing/src/poison/quarantine.rs
@@ -6,7 +6,7 @@
 /// and from each such request to the next.
 const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(10);
 const TRIAL_INTERVAL: Duration = Duration::from_secs(600);
-/// Requests that are let through in all; each may end a server.
+/// Requests that are let through in all; each may crash a server.
 const MAX_TRIALS: u32 = 2;
 
 /// Requests that hold all of `parts` are not sent to servers.
@@ -16,7 +16,7 @@
     pub parts: Vec<Name>,
     /// When the quarantine began.
     pub since: Duration,
-    /// Servers that have ended; 0 if another entry or the store reported the quarantine.
+    /// Servers that have crashed; 0 if another entry or the store reported the quarantine.
     pub crashes: usize,
     // When the next request is let through, and how many have been.
     next_trial: Duration,
