Read the request limit in heads of responses, and log its changes

Events 717 and 718 now say which server named which limit, at which entry, and when it ended. The header stays off callers' responses, as the notice of a leaving server does. Nothing is decided by it yet.

--- a/crates/rw-fleet/src/codec.rs
+++ b/crates/rw-fleet/src/codec.rs
@@ -63,6 +63,8 @@
     pub signature: HeaderName,
     /// Indicates that the backend server is leaving.
     pub leaving: HeaderName,
+    /// Requests per second that the backend server takes from all entries together.
+    pub limit: HeaderName,
     /// Running, queued and maximum requests of a backend server.
     pub load: HeaderName,
     /// Version of the weights that produced a response.
--- a/crates/rw-fleet/src/entry/attempt.rs
+++ b/crates/rw-fleet/src/entry/attempt.rs
@@ -8,10 +8,10 @@
 use rw_protocol::Name;
 use tokio::time::timeout;
 
-use super::{Call, LoadTracker, ServerNotice};
+use super::{Call, Entry, NamedLimit, ServerNotice};
 use crate::connect::{self, Connection};
 use crate::read_budget::BudgetedBody;
-use crate::{BackendServer, HeaderNames};
+use crate::{BackendServer, HeaderNames, PlatformCodec};
 
 /// Time limit for connecting to a backend server. A host in another region
 /// accepts within milliseconds, and a lost packet is resent only after a second.
@@ -58,30 +58,39 @@
 /// Sends a call to a backend server. Returns the response head after checking
 /// that it belongs to this call and that the call was executed. Records what the
 /// server says about itself.
-pub async fn send(
+pub async fn send<D: PlatformCodec>(
+    entry: &Entry<D>,
     call: &Call,
     server: &BackendServer,
-    names: &HeaderNames,
     options: &AttemptOptions,
     limit: Duration,
-    load_tracker: &LoadTracker,
 ) -> Result<(Connection, Response<BudgetedBody>)> {
+    let names = entry.cx.codec.headers();
     let mut conn = Connection::open(server.addr, CONNECT_TIMEOUT.min(call.time_left())).await?;
     let req = request(call, &server.id, names, options)?;
     let res = timeout(limit, conn.send(req)).await;
     let res = res.map_err(|_| Failure::Timeout)??;
     let notice = ServerNotice::parse(res.status(), res.headers(), names);
-    load_tracker.on_notice(server, &notice);
+    entry.load_tracker.on_notice(server, &notice);
+    if !is_to_other_request(call, names, &res) {
+        let named = NamedLimit::parse(res.status(), res.headers(), names);
+        entry.limit_guard.on_response(server, named);
+    }
     validate_head(call, names, &res)?;
     Ok((conn, res))
 }
 
+fn is_to_other_request(call: &Call, names: &HeaderNames, res: &Response<BudgetedBody>) -> bool {
+    let echoed = res.headers().get(&names.attempt);
+    echoed.is_some_and(|id| id.as_bytes() != call.id.as_bytes())
+}
+
 fn validate_head(call: &Call, names: &HeaderNames, res: &Response<BudgetedBody>) -> Result<()> {
     let echoed = res.headers().get(&names.attempt);
     let is_ours = echoed.is_some_and(|id| id.as_bytes() == call.id.as_bytes());
     let not_run = res.headers().contains_key(&names.not_run)
         || res.status() == StatusCode::MISDIRECTED_REQUEST;
-    if echoed.is_some() && !is_ours {
+    if is_to_other_request(call, names, res) {
         return Err(Failure::Unknown("response to another request".to_string()));
     }
     if not_run {
--- a/crates/rw-fleet/src/entry/mod.rs
+++ b/crates/rw-fleet/src/entry/mod.rs
@@ -4,9 +4,11 @@
 mod attempt;
 mod call;
 mod events;
+mod limit_guard;
 mod listener;
 mod load_state;
 mod load_tracker;
+mod named_limit;
 mod notice_log;
 mod permit;
 mod poison_guard;
@@ -21,8 +23,10 @@
 
 pub use call::Call;
 pub use events::EventReader;
+pub use limit_guard::LimitGuard;
 pub use listener::{serve_callers, serve_probe};
 pub use load_tracker::LoadTracker;
+pub use named_limit::NamedLimit;
 pub use permit::SlotPermit;
 pub use poison_guard::PoisonGuard;
 pub use refusal::Refusal;
--- a/crates/rw-fleet/src/entry/response.rs
+++ b/crates/rw-fleet/src/entry/response.rs
@@ -131,6 +131,7 @@
     strip_hop_by_hop(&mut out);
     out.remove(&names.load);
     out.remove(&names.leaving);
+    out.remove(&names.limit);
     out
 }
 
--- a/crates/rw-fleet/src/entry/stream_opener.rs
+++ b/crates/rw-fleet/src/entry/stream_opener.rs
@@ -297,15 +297,7 @@
             last_event_id,
             weights_version: self.weights_version,
         };
-        let (conn, res) = attempt::send(
-            call,
-            &permit.server,
-            names,
-            &options,
-            limit,
-            &self.entry.load_tracker,
-        )
-        .await?;
+        let (conn, res) = attempt::send(self.entry, call, &permit.server, &options, limit).await?;
         if !is_event_stream(&res) {
             let response = timeout_at(until, read_response(res, MAX_RESPONSE_BYTES)).await;
             let response = response.map_err(|_| Failure::Timeout)??;
--- a/crates/rw-fleet/src/entry/unary.rs
+++ b/crates/rw-fleet/src/entry/unary.rs
@@ -137,7 +137,6 @@
     }
 
     async fn attempt(&self, permit: &SlotPermit) -> attempt::Result<CompleteResponse> {
-        let names = self.entry.cx.codec.headers();
         let call = self.call;
         let has_retry_left =
             call.is_retryable() && self.sent_attempts + 1 < call.route.max_attempts;
@@ -151,15 +150,8 @@
         let limit = limit.min(call.time_left());
         let exchange = async {
             let options = AttemptOptions::default();
-            let (_conn, res) = attempt::send(
-                call,
-                &permit.server,
-                names,
-                &options,
-                limit,
-                &self.entry.load_tracker,
-            )
-            .await?;
+            let (_conn, res) =
+                attempt::send(self.entry, call, &permit.server, &options, limit).await?;
             Ok(read_response(res, MAX_RESPONSE_BYTES).await?)
         };
         let result = tokio::time::timeout(limit, exchange).await;
--- a/crates/rw-fleet/src/run.rs
+++ b/crates/rw-fleet/src/run.rs
@@ -12,7 +12,7 @@
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::time::Instant;
 
-use crate::entry::{serve_callers, serve_probe, Entry, LoadTracker, PoisonGuard};
+use crate::entry::{serve_callers, serve_probe, Entry, LimitGuard, LoadTracker, PoisonGuard};
 use crate::host::{reconcile_weights, BackendClient, ChunkStore, ObjectArchive, OriginClient};
 use crate::peers::{broadcast_load, PeerHandler};
 use crate::poison_notices::exchange_poison_notices;
@@ -140,7 +140,8 @@
         store.clone(),
     ));
     tokio::spawn(register(cx.clone(), store));
-    let entry = Entry::new(cx.clone(), load_tracker, poison_guard);
+    let limit_guard = LimitGuard::new(cx.recorder.clone());
+    let entry = Entry::new(cx.clone(), load_tracker, poison_guard, limit_guard);
     let probed_entry = entry.clone();
     let ready_path = cx.codec.ready_path();
     let answer = move |path: &str| match (path == ready_path, probed_entry.is_ready()) {
--- a/crates/rw-fleet/tests/common/mod.rs
+++ b/crates/rw-fleet/tests/common/mod.rs
@@ -28,6 +28,7 @@
         not_run: name.clone(),
         signature: name.clone(),
         leaving: name.clone(),
+        limit: name.clone(),
         load: name.clone(),
         weights: name.clone(),
         tokens: name.clone(),
--- a/crates/rw-observe/src/catalogue.rs
+++ b/crates/rw-observe/src/catalogue.rs
@@ -99,6 +99,8 @@
     714 StateTakenOver Info "An entry that starts took over what a running entry knows, or none answered." "Nothing. If none answers although entries run, check the network.";
     715 PromptQuarantined Warn "Backend servers crashed one after the other under requests with a part of a prompt in common; the entry refuses requests with it." "Find the cause with the named servers; release the part as docs/OPERATIONS.md says.";
     716 PromptReleased Info "A quarantined part of a prompt was released: a request with it ran, or an operator released it." "Nothing.";
+    717 ServerLimitNamed Info "A backend server named a limit on the requests per second that it takes from all entries together." "Find out why the server is in need; entries keep to the limit.";
+    718 ServerLimitEnded Info "A backend server names no limit on its requests any more." "Nothing.";
 }
 
 /// Renders the event catalogue as a Markdown page.
