Decide which requests may go to servers that name a limit; not in use yet

One entry owns each server with a limit, by rendezvous hashing among the entries that are alive, and grants a permit for each request at 0.92 of the limit, with at most 100 ms of catch-up: (4 s + 0.1 s + 0.25 s on the way) x 0.92 x limit stays below 4 s x limit. Knowledge of limits is merged by when requests were sent and responses arrived, as responses overtake each other.

Ruled out: a share of the limit for each entry (at 250 entries and 2 a second one request each two minutes, and all of them may send theirs at once), shares by reports each 100 ms (entries that see the same free place send at once), slots by the time of day (clocks of entries differ by minutes), a lease in the store (the store may be away for long).

The simulation plays limits from 0 to 400 a second at 1 to 250 entries, with lost, late and repeated messages, deaths, restarts, freezes, cuts, limits that change and end.

--- a/crates/rw-routing/src/lib.rs
+++ b/crates/rw-routing/src/lib.rs
@@ -9,6 +9,7 @@
 mod queue;
 mod retry;
 mod router;
+mod server_limits;
 mod server_notices;
 mod slot_rotation;
 mod slowdown;
@@ -24,6 +25,11 @@
 pub use queue::{FairQueue, QueuedRequest, Refusal};
 pub use retry::RetryBudget;
 pub use router::{HostQuery, HostSelection, Router};
+pub use server_limits::{
+    AskOutcome, EntryMembership, LimitChange, LimitCoordinator, LimitIssuer, LimitNews,
+    LimitObservation, LimitUsage, PermitAsk, PermitDecision, PermitRefusal, PermitReply,
+    PermitRequest, PermitTarget, ServerLifetime,
+};
 pub use server_notices::{ServerAdmission, ServerNotices};
 pub use slot_rotation::{EntryPosition, SlotRotation};
 pub use slowdown::{median, slowdown, FirstEventTracker};
