Keep to the limits that backend servers name, at all entries together

What callers saw: nothing at first.

Cause: entries judge servers by failures, slots and pauses; nothing read a rate, and nothing shares one between entries.

Change: entries get a permit from the server's owner, one of them, just before they send any request to such a server: first attempts, repeats, resumed streams, trials. While other servers of the service have room, nobody waits for a permit; if only such servers are left, a call waits for up to half of the time to its objective, those that may run only once first, then by priority of team and route. What cannot be served is refused at once with a time to come back; these times are spread over the permits to come. An entry that starts takes the limits over from a running one. Events 717 to 719, metrics servers_limited and permits, and the reason of a refusal show it.

--- a/crates/rw-daemon/src/handler.rs
+++ b/crates/rw-daemon/src/handler.rs
@@ -86,7 +86,9 @@
                 | PeerRequest::Rows(_)
                 | PeerRequest::Runner(_)
                 | PeerRequest::Announce(_)
-                | PeerRequest::Poison(_),
+                | PeerRequest::Poison(_)
+                | PeerRequest::Limits(_)
+                | PeerRequest::Permit(_),
                 _,
             )
             | (_, None) => {
--- a/crates/rw-fleet/src/configuration.rs
+++ b/crates/rw-fleet/src/configuration.rs
@@ -44,6 +44,8 @@
     pub public: bool,
     /// Whether a stream may be resumed at another backend server.
     pub resumable: bool,
+    /// Priority of its requests; 0 goes first.
+    pub priority: u32,
 }
 
 /// A service and its backend servers.
@@ -86,6 +88,8 @@
     pub name: Name,
     /// Valid keys.
     pub keys: Vec<Name>,
+    /// Priority of its requests, which goes before that of the route; 0 goes first.
+    pub priority: Option<u32>,
 }
 
 /// Limits on what callers may send.
--- a/crates/rw-fleet/src/context.rs
+++ b/crates/rw-fleet/src/context.rs
@@ -7,6 +7,7 @@
 use rw_peer::PeerPool;
 use tokio::time::Instant;
 
+use crate::entry::LimitGuard;
 use crate::follow::SyncStatus;
 use crate::{ClusterState, DaemonSettings, PlatformCodec, SharedRng};
 
@@ -32,6 +33,8 @@
     pub timer: Timer,
     /// Status of the synchronization with the store.
     pub sync: SyncStatus,
+    /// Limits that backend servers named, on entries.
+    pub limit_guard: Arc<LimitGuard>,
     started: Instant,
     shutting_down: AtomicBool,
 }
@@ -42,6 +45,7 @@
         Arc::new(Cx {
             cluster: ClusterState::new(codec.clone(), recorder.clone()),
             rng: Arc::new(SharedRng::new(settings.random_seed)),
+            limit_guard: LimitGuard::new(settings.name.clone(), recorder.clone()),
             settings,
             codec,
             recorder,
--- a/crates/rw-fleet/src/entry/attempt.rs
+++ b/crates/rw-fleet/src/entry/attempt.rs
@@ -5,11 +5,13 @@
 use http::header::CONTENT_ENCODING;
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
+use rw_coord::uptime;
 use rw_protocol::Name;
 use tokio::time::timeout;
 
 use super::{Call, Entry, NamedLimit, ServerNotice};
 use crate::connect::{self, Connection};
+use crate::limit_notices::SendPermit;
 use crate::read_budget::BudgetedBody;
 use crate::{BackendServer, HeaderNames, PlatformCodec};
 
@@ -27,6 +29,8 @@
     NotSent(String),
     /// The backend server reported that it did not execute the request.
     NotRun(StatusCode),
+    /// The request was not sent, because the permit for it expired.
+    PermitExpired,
     /// The request was sent and may have been executed.
     Unknown(String),
     /// The request was sent, but no response arrived in time.
@@ -63,18 +67,23 @@
     call: &Call,
     server: &BackendServer,
     options: &AttemptOptions,
+    permit: SendPermit,
     limit: Duration,
 ) -> Result<(Connection, Response<BudgetedBody>)> {
     let names = entry.cx.codec.headers();
     let mut conn = Connection::open(server.addr, CONNECT_TIMEOUT.min(call.time_left())).await?;
     let req = request(call, &server.id, names, options)?;
+    if permit.is_expired() {
+        return Err(Failure::PermitExpired);
+    }
+    let sent_at = uptime();
     let res = timeout(limit, conn.send(req)).await;
     let res = res.map_err(|_| Failure::Timeout)??;
     let notice = ServerNotice::parse(res.status(), res.headers(), names);
     entry.load_tracker.on_notice(server, &notice);
     if !is_to_other_request(call, names, &res) {
         let named = NamedLimit::parse(res.status(), res.headers(), names);
-        entry.limit_guard.on_response(server, named);
+        entry.cx.limit_guard.on_response(server, named, sent_at);
     }
     validate_head(call, names, &res)?;
     Ok((conn, res))
--- a/crates/rw-fleet/src/entry/call.rs
+++ b/crates/rw-fleet/src/entry/call.rs
@@ -12,6 +12,9 @@
 /// attempt; a caller that states less has probably been refused before.
 const FIRST_ATTEMPT_SHARE: f64 = 0.8;
 
+/// Rank of the most urgent request that may be executed more than once.
+const RETRYABLE_RANK: u32 = 100;
+
 /// A validated request of a caller.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -43,6 +46,8 @@
     pub prompt_parts: Vec<Name>,
     /// Id of the last event that the caller has received; 0 if none.
     pub last_event_id: u64,
+    /// Priority of the team or the route; 0 goes first.
+    pub priority: u32,
 }
 
 impl Call {
@@ -66,6 +71,17 @@
             && limit.saturating_sub(time_budget) > self.route.objective
     }
 
+    /// Rank among requests that wait for the same server; lower ranks go first. Requests
+    /// that may run only once, such as payments, go before all others.
+    pub fn rank(&self) -> u32 {
+        let class = if self.is_retryable() {
+            RETRYABLE_RANK
+        } else {
+            0
+        };
+        class + self.priority.min(RETRYABLE_RANK - 1)
+    }
+
     /// Whether it may be executed more than once.
     pub fn is_retryable(&self) -> bool {
         match self.route.kind {
--- /dev/null
+++ b/crates/rw-fleet/src/entry/limited_selection.rs
@@ -0,0 +1,144 @@
+//! Selects backend servers for a call while some of them limit the requests that they take.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use rw_routing::PermitRefusal;
+
+use super::{Call, Entry, SlotPermit};
+use crate::limit_notices::{acquire_permit, SendPermit};
+use crate::{BackendServer, PlatformCodec};
+
+/// Why a call is refused that only servers at their limits could take.
+pub(super) const LIMIT_REASON: &str = "backend servers are at the limits that they named";
+/// Share of the time to the objective for which a call waits for a permit, and of the time
+/// to its deadline if that is shorter.
+const OBJECTIVE_SHARE: f64 = 0.5;
+const DEADLINE_SHARE: f64 = 0.3;
+/// Time for which a call waits that a server broke off, or that missed its objective.
+const LATE_PATIENCE: Duration = Duration::from_millis(300);
+/// Permits that one selection asks for before the call is refused.
+const MAX_ASKS: u32 = 4;
+
+/// The limits that bear on the selection of a server for one attempt of a call.
+pub(super) struct LimitedSelection<'a, D> {
+    entry: &'a Entry<D>,
+    call: &'a Call,
+    // Whether only servers with a limit may still take the call.
+    only_limited: bool,
+    patience: Duration,
+    asks: u32,
+    // The earliest time to come back that a server gave.
+    refusal: Option<PermitRefusal>,
+}
+
+impl<'a, D: PlatformCodec> LimitedSelection<'a, D> {
+    pub(super) fn new(entry: &'a Entry<D>, call: &'a Call) -> Self {
+        LimitedSelection {
+            entry,
+            call,
+            only_limited: false,
+            patience: Duration::ZERO,
+            asks: 0,
+            refusal: None,
+        }
+    }
+
+    /// Keeps the servers that have no limit, or may have a permit for the call. The call
+    /// waits for one only if no server without a limit is among them.
+    pub(super) fn admit(
+        &mut self,
+        mut servers: Vec<Arc<BackendServer>>,
+    ) -> Vec<Arc<BackendServer>> {
+        let guard = &self.entry.cx.limit_guard;
+        if !guard.is_active() {
+            return servers;
+        }
+        if self.only_limited {
+            servers.retain(|server| guard.is_limited(server));
+        }
+        let has_unlimited = servers.iter().any(|server| !guard.is_limited(server));
+        self.patience = match has_unlimited {
+            true => Duration::ZERO,
+            false => self.max_patience(),
+        };
+        servers.retain(|server| {
+            let spread = self.entry.cx.rng.lock().random();
+            let refusal = match self.asks < MAX_ASKS {
+                true => guard.refusal(server, self.patience, spread),
+                // Without a further question it is not known when one is due.
+                false if guard.is_limited(server) => Some(PermitRefusal::default()),
+                false => None,
+            };
+            if let Some(refusal) = refusal {
+                self.record(refusal);
+            }
+            refusal.is_none()
+        });
+        servers
+    }
+
+    fn max_patience(&self) -> Duration {
+        let call = self.call;
+        let to_objective = call.route.objective.saturating_sub(call.age());
+        let patience = to_objective.mul_f64(OBJECTIVE_SHARE).max(match call.age() {
+            age if age > call.route.objective => LATE_PATIENCE,
+            _ => Duration::ZERO,
+        });
+        patience.min(call.time_left().mul_f64(DEADLINE_SHARE))
+    }
+
+    /// Selects the server with the fewest running requests per slot that takes the call.
+    pub(super) async fn select_least_loaded(
+        &mut self,
+        servers: impl Fn() -> Vec<Arc<BackendServer>>,
+    ) -> Option<(SlotPermit, SendPermit)> {
+        loop {
+            let admitted = self.admit(servers());
+            let Some(permit) = self.entry.load_tracker.select_least_loaded(&admitted) else {
+                if self.fall_back_to_limited() {
+                    continue;
+                }
+                return None;
+            };
+            if let Some(send_permit) = self.acquire(&permit.server).await {
+                return Some((permit, send_permit));
+            }
+        }
+    }
+
+    /// Leaves only servers with a limit to the next selection, because no other one takes
+    /// the call. Returns false if that has been tried.
+    pub(super) fn fall_back_to_limited(&mut self) -> bool {
+        let is_new = self.entry.cx.limit_guard.is_active() && !self.only_limited;
+        self.only_limited = true;
+        is_new
+    }
+
+    /// Gets permission to send the call to a selected server.
+    pub(super) async fn acquire(&mut self, server: &BackendServer) -> Option<SendPermit> {
+        let (rank, cx) = (self.call.rank(), &self.entry.cx);
+        match acquire_permit(cx, server, rank, self.patience).await {
+            Ok(permit) => Some(permit),
+            Err(refusal) => {
+                self.asks += 1;
+                self.record(refusal);
+                None
+            }
+        }
+    }
+
+    fn record(&mut self, refusal: PermitRefusal) {
+        let is_earlier = |old: PermitRefusal| refusal.retry_after < old.retry_after;
+        if refusal != PermitRefusal::default() && self.refusal.is_none_or(is_earlier) {
+            self.refusal = Some(refusal);
+        }
+    }
+
+    /// Time after which the caller should come back, if limits kept servers from taking
+    /// the call.
+    pub(super) fn retry_after(&self) -> Option<Duration> {
+        self.refusal.map(|refusal| refusal.retry_after)
+    }
+}
--- a/crates/rw-fleet/src/entry/load_tracker.rs
+++ b/crates/rw-fleet/src/entry/load_tracker.rs
@@ -81,16 +81,19 @@
         servers: &[Arc<BackendServer>],
         requirements: &RequestRequirements,
         is_remote: impl Fn(&BackendServer) -> bool,
+        is_limited: impl Fn(&BackendServer) -> bool,
     ) -> std::result::Result<SlotPermit, EngineSelection> {
         let now = self.now();
         let mut state = self.state();
         let loads: Vec<(EngineLoad, u32)> = servers
             .iter()
             .map(|s| {
-                (
-                    state.load(&s.id, now),
-                    state.effective_limit_in_rotation(s, &self.name, now),
-                )
+                // Permits already keep entries from filling the same slot.
+                let limit = match is_limited(s) {
+                    true => state.effective_limit(&s.id, s.slots, now),
+                    false => state.effective_limit_in_rotation(s, &self.name, now),
+                };
+                (state.load(&s.id, now), limit)
             })
             .collect();
         let ratios: Vec<Option<f64>> = servers
--- a/crates/rw-fleet/src/entry/mod.rs
+++ b/crates/rw-fleet/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod call;
 mod events;
 mod limit_guard;
+mod limited_selection;
 mod listener;
 mod load_state;
 mod load_tracker;
@@ -23,7 +24,8 @@
 
 pub use call::Call;
 pub use events::EventReader;
-pub use limit_guard::LimitGuard;
+pub use limit_guard::{grant_permits, LimitGuard};
+pub(crate) use limit_guard::{Asked, TimedReply};
 pub use listener::{serve_callers, serve_probe};
 pub use load_tracker::LoadTracker;
 pub use named_limit::NamedLimit;
--- a/crates/rw-fleet/src/entry/request.rs
+++ b/crates/rw-fleet/src/entry/request.rs
@@ -49,14 +49,15 @@
     let route = cfg
         .route(without_port(host), head.uri.path())
         .ok_or(Refusal::NoRoute)?;
-    let team = match (&cfg.teams, route.public) {
+    let team: Option<&Team> = match (&cfg.teams, route.public) {
         (Some(_), false) => {
             let api_key = api_key(&head.headers, names.key_scheme);
-            let team: Option<&Team> = api_key.and_then(|key| cfg.team(key));
-            Some(team.ok_or(Refusal::UnknownKey)?.name.clone())
+            let team = api_key.and_then(|key| cfg.team(key));
+            Some(team.ok_or(Refusal::UnknownKey)?)
         }
         _ => None,
     };
+    let priority = team.and_then(|team| team.priority);
     let id =
         header_text(&head.headers, &names.attempt).ok_or(Refusal::BadRequest("no attempt id"))?;
     let prompt_tokens = prompt_tokens(&head.headers, &names.tokens);
@@ -64,7 +65,8 @@
     Ok(Call {
         id: Name::from(id),
         service: pick_service(&route, &cx.rng),
-        team,
+        team: team.map(|team| team.name.clone()),
+        priority: priority.unwrap_or(route.priority),
         method: head.method,
         uri: head.uri,
         body,
--- a/crates/rw-fleet/src/entry/shared.rs
+++ b/crates/rw-fleet/src/entry/shared.rs
@@ -10,7 +10,7 @@
 use rw_routing::ExtraRetries;
 
 use super::attempt::{self, Failure};
-use super::{Call, LimitGuard, LoadTracker, PoisonGuard};
+use super::{Call, LoadTracker, PoisonGuard};
 use crate::{BackendServer, Cx, Engine, PlatformCodec, Snapshot};
 
 /// State shared by all requests at an entry.
@@ -21,8 +21,6 @@
     pub load_tracker: Arc<LoadTracker>,
     /// Parts of prompts that crash backend servers.
     pub poison_guard: Arc<PoisonGuard>,
-    /// Limits that backend servers named.
-    pub limit_guard: Arc<LimitGuard>,
     pub(super) open_connections: AtomicUsize,
     extra_retries: ExtraRetries,
     // Version that requests required last, by model.
@@ -35,7 +33,6 @@
         cx: Arc<Cx<D>>,
         load_tracker: Arc<LoadTracker>,
         poison_guard: Arc<PoisonGuard>,
-        limit_guard: Arc<LimitGuard>,
     ) -> Arc<Self> {
         let bounds = &cx.settings.bounds;
         let extra_retries = match cx.settings.first_start {
@@ -46,7 +43,6 @@
             cx,
             load_tracker,
             poison_guard,
-            limit_guard,
             open_connections: AtomicUsize::new(0),
             extra_retries,
             required_weights: Mutex::default(),
@@ -159,6 +155,7 @@
                 self.load_tracker.on_refused(server);
                 false
             }
+            Err(Failure::PermitExpired) => false,
             Err(_) => self.load_tracker.on_failure(server),
         };
         let Err(failure) = result else { return };
--- a/crates/rw-fleet/src/entry/stream_opener.rs
+++ b/crates/rw-fleet/src/entry/stream_opener.rs
@@ -13,9 +13,11 @@
 use tokio::time::{timeout_at, Instant};
 
 use super::attempt::{self, AttemptOptions, Failure};
+use super::limited_selection::{LimitedSelection, LIMIT_REASON};
 use super::response::ResponseBody;
 use super::{response, Call, Entry, EventReader, Refusal, SlotPermit};
 use crate::connect::{read_response, Connection};
+use crate::limit_notices::SendPermit;
 use crate::read_budget::BudgetedBody;
 use crate::{BackendServer, Engine, PlatformCodec};
 
@@ -101,8 +103,8 @@
             if self.is_quarantined() {
                 return Err(self.quarantine_refusal());
             }
-            let permit = match self.select_server().await {
-                Ok(permit) => permit,
+            let (permit, send_permit) = match self.select_server().await {
+                Ok(selected) => selected,
                 Err(refusal) => return Err(fallback.unwrap_or(refusal)),
             };
             let backend = permit.server.clone();
@@ -113,7 +115,7 @@
                 return Err(self.quarantine_refusal());
             }
             let result = tokio::select! {
-                result = self.start_stream(permit, last_event_id) => result,
+                result = self.start_stream(permit, send_permit, last_event_id) => result,
                 // The server may not have begun to answer yet, and then keeps running.
                 () = guard.quarantined(self.call), if !self.is_trial => {
                     self.sent_attempts += 1;
@@ -126,7 +128,9 @@
             self.tried_servers.push(server);
             match result {
                 Ok(opened) => return Ok(opened),
-                Err(Failure::NotSent(_) | Failure::NotRun(_)) => self.not_run_attempts += 1,
+                Err(Failure::NotSent(_) | Failure::NotRun(_) | Failure::PermitExpired) => {
+                    self.not_run_attempts += 1;
+                }
                 Err(Failure::Timeout) => {
                     self.sent_attempts += 1;
                     fallback = Some(Refusal::Timeout);
@@ -177,7 +181,10 @@
         }
     }
 
-    fn no_server_refusal(&self) -> Refusal {
+    fn no_server_refusal(&self, limits: &LimitedSelection<'_, D>) -> Refusal {
+        if let Some(retry_after) = limits.retry_after() {
+            return self.not_run_refusal(LIMIT_REASON, retry_after);
+        }
         match self.entry.pause_of_all(&self.call.service) {
             Some(pause) => self.not_run_refusal("every backend server asked for a pause", pause),
             None => self.not_run_refusal("no backend server", NO_SERVER_RETRY_AFTER),
@@ -195,14 +202,14 @@
     }
 
     // If every engine is full, waits a limited time for a free slot.
-    async fn select_server(&self) -> std::result::Result<SlotPermit, Refusal> {
+    async fn select_server(&self) -> std::result::Result<(SlotPermit, SendPermit), Refusal> {
         let (entry, call) = (self.entry, self.call);
+        let mut limits = LimitedSelection::new(entry, call);
         let service = call.cfg.service(&call.service);
         let Some(engine) = service.and_then(|s| s.engine.clone()) else {
-            let permit = entry
-                .load_tracker
-                .select_least_loaded(&entry.admitted_servers(&call.service));
-            return permit.ok_or_else(|| self.no_server_refusal());
+            let servers = || entry.admitted_servers(&call.service);
+            let selected = limits.select_least_loaded(servers).await;
+            return selected.ok_or_else(|| self.no_server_refusal(&limits));
         };
         let until = match self.tried_servers.is_empty() {
             true => call.received_at + call.route.objective.mul_f64(SLOT_WAIT_SHARE),
@@ -210,7 +217,7 @@
         };
         let load_changed = entry.load_tracker.subscribe();
         loop {
-            let servers = self.eligible_servers(&engine);
+            let servers = limits.admit(self.eligible_servers(&engine));
             let settings = &entry.cx.settings;
             let is_remote = |s: &BackendServer| settings.region_of(&s.zone) != settings.region;
             let selected = entry.load_tracker.select_engine(
@@ -218,15 +225,25 @@
                 &servers,
                 &self.requirements(),
                 is_remote,
+                |server| entry.cx.limit_guard.is_limited(server),
             );
-            match selected {
-                Ok(permit) => return Ok(permit),
-                Err(EngineSelection::Full(_)) => {}
-                Err(_) => return Err(self.no_server_refusal()),
+            let is_full = match selected {
+                Ok(permit) => match limits.acquire(&permit.server).await {
+                    Some(send_permit) => return Ok((permit, send_permit)),
+                    None => continue,
+                },
+                Err(selection) => matches!(selection, EngineSelection::Full(_)),
+            };
+            if is_full && timeout_at(until, load_changed.recv_async()).await.is_ok() {
+                continue;
             }
-            if timeout_at(until, load_changed.recv_async()).await.is_err() {
-                return Err(self.not_run_refusal("every engine is full", FULL_RETRY_AFTER));
+            if limits.fall_back_to_limited() {
+                continue;
             }
+            return Err(match is_full {
+                true => self.not_run_refusal("every engine is full", FULL_RETRY_AFTER),
+                false => self.no_server_refusal(&limits),
+            });
         }
     }
 
@@ -273,6 +290,7 @@
     async fn start_stream(
         &self,
         mut permit: SlotPermit,
+        send_permit: SendPermit,
         last_event_id: u64,
     ) -> attempt::Result<Opened> {
         let (call, names) = (self.call, self.entry.cx.codec.headers());
@@ -297,7 +315,15 @@
             last_event_id,
             weights_version: self.weights_version,
         };
-        let (conn, res) = attempt::send(self.entry, call, &permit.server, &options, limit).await?;
+        let (conn, res) = attempt::send(
+            self.entry,
+            call,
+            &permit.server,
+            &options,
+            send_permit,
+            limit,
+        )
+        .await?;
         if !is_event_stream(&res) {
             let response = timeout_at(until, read_response(res, MAX_RESPONSE_BYTES)).await;
             let response = response.map_err(|_| Failure::Timeout)??;
--- a/crates/rw-fleet/src/entry/unary.rs
+++ b/crates/rw-fleet/src/entry/unary.rs
@@ -7,8 +7,10 @@
 use rw_protocol::Name;
 
 use super::attempt::{self, AttemptOptions, Failure};
+use super::limited_selection::{LimitedSelection, LIMIT_REASON};
 use super::{Call, Entry, Refusal, SlotPermit};
 use crate::connect::{read_response, CompleteResponse};
+use crate::limit_notices::SendPermit;
 use crate::{BackendServer, PlatformCodec};
 
 /// Largest response, in bytes.
@@ -69,10 +71,17 @@
                 }
                 return error_response.ok_or(fallback);
             }
-            let Some(permit) = self.entry.load_tracker.select_least_loaded(&self.servers()) else {
-                return error_response.ok_or(fallback);
+            let mut limits = LimitedSelection::new(self.entry, self.call);
+            let selected = limits.select_least_loaded(|| self.servers()).await;
+            let Some((permit, send_permit)) = selected else {
+                return match limits.retry_after() {
+                    Some(retry_after) if self.sent_attempts == 0 => {
+                        Err(self.limit_refusal(retry_after))
+                    }
+                    _ => error_response.ok_or(fallback),
+                };
             };
-            let result = self.attempt(&permit).await;
+            let result = self.attempt(&permit, send_permit).await;
             self.entry
                 .record_attempt(self.call, &permit.server.id, &result);
             self.tried_servers.push(permit.server.id.clone());
@@ -85,7 +94,7 @@
                     error_response = may_return.then_some(response);
                     fallback = Refusal::Failed("the backend server failed");
                 }
-                Err(Failure::NotSent(_)) => self.unreachable_servers += 1,
+                Err(Failure::NotSent(_) | Failure::PermitExpired) => self.unreachable_servers += 1,
                 Err(Failure::NotRun(_)) => {
                     if let Refusal::NotRun { retry_after, .. } = &mut fallback {
                         *retry_after = self.retry_after();
@@ -136,7 +145,19 @@
         untried
     }
 
-    async fn attempt(&self, permit: &SlotPermit) -> attempt::Result<CompleteResponse> {
+    fn limit_refusal(&self, retry_after: Duration) -> Refusal {
+        Refusal::NotRun {
+            reason: LIMIT_REASON,
+            retry_after,
+            known_load: self.entry.load_tracker.summary(&self.servers()),
+        }
+    }
+
+    async fn attempt(
+        &self,
+        permit: &SlotPermit,
+        send_permit: SendPermit,
+    ) -> attempt::Result<CompleteResponse> {
         let call = self.call;
         let has_retry_left =
             call.is_retryable() && self.sent_attempts + 1 < call.route.max_attempts;
@@ -150,8 +171,15 @@
         let limit = limit.min(call.time_left());
         let exchange = async {
             let options = AttemptOptions::default();
-            let (_conn, res) =
-                attempt::send(self.entry, call, &permit.server, &options, limit).await?;
+            let (_conn, res) = attempt::send(
+                self.entry,
+                call,
+                &permit.server,
+                &options,
+                send_permit,
+                limit,
+            )
+            .await?;
             Ok(read_response(res, MAX_RESPONSE_BYTES).await?)
         };
         let result = tokio::time::timeout(limit, exchange).await;
--- a/crates/rw-fleet/src/lib.rs
+++ b/crates/rw-fleet/src/lib.rs
@@ -18,6 +18,7 @@
 mod freshness;
 pub mod host;
 mod kept_content;
+mod limit_notices;
 mod peer_selection;
 mod peers;
 mod poison_notices;
--- a/crates/rw-fleet/src/peers.rs
+++ b/crates/rw-fleet/src/peers.rs
@@ -14,7 +14,7 @@
 
 use crate::entry::{LoadTracker, PoisonGuard};
 use crate::host::ChunkStore;
-use crate::{follow, peer_selection};
+use crate::{follow, limit_notices, peer_selection};
 use crate::{Cx, Daemon, PlatformCodec};
 
 /// Interval between load reports. An engine starts about one request per
@@ -68,6 +68,11 @@
                 }
                 PeerReply::Noted(Noted {})
             }
+            PeerRequest::Limits(notice) => match limit_notices::on_notice(&self.cx, notice) {
+                Some(all) => PeerReply::Limits(all),
+                None => PeerReply::Noted(Noted {}),
+            },
+            PeerRequest::Permit(query) => limit_notices::on_query(&self.cx, query).await,
             PeerRequest::Chunk(req) => match &self.chunk_store {
                 Some(chunk_store) => chunk_store.serve_chunk(&req).await,
                 None => PeerReply::Missing(Missing { retry_after_ms: 0 }),
@@ -85,6 +90,7 @@
     fn handle_load_report(&self, report: LoadReport) -> PeerReply {
         let is_known = self.cx.cluster.entry(&report.entry).is_some();
         self.cx.cluster.record_heard(&report.entry);
+        self.cx.limit_guard.on_heard(&report.entry);
         follow::catch_up(&self.cx, &report);
         self.cx.cluster.merge_weights_ages(&report.named);
         if let Some(load_tracker) = &self.load_tracker {
--- a/crates/rw-fleet/src/run.rs
+++ b/crates/rw-fleet/src/run.rs
@@ -12,8 +12,9 @@
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::time::Instant;
 
-use crate::entry::{serve_callers, serve_probe, Entry, LimitGuard, LoadTracker, PoisonGuard};
+use crate::entry::{grant_permits, serve_callers, serve_probe, Entry, LoadTracker, PoisonGuard};
 use crate::host::{reconcile_weights, BackendClient, ChunkStore, ObjectArchive, OriginClient};
+use crate::limit_notices::exchange_limits;
 use crate::peers::{broadcast_load, PeerHandler};
 use crate::poison_notices::exchange_poison_notices;
 use crate::quarantine_record::follow_quarantines;
@@ -132,6 +133,8 @@
     tokio::spawn(rw_peer::serve(peers, Arc::new(handler)));
     tokio::spawn(broadcast_load(cx.clone(), load_tracker.clone()));
     tokio::spawn(exchange_poison_notices(cx.clone(), poison_guard.clone()));
+    tokio::spawn(exchange_limits(cx.clone()));
+    tokio::spawn(grant_permits(cx.limit_guard.clone()));
     tokio::spawn(prune_removed_servers(cx.clone(), load_tracker.clone()));
     tokio::spawn(record_requests(cx.clone(), store.clone()));
     tokio::spawn(follow_quarantines(
@@ -140,8 +143,7 @@
         store.clone(),
     ));
     tokio::spawn(register(cx.clone(), store));
-    let limit_guard = LimitGuard::new(cx.recorder.clone());
-    let entry = Entry::new(cx.clone(), load_tracker, poison_guard, limit_guard);
+    let entry = Entry::new(cx.clone(), load_tracker, poison_guard);
     let probed_entry = entry.clone();
     let ready_path = cx.codec.ready_path();
     let answer = move |path: &str| match (path == ready_path, probed_entry.is_ready()) {
@@ -202,7 +204,10 @@
 async fn prune_removed_servers<D: PlatformCodec>(cx: Arc<Cx<D>>, load_tracker: Arc<LoadTracker>) {
     let changed = cx.cluster.subscribe();
     while changed.recv_async().await.is_ok() {
-        load_tracker.prune_servers(&cx.cluster.snapshot());
+        let snapshot = cx.cluster.snapshot();
+        load_tracker.prune_servers(&snapshot);
+        let is_known = |id: &Name| snapshot.servers.contains_key(id);
+        cx.limit_guard.retain_servers(is_known);
     }
 }
 
--- a/crates/rw-fleet/src/startup.rs
+++ b/crates/rw-fleet/src/startup.rs
@@ -10,6 +10,7 @@
 use tokio::time::timeout;
 
 use crate::follow::request_rows;
+use crate::limit_notices::take_over_limits;
 use crate::peer_selection::nearest;
 use crate::{Cx, Daemon, PlatformCodec};
 
@@ -69,6 +70,9 @@
     let known = entries.len();
     let source = timeout(ANSWER_TIMEOUT, ask_entries(&cx, entries)).await;
     let source = source.ok().flatten();
+    if let Some(addr) = &source {
+        take_over_limits(&cx, addr).await;
+    }
     let detail = format!(
         "source={} known_entries={known} configuration={} elapsed_ms={}",
         source.as_deref().unwrap_or("none"),
--- a/crates/rw-observe/src/catalogue.rs
+++ b/crates/rw-observe/src/catalogue.rs
@@ -101,6 +101,7 @@
     716 PromptReleased Info "A quarantined part of a prompt was released: a request with it ran, or an operator released it." "Nothing.";
     717 ServerLimitNamed Info "A backend server named a limit on the requests per second that it takes from all entries together." "Find out why the server is in need; entries keep to the limit.";
     718 ServerLimitEnded Info "A backend server names no limit on its requests any more." "Nothing.";
+    719 ServerLimitUsed Info "How the limit of a backend server is used, by entry, since this entry grants its permits." "If requests are refused all the time, add backend servers.";
 }
 
 /// Renders the event catalogue as a Markdown page.
--- a/crates/rw-observe/src/metrics.rs
+++ b/crates/rw-observe/src/metrics.rs
@@ -19,6 +19,9 @@
     /// Requests by outcome: `answered`, `not_run`, `unknown` or `refused`.
     calls: Family<LabelSet, Counter>,
     weight_bytes: Family<LabelSet, Counter>,
+    /// Permits to send requests to servers with a limit, by outcome: `granted`, `refused`
+    /// or `failed`.
+    permits: Family<LabelSet, Counter>,
     /// Seconds until the first frame of an answer.
     pub first_token_seconds: Histogram,
     /// Requests in progress.
@@ -35,6 +38,8 @@
     pub claims_unresolved: Gauge,
     /// Quarantined parts of prompts.
     pub prompt_parts_quarantined: Gauge,
+    /// Backend servers that name a limit on their requests.
+    pub servers_limited: Gauge,
 }
 
 impl Default for Metrics {
@@ -63,6 +68,12 @@
             "Weight bytes by direction and peer",
             weight_bytes.clone(),
         );
+        let permits = Family::default();
+        reg.register(
+            "permits",
+            "Permits for servers with a limit, by outcome",
+            permits.clone(),
+        );
         let first_token_seconds = Histogram::new(exponential_buckets(0.001, 2.0, 16));
         reg.register(
             "first_token_seconds",
@@ -82,11 +93,13 @@
         let claims_unresolved = gauge("claims_unresolved", "Claims with an unknown end");
         let prompt_parts_quarantined =
             gauge("prompt_parts_quarantined", "Quarantined parts of prompts");
+        let servers_limited = gauge("servers_limited", "Backend servers that name a limit");
         Metrics {
             registry: Arc::new(reg),
             events,
             calls,
             weight_bytes,
+            permits,
             first_token_seconds,
             in_flight,
             queued,
@@ -95,6 +108,7 @@
             intents_unfulfilled,
             claims_unresolved,
             prompt_parts_quarantined,
+            servers_limited,
         }
     }
 
@@ -108,6 +122,11 @@
         self.calls.get_or_create(&[("outcome", outcome)]).inc();
     }
 
+    /// Counts a permit by its outcome: `granted`, `refused` or `failed`.
+    pub fn count_permit(&self, outcome: &'static str) {
+        self.permits.get_or_create(&[("outcome", outcome)]).inc();
+    }
+
     /// Counts transferred weight bytes; `flow` is `sent`, `from_zone`, `from_region`,
     /// `from_other_region` or `from_origin`.
     pub fn count_weight_bytes(&self, flow: &'static str, bytes: u64) {
--- a/crates/rw-protocol/src/generated.rs
+++ b/crates/rw-protocol/src/generated.rs
@@ -460,6 +460,22 @@
     ///Time of the last confirmation as Unix time in milliseconds.
     pub since_ms: u64,
 }
+///What an entry knows about limits of backend servers, as far as it has changed.
+///
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct LimitNotice {
+    pub entry: crate::Name,
+    ///Whether the entry is shutting down.
+    pub is_leaving: bool,
+    ///Limits, also those that ended.
+    pub limits: ::std::vec::Vec<ServerLimit>,
+    ///Entries from which this entry hears nothing.
+    pub silent: ::std::vec::Vec<crate::Name>,
+    ///Whether the reply should hold all limits that the other entry knows.
+    pub wants_all: bool,
+}
 ///Bytes that a plan transfers over the inbound links of one region.
 ///
 #[derive(Clone, Debug, PartialEq)]
@@ -562,6 +578,8 @@
     Report(ZoneReport),
     Rows(RowsReply),
     Noted(Noted),
+    Limits(LimitNotice),
+    Permit(PermitAnswer),
 }
 impl ::std::convert::From<CallFrame> for PeerReply {
     fn from(value: CallFrame) -> Self {
@@ -613,6 +631,16 @@
         Self::Noted(value)
     }
 }
+impl ::std::convert::From<LimitNotice> for PeerReply {
+    fn from(value: LimitNotice) -> Self {
+        Self::Limits(value)
+    }
+}
+impl ::std::convert::From<PermitAnswer> for PeerReply {
+    fn from(value: PermitAnswer) -> Self {
+        Self::Permit(value)
+    }
+}
 ///Request that opens a stream between daemons.
 ///
 #[derive(Clone, Debug, PartialEq)]
@@ -630,6 +658,8 @@
     Runner(ServerStatus),
     Announce(Announcement),
     Poison(PoisonNotice),
+    Limits(LimitNotice),
+    Permit(PermitQuery),
 }
 impl ::std::convert::From<CallRequest> for PeerRequest {
     fn from(value: CallRequest) -> Self {
@@ -691,6 +721,48 @@
         Self::Poison(value)
     }
 }
+impl ::std::convert::From<LimitNotice> for PeerRequest {
+    fn from(value: LimitNotice) -> Self {
+        Self::Limits(value)
+    }
+}
+impl ::std::convert::From<PermitQuery> for PeerRequest {
+    fn from(value: PermitQuery) -> Self {
+        Self::Permit(value)
+    }
+}
+///Whether a request may be sent to a backend server with a limit.
+///
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct PermitAnswer {
+    ///Whether it may be sent.
+    pub is_granted: bool,
+    ///Whether the server has no limit any more, as far as its owner knows.
+    pub is_unlimited: bool,
+    ///If refused, time until a permit is due that nobody waits for.
+    pub next_permit_ms: u64,
+    ///If refused, time after which the caller should come back.
+    pub retry_after_ms: u64,
+    ///Time for which the query waited for this answer.
+    pub waited_ms: u64,
+}
+///Asks the owner of a backend server with a limit whether a request may be sent to it.
+///
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct PermitQuery {
+    pub entry: crate::Name,
+    ///Times that the query was passed on.
+    pub hops: u32,
+    pub limit: ServerLimit,
+    ///Time for which the request waits for a permit.
+    pub patience_ms: u64,
+    ///Requests with a lower rank go first.
+    pub rank: u32,
+}
 ///Preview of a change, to be confirmed by an operator.
 ///
 #[derive(Clone, Debug, PartialEq)]
@@ -950,6 +1022,24 @@
     pub server: crate::Name,
     pub started_ms: u64,
 }
+///What the responses of a backend server said about its limit on requests from all entries together.
+///
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServerLimit {
+    ///Whether it has a limit.
+    pub is_limited: bool,
+    ///The limit in requests per second; 0 if it has none.
+    pub per_s: f64,
+    ///Time since that response arrived.
+    pub received_age_ms: u64,
+    ///Time since the request was sent whose response said so.
+    pub sent_age_ms: u64,
+    pub server: crate::Name,
+    ///When the server started, in Unix milliseconds.
+    pub started_ms: u64,
+}
 ///Load that one entry puts on a backend server.
 ///
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/rw-routing/src/server_limits/coordinator.rs
+++ b/crates/rw-routing/src/server_limits/coordinator.rs
@@ -46,7 +46,7 @@
     /// The request may be sent.
     Granted,
     /// It may be sent, and the server has no limit, as far as its owner knows.
-    Unlimited(Option<LimitObservation>),
+    Unlimited,
     /// It may not be sent.
     Refused(PermitRefusal),
 }
@@ -311,8 +311,7 @@
             };
         }
         let Some(limit) = self.limit(&ask.server) else {
-            let observation = self.observation(&ask.server);
-            return AskOutcome::Reply(PermitReply::Unlimited(observation));
+            return AskOutcome::Reply(PermitReply::Unlimited);
         };
         let delay = self.membership.time_to_grant(&ask.server.id, now);
         if let Some(delay) = delay.filter(|delay| !delay.is_zero()) {
@@ -338,27 +337,15 @@
         }
     }
 
-    /// Records the owner's reply to a request of this entry. Returns the change that it
-    /// brings.
-    pub fn on_reply(
-        &mut self,
-        server: &ServerLifetime,
-        reply: &PermitReply,
-        now: Duration,
-    ) -> Option<LimitChange> {
-        match reply {
-            PermitReply::Granted => None,
-            PermitReply::Unlimited(observation) => {
-                observation.and_then(|observation| self.merge(server, observation, now))
-            }
-            PermitReply::Refused(refusal) => {
-                let known = self.servers.get_mut(&server.id);
-                if let Some(known) = known.filter(|k| k.started_ms == server.started_ms) {
-                    known.refused_until = now + refusal.next_permit;
-                    known.return_at = known.return_at.max(now + refusal.retry_after);
-                }
-                None
-            }
+    /// Records the owner's reply to a request of this entry.
+    pub fn on_reply(&mut self, server: &ServerLifetime, reply: &PermitReply, now: Duration) {
+        let PermitReply::Refused(refusal) = reply else {
+            return;
+        };
+        let known = self.servers.get_mut(&server.id);
+        if let Some(known) = known.filter(|known| known.started_ms == server.started_ms) {
+            known.refused_until = now + refusal.next_permit;
+            known.return_at = known.return_at.max(now + refusal.retry_after);
         }
     }
 
@@ -374,7 +361,7 @@
             let Some(limit) = limit else {
                 let waiting = server.issuer.take().map(LimitIssuer::into_waiting);
                 let reply = match server.observation.limit {
-                    None => PermitReply::Unlimited(Some(server.observation)),
+                    None => PermitReply::Unlimited,
                     Some(_) => PermitReply::Refused(PermitRefusal::after(RETRY_DELAY)),
                 };
                 out.extend(waiting.into_iter().flatten().map(|id| (id, reply)));
--- a/crates/rw-routing/src/server_limits/membership.rs
+++ b/crates/rw-routing/src/server_limits/membership.rs
@@ -20,9 +20,14 @@
 /// one that is cut off.
 const GONE_AFTER_MINORITY: Duration = Duration::from_secs(60);
 
+/// Time after which an entry that said that it is leaving may have started again.
+const LEAVING_TTL: Duration = Duration::from_secs(3);
+
 #[derive(Debug, Default)]
 struct Peer {
     heard_at: Duration,
+    // Until when it counts as leaving.
+    leaving_until: Duration,
     // Entries from which this one hears nothing.
     silent: BTreeSet<Name>,
 }
@@ -94,9 +99,12 @@
         }
     }
 
-    /// Records that another entry is shutting down: it owns nothing any more.
-    pub fn on_leaving(&mut self, entry: &Name) {
-        self.peers.remove(entry);
+    /// Records that another entry is shutting down: it owns nothing any more. It repeats
+    /// this each second.
+    pub fn on_leaving(&mut self, entry: &Name, now: Duration) {
+        if let Some(peer) = self.peers.get_mut(entry) {
+            peer.leaving_until = now + LEAVING_TTL;
+        }
     }
 
     /// Records that this entry is shutting down.
@@ -118,13 +126,13 @@
         if !self.is_leaving || alive.is_empty() {
             alive.insert(self.own.clone(), None);
         }
-        let silent: Vec<&Name> = self.peers.keys().filter(|p| !heard.contains(*p)).collect();
+        let silent = self.silent(now);
         let gone_after = match 2 * alive.len() > alive.len() + silent.len() {
             true => GONE_AFTER,
             false => GONE_AFTER_MINORITY,
         };
         let mut missing = 0;
-        for entry in silent {
+        for entry in &silent {
             if now >= self.peers[entry].heard_at + gone_after {
                 continue;
             }
@@ -155,15 +163,20 @@
         }
     }
 
+    fn members(&self, now: Duration) -> impl Iterator<Item = (&Name, &Peer)> {
+        let peers = self.peers.iter();
+        peers.filter(move |(_, peer)| now >= peer.leaving_until)
+    }
+
     fn heard(&self, now: Duration) -> impl Iterator<Item = &Name> {
-        let heard = self.peers.iter();
+        let heard = self.members(now);
         let heard = heard.filter(move |(_, peer)| now < peer.heard_at + HEARD_TTL);
         heard.map(|(name, _)| name)
     }
 
     /// Known entries from which nothing has been heard lately.
     pub fn silent(&self, now: Duration) -> Vec<Name> {
-        let silent = self.peers.iter();
+        let silent = self.members(now);
         let silent = silent.filter(|(_, peer)| now >= peer.heard_at + HEARD_TTL);
         silent.map(|(name, _)| name.clone()).collect()
     }
