--- a/crates/rw-fleet/src/entry/call.rs
+++ b/crates/rw-fleet/src/entry/call.rs
@@ -6,14 +6,14 @@
 use rw_protocol::Name;
 use tokio::time::Instant;
 
-use crate::{Configuration, Route};
+use crate::{CallKind, Configuration, Route};
 
 /// Minimum share of a route's time limit that a caller states on its first
 /// attempt; a caller that states less has probably been refused before.
 const FIRST_ATTEMPT_SHARE: f64 = 0.8;
 
-/// Rank of the most urgent request that may be executed more than once.
-const RETRYABLE_RANK: u32 = 100;
+/// Rank of the most urgent requests that are no payments or the like.
+const REPEATABLE_RANK: u32 = 100;
 
 /// A validated request of a caller.
 #[derive(Clone, Debug)]
@@ -71,23 +71,22 @@
             && limit.saturating_sub(time_budget) > self.route.objective
     }
 
-    /// Rank among requests that wait for the same server; lower ranks go first. Requests
-    /// that may run only once, such as payments, go before all others.
+    /// Rank among requests that wait for the same server; lower ranks go first. Actions
+    /// that may not be repeated, such as payments, go before all others.
     pub fn rank(&self) -> u32 {
-        let class = if self.is_retryable() {
-            RETRYABLE_RANK
-        } else {
-            0
+        let class = match self.route.kind {
+            CallKind::NonIdempotent => 0,
+            CallKind::Idempotent | CallKind::Streaming => REPEATABLE_RANK,
         };
-        class + self.priority.min(RETRYABLE_RANK - 1)
+        class + self.priority.min(REPEATABLE_RANK - 1)
     }
 
     /// Whether it may be executed more than once.
     pub fn is_retryable(&self) -> bool {
         match self.route.kind {
-            crate::CallKind::Idempotent => true,
-            crate::CallKind::NonIdempotent => false,
-            crate::CallKind::Streaming => self.route.resumable,
+            CallKind::Idempotent => true,
+            CallKind::NonIdempotent => false,
+            CallKind::Streaming => self.route.resumable,
         }
     }
 }
--- a/crates/rw-fleet/src/limit_notices.rs
+++ b/crates/rw-fleet/src/limit_notices.rs
@@ -138,7 +138,6 @@
 
 /// Answers another entry's request for a permit.
 pub(crate) async fn on_query<D: PlatformCodec>(cx: &Arc<Cx<D>>, query: PermitQuery) -> PeerReply {
-    cx.limit_guard.on_heard(&query.entry);
     let (reply, waited) = answer(cx, decode_ask(query)).await;
     PeerReply::Permit(encode_answer(&reply, waited))
 }
--- a/crates/rw-routing/src/server_limits/membership.rs
+++ b/crates/rw-routing/src/server_limits/membership.rs
@@ -13,7 +13,7 @@
 /// the others have found out, too, that the previous owner is silent.
 const TAKEOVER_TIME: Duration = Duration::from_secs(1);
 /// Time between two evaluations after which the process counts as having been paused.
-const MAX_EVALUATION_GAP: Duration = Duration::from_millis(500);
+const MAX_EVALUATION_GAP: Duration = Duration::from_millis(800);
 /// Time after which a silent entry counts as gone, if most entries are alive.
 const GONE_AFTER: Duration = Duration::from_secs(10);
 /// The same for an entry that hears less than half of the others, and so may itself be the
--- a/crates/rw-routing/src/server_limits/mod.rs
+++ b/crates/rw-routing/src/server_limits/mod.rs
@@ -6,13 +6,14 @@
 //! hashing among those that are alive. What an entry knows of a limit it tells the others.
 
 mod coordinator;
+mod exchange;
 mod issuer;
 mod membership;
 mod observation;
 
-pub use coordinator::{
-    AskOutcome, LimitChange, LimitCoordinator, LimitNews, LimitUsage, PermitAsk, PermitReply,
-    PermitTarget,
+pub use coordinator::LimitCoordinator;
+pub use exchange::{
+    AskOutcome, LimitChange, LimitNews, LimitUsage, PermitAsk, PermitReply, PermitTarget,
 };
 pub use issuer::{LimitIssuer, PermitDecision, PermitRefusal, PermitRequest};
 pub use membership::EntryMembership;
