--- a/crates/rw-routing/src/server_limits/coordinator.rs
+++ b/crates/rw-routing/src/server_limits/coordinator.rs
@@ -247,8 +247,8 @@
         }
     }
 
-    /// Grants and refuses waiting requests whose time has come; to be called every 100 ms,
-    /// and at [`next_poll`](Self::next_poll).
+    /// Grants and refuses waiting requests whose time has come; to be called at
+    /// [`next_poll`](Self::next_poll), and every second at least.
     pub fn poll(&mut self, now: Duration) -> Vec<(u64, PermitReply)> {
         let mut out = Vec::new();
         let is_awake = self.membership.is_awake(now);
--- a/crates/rw-routing/tests/limit_simulation/entry.rs
+++ b/crates/rw-routing/tests/limit_simulation/entry.rs
@@ -21,6 +21,7 @@
     pub held_back: Vec<Event>,
     // Calls that wait for a permit: the server, the servers to try next, and when they asked.
     pub calls: HashMap<u64, (usize, Vec<usize>, u64)>,
+    pub ticks: u64,
     pub poll_at: u64,
     // Requests that wait here: the call, the path of the reply, and when they arrived.
     pub waiting: HashMap<u64, (u64, Vec<usize>, u64)>,
@@ -43,6 +44,7 @@
             frozen_until: 0,
             held_back: Vec::new(),
             calls: HashMap::new(),
+            ticks: 0,
             poll_at: 0,
             waiting: HashMap::new(),
         }
--- a/crates/rw-routing/tests/limit_simulation/mod.rs
+++ b/crates/rw-routing/tests/limit_simulation/mod.rs
@@ -32,6 +32,8 @@
 /// Time after a cut in which an entry does not count as in touch yet.
 pub const CONTACT_WINDOW: u64 = 3 * SECOND;
 const TICK: u64 = 100 * MS;
+/// Ticks after which an entry polls its permits if nobody waits for one.
+const TICKS_PER_POLL: u64 = 10;
 const REPORT_INTERVAL: u64 = 500 * MS;
 
 // What happens next; the first number is that of the entry to which it happens.
@@ -89,6 +91,7 @@
             out: Outcome {
                 arrivals: vec![Vec::new(); setup.servers.len()],
                 in_touch: vec![Vec::new(); setup.servers.len()],
+                told_at: vec![None; setup.servers.len()],
                 ..Outcome::default()
             },
             rng,
@@ -201,6 +204,9 @@
             }
             Event::Arrival(entry, server, epoch) => self.on_arrival(entry, server, epoch),
             Event::Response(entry, server, sent_at, limit) => {
+                if limit.is_some() {
+                    self.out.told_at[server].get_or_insert(self.now);
+                }
                 let received_at = self.local(entry);
                 let observation = LimitObservation {
                     limit,
@@ -225,7 +231,10 @@
         let coordinator = &mut self.entries[entry].coordinator;
         coordinator.membership.evaluate(now);
         let news = coordinator.news(now);
-        self.poll(entry);
+        self.entries[entry].ticks += 1;
+        if self.entries[entry].ticks.is_multiple_of(TICKS_PER_POLL) {
+            self.poll(entry);
+        }
         if self.entries[entry].leaving {
             self.say_leaving(entry);
         }
--- a/crates/rw-routing/tests/limit_simulation/outcome.rs
+++ b/crates/rw-routing/tests/limit_simulation/outcome.rs
@@ -8,6 +8,8 @@
     pub arrivals: Vec<Vec<u64>>,
     /// The same without those from entries that are, or have just been, cut off.
     pub in_touch: Vec<Vec<u64>>,
+    /// When the first response that names a limit arrived at an entry, for each server.
+    pub told_at: Vec<Option<u64>>,
     pub refused: u64,
     pub asks: u64,
 }
