--- a/crates/rw-routing/tests/limit_simulation/mod.rs
+++ b/crates/rw-routing/tests/limit_simulation/mod.rs
@@ -1,6 +1,8 @@
 //! Simulation of entries that share the limits of servers over a network that delays,
 //! loses and repeats messages, with entries that die, freeze, restart and are cut off.
+#![allow(dead_code, unused_imports)]
 
+mod checks;
 mod entry;
 mod outcome;
 mod requests;
@@ -18,6 +20,7 @@
     LimitNews, LimitObservation, PermitAsk, PermitRefusal, PermitReply, ServerLifetime,
 };
 
+pub use checks::{assert_limit_kept, assert_limit_used, seeds, KNOWN_AFTER, NAMED_AT};
 pub use outcome::{allowed, Outcome};
 pub use setup::{Demand, Fault, Setup};
 
--- a/crates/rw-routing/tests/limit_simulation/requests.rs
+++ b/crates/rw-routing/tests/limit_simulation/requests.rs
@@ -16,7 +16,8 @@
         let count = self.entries.len();
         let entry = match self.setup.demand {
             Demand::OneEntry => 0,
-            Demand::AllAlike => self.rng.random_range(0..count),
+            Demand::Bursts if self.now % (10 * SECOND) >= SECOND => return,
+            Demand::AllAlike | Demand::Bursts => self.rng.random_range(0..count),
             Demand::MovingAbout => (self.now / (5 * SECOND)) as usize % count,
         };
         let sim_entry = &self.entries[entry];
--- a/crates/rw-routing/tests/limit_simulation/setup.rs
+++ b/crates/rw-routing/tests/limit_simulation/setup.rs
@@ -10,6 +10,8 @@
     AllAlike,
     OneEntry,
     MovingAbout,
+    /// At all alike, for one second in ten.
+    Bursts,
 }
 
 /// What happens to an entry. Times are in microseconds.
