--- a/crates/rw-routing/src/server_limits/exchange.rs
+++ b/crates/rw-routing/src/server_limits/exchange.rs
@@ -47,7 +47,7 @@
 pub enum AskOutcome {
     /// The reply is known.
     Reply(PermitReply),
-    /// [`LimitCoordinator::poll`] returns the reply.
+    /// [`LimitCoordinator::poll`](crate::LimitCoordinator::poll) returns the reply.
     Queued,
     /// Another entry has to be asked.
     Forward(Name),
