--- a/crates/rw-fleet/src/entry/limit_guard.rs
+++ b/crates/rw-fleet/src/entry/limit_guard.rs
@@ -30,10 +30,10 @@
     pub(crate) at: Duration,
 }
 
-/// What becomes of a request for a permit.
+/// What becomes of a request for a permit: the answer, or the entry to which it has to be
+/// passed on.
 pub(crate) enum Asked {
     Reply(TimedReply),
-    // The request has to be passed on to another entry.
     Forward(Name),
 }
 
--- a/crates/rw-fleet/src/entry/limited_selection.rs
+++ b/crates/rw-fleet/src/entry/limited_selection.rs
@@ -64,13 +64,7 @@
             false => self.max_patience(),
         };
         servers.retain(|server| {
-            let spread = self.entry.cx.rng.lock().random();
-            let refusal = match self.asks < MAX_ASKS {
-                true => guard.refusal(server, self.patience, spread),
-                // Without a further question it is not known when one is due.
-                false if guard.is_limited(server) => Some(PermitRefusal::default()),
-                false => None,
-            };
+            let refusal = self.known_refusal(server);
             if let Some(refusal) = refusal {
                 self.record(refusal);
             }
@@ -79,13 +73,22 @@
         servers
     }
 
+    // Why the server cannot take the call, as far as it is known without asking its owner.
+    fn known_refusal(&self, server: &BackendServer) -> Option<PermitRefusal> {
+        let guard = &self.entry.cx.limit_guard;
+        if self.asks >= MAX_ASKS {
+            return guard.is_limited(server).then(PermitRefusal::default);
+        }
+        let spread = self.entry.cx.rng.lock().random();
+        guard.refusal(server, self.patience, spread)
+    }
+
     fn max_patience(&self) -> Duration {
         let call = self.call;
-        let to_objective = call.route.objective.saturating_sub(call.age());
-        let patience = to_objective.mul_f64(OBJECTIVE_SHARE).max(match call.age() {
-            age if age > call.route.objective => LATE_PATIENCE,
-            _ => Duration::ZERO,
-        });
+        let patience = match call.route.objective.checked_sub(call.age()) {
+            Some(to_objective) => to_objective.mul_f64(OBJECTIVE_SHARE),
+            None => LATE_PATIENCE,
+        };
         patience.min(call.time_left().mul_f64(DEADLINE_SHARE))
     }
 
@@ -129,6 +132,8 @@
         }
     }
 
+    // Keeps the refusal with the earliest time to come back. One without any time says only
+    // that the owner was not asked again.
     fn record(&mut self, refusal: PermitRefusal) {
         let is_earlier = |old: PermitRefusal| refusal.retry_after < old.retry_after;
         if refusal != PermitRefusal::default() && self.refusal.is_none_or(is_earlier) {
