--- a/crates/rw-observe/src/lib.rs
+++ b/crates/rw-observe/src/lib.rs
@@ -6,7 +6,7 @@
 mod recorder;
 
 pub use catalogue::{catalogue_markdown, Event};
-pub use logging::{init_stderr, init_stdout, Format};
+pub use logging::{init_stderr, init_stdout, Format, StdoutLog};
 pub use metrics::Metrics;
 pub use recorder::Recorder;
 
--- a/crates/rw-observe/src/logging.rs
+++ b/crates/rw-observe/src/logging.rs
@@ -1,5 +1,6 @@
 use std::io::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use log::LevelFilter;
 use rw_protocol::Name;
@@ -19,12 +20,43 @@
 /// dropped and counted.
 const LOG_QUEUE_CAPACITY: usize = 1024;
 
+enum LogItem {
+    Line(String),
+    // Closed once all lines before it are written.
+    Flush(flume::Sender<()>),
+}
+
+/// Log that a thread of its own writes to standard output.
+pub struct StdoutLog {
+    items: flume::Sender<LogItem>,
+}
+
+impl StdoutLog {
+    /// Waits until all lines so far are written, at most for `limit`: a process that
+    /// ends would lose them. Returns whether they are.
+    pub fn flush(&self, limit: Duration) -> bool {
+        let (written, done) = flume::bounded(0);
+        if self
+            .items
+            .send_timeout(LogItem::Flush(written), limit)
+            .is_err()
+        {
+            return false;
+        }
+        matches!(
+            done.recv_timeout(limit),
+            Err(flume::RecvTimeoutError::Disconnected)
+        )
+    }
+}
+
 /// Logs JSON lines to standard output: events at level info and above, anything
 /// else at level warn and above. Logging never blocks the caller: a separate
 /// thread writes the lines, and lines that do not fit into its queue are dropped
 /// and counted.
-pub fn init_stdout(daemon: Name) -> Result<()> {
-    let (tx, rx) = flume::bounded::<String>(LOG_QUEUE_CAPACITY);
+pub fn init_stdout(daemon: Name) -> Result<StdoutLog> {
+    let (tx, rx) = flume::bounded(LOG_QUEUE_CAPACITY);
+    let log = StdoutLog { items: tx.clone() };
     std::thread::spawn(move || write_lines(&rx));
     let dropped = AtomicU64::new(0);
     let out = fern::Output::call(move |record| {
@@ -39,7 +71,7 @@
         if dropped_lines > 0 {
             line["dropped_before"] = dropped_lines.into();
         }
-        if tx.try_send(line.to_string()).is_err() {
+        if tx.try_send(LogItem::Line(line.to_string())).is_err() {
             dropped.fetch_add(dropped_lines + 1, Ordering::Relaxed);
         }
     });
@@ -47,17 +79,24 @@
         .level(LevelFilter::Warn)
         .level_for("rw_observe", LevelFilter::Info)
         .chain(out);
-    Ok(dispatch.apply()?)
+    dispatch.apply()?;
+    Ok(log)
 }
 
 // Writes all queued lines in one call. If standard output is closed, only this
 // thread ends; the queue then fills up and further lines are dropped.
-fn write_lines(rx: &flume::Receiver<String>) {
-    while let Ok(mut text) = rx.recv() {
-        text.push('\n');
-        for line in rx.try_iter() {
-            text.push_str(&line);
-            text.push('\n');
+fn write_lines(rx: &flume::Receiver<LogItem>) {
+    while let Ok(first) = rx.recv() {
+        let mut text = String::new();
+        let mut flushes = Vec::new();
+        for item in std::iter::once(first).chain(rx.try_iter()) {
+            match item {
+                LogItem::Line(line) => {
+                    text.push_str(&line);
+                    text.push('\n');
+                }
+                LogItem::Flush(written) => flushes.push(written),
+            }
         }
         if std::io::stdout().write_all(text.as_bytes()).is_err() {
             return;
