Log what caller connections are doing when an entry stops, and what is cut off

Callers of an entry that stopped lost requests, and its log held only the number of open connections, if any were left at the end. Nothing told an idle connection from one on which a request was arriving, was waiting, ran at a server or was being answered.

Each caller connection now knows which of these it is doing. DaemonDraining, the new CallerPortClosed (104) and DrainTimedOut give the counts, and the new CallCutOff (105) names each request that was not answered in full when the process ended, with its stage, its age and the time it had left. No change of behaviour is intended.

--- a/crates/rw-fleet/src/entry/attempt.rs
+++ b/crates/rw-fleet/src/entry/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt of a call at one backend server.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::header::CONTENT_ENCODING;
@@ -76,6 +77,7 @@
     if permit.is_expired() {
         return Err(Failure::PermitExpired);
     }
+    call.sent.store(true, Ordering::Relaxed);
     let sent_at = uptime();
     let res = timeout(limit, conn.send(req)).await;
     let res = res.map_err(|_| Failure::Timeout)??;
--- a/crates/rw-fleet/src/entry/call.rs
+++ b/crates/rw-fleet/src/entry/call.rs
@@ -1,3 +1,4 @@
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -48,6 +49,8 @@
     pub last_event_id: u64,
     /// Priority of the team or the route; 0 goes first.
     pub priority: u32,
+    /// Set before the call is sent to a backend server for the first time.
+    pub sent: Arc<AtomicBool>,
 }
 
 impl Call {
@@ -56,6 +59,11 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Whether a backend server may have received the call.
+    pub fn was_sent(&self) -> bool {
+        self.sent.load(Ordering::Relaxed)
+    }
+
     /// Time since the request head was received.
     pub fn age(&self) -> Duration {
         self.received_at.elapsed()
--- /dev/null
+++ b/crates/rw-fleet/src/entry/caller_connection.rs
@@ -0,0 +1,322 @@
+//! What each open caller connection is doing.
+
+use std::collections::BTreeMap;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use rw_protocol::Name;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use super::response::ResponseBody;
+use super::Call;
+
+/// The open caller connections of an entry.
+#[derive(Default)]
+pub struct CallerConnections(Mutex<Table>);
+
+#[derive(Default)]
+struct Table {
+    next_id: u64,
+    open: BTreeMap<u64, Arc<ConnectionState>>,
+}
+
+/// Number of caller connections by what they are doing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ConnectionCounts {
+    /// All open connections.
+    pub open: usize,
+    /// Connections on which no request is in progress.
+    pub idle: usize,
+    /// Connections on which a part of a request's head has arrived.
+    pub reading: usize,
+    /// Connections with a request that is not answered in full.
+    pub requests: usize,
+}
+
+impl std::fmt::Display for ConnectionCounts {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let ConnectionCounts {
+            open,
+            idle,
+            reading,
+            requests,
+        } = self;
+        write!(
+            f,
+            "open={open} idle={idle} reading={reading} requests={requests}"
+        )
+    }
+}
+
+impl CallerConnections {
+    /// Adds a connection, which counts as open until the returned value is dropped.
+    pub fn add(self: &Arc<Self>) -> OpenConnection {
+        let state = Arc::new(ConnectionState::new());
+        let mut table = self.lock();
+        let id = table.next_id;
+        table.next_id += 1;
+        table.open.insert(id, state.clone());
+        OpenConnection {
+            id,
+            state,
+            connections: self.clone(),
+        }
+    }
+
+    /// Counts the open connections.
+    pub fn counts(&self) -> ConnectionCounts {
+        let mut out = ConnectionCounts::default();
+        for state in self.lock().open.values() {
+            out.open += 1;
+            match state.lock().phase {
+                Phase::Idle => out.idle += 1,
+                Phase::ReadingHead => out.reading += 1,
+                Phase::Request(_) => out.requests += 1,
+            }
+        }
+        out
+    }
+
+    /// Describes the requests that are not answered in full, for the log.
+    pub fn unanswered(&self) -> Vec<String> {
+        let table = self.lock();
+        table.open.values().filter_map(|s| s.describe()).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Table> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// An open connection of a [`CallerConnections`].
+pub struct OpenConnection {
+    id: u64,
+    /// What it is doing.
+    pub state: Arc<ConnectionState>,
+    connections: Arc<CallerConnections>,
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.connections.lock().open.remove(&self.id);
+    }
+}
+
+/// What a caller connection is doing.
+pub struct ConnectionState(Mutex<Progress>);
+
+struct Progress {
+    phase: Phase,
+    since: Instant,
+}
+
+enum Phase {
+    Idle,
+    ReadingHead,
+    Request(Request),
+}
+
+struct Request {
+    id: Name,
+    call: Option<Arc<Call>>,
+    is_answering: bool,
+    // Bytes of the next request arrived before the end of this one.
+    has_read_ahead: bool,
+}
+
+impl ConnectionState {
+    fn new() -> Self {
+        ConnectionState(Mutex::new(Progress {
+            phase: Phase::Idle,
+            since: Instant::now(),
+        }))
+    }
+
+    /// Marks the start of a request, which is in progress until the guard is dropped.
+    pub fn begin_request(self: &Arc<Self>, id: Name) -> RequestGuard {
+        self.set(Phase::Request(Request {
+            id,
+            call: None,
+            is_answering: false,
+            has_read_ahead: false,
+        }));
+        RequestGuard(self.clone())
+    }
+
+    fn on_read(&self) {
+        let mut progress = self.lock();
+        match &mut progress.phase {
+            Phase::Idle => {
+                progress.phase = Phase::ReadingHead;
+                progress.since = Instant::now();
+            }
+            Phase::ReadingHead => {}
+            Phase::Request(req) => req.has_read_ahead |= req.call.is_some() || req.is_answering,
+        }
+    }
+
+    fn describe(&self) -> Option<String> {
+        let progress = self.lock();
+        let age_ms = progress.since.elapsed().as_millis();
+        let Phase::Request(req) = &progress.phase else {
+            return None;
+        };
+        let stage = match &req.call {
+            _ if req.is_answering => "answering",
+            None => "reading",
+            Some(call) if call.was_sent() => "at_server",
+            Some(_) => "waiting",
+        };
+        let left_ms = req.call.as_ref().map(|call| call.time_left().as_millis());
+        let left_ms = left_ms.map_or("unknown".into(), |ms| ms.to_string());
+        Some(format!(
+            "request={} stage={stage} age_ms={age_ms} left_ms={left_ms}",
+            req.id
+        ))
+    }
+
+    fn update_request(&self, update: impl FnOnce(&mut Request)) {
+        if let Phase::Request(req) = &mut self.lock().phase {
+            update(req);
+        }
+    }
+
+    fn set(&self, phase: Phase) {
+        *self.lock() = Progress {
+            phase,
+            since: Instant::now(),
+        };
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Progress> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A request in progress on a connection.
+pub struct RequestGuard(Arc<ConnectionState>);
+
+impl RequestGuard {
+    /// The request has been read in full.
+    pub fn on_read(&self, call: &Arc<Call>) {
+        self.0.update_request(|req| req.call = Some(call.clone()));
+    }
+
+    /// The answer has begun.
+    pub fn on_answer(&self) {
+        self.0.update_request(|req| req.is_answering = true);
+    }
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        let has_read_ahead = match &self.0.lock().phase {
+            Phase::Request(req) => req.has_read_ahead,
+            _ => false,
+        };
+        self.0.set(match has_read_ahead {
+            true => Phase::ReadingHead,
+            false => Phase::Idle,
+        });
+    }
+}
+
+/// Body of an answer, with the guard of its request.
+pub struct GuardedBody {
+    body: ResponseBody,
+    _guard: RequestGuard,
+}
+
+impl GuardedBody {
+    /// Holds `guard` until the body has been sent or dropped.
+    pub fn new(body: ResponseBody, guard: RequestGuard) -> Self {
+        guard.on_answer();
+        GuardedBody {
+            body,
+            _guard: guard,
+        }
+    }
+}
+
+impl Body for GuardedBody {
+    type Data = Bytes;
+    type Error = <ResponseBody as Body>::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// Socket of a caller, which notes when bytes arrive.
+pub struct CallerSocket {
+    conn: TcpStream,
+    state: Arc<ConnectionState>,
+}
+
+impl CallerSocket {
+    /// Wraps an accepted connection.
+    pub fn new(conn: TcpStream, state: Arc<ConnectionState>) -> Self {
+        CallerSocket { conn, state }
+    }
+}
+
+impl AsyncRead for CallerSocket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        let len = buf.filled().len();
+        let read = Pin::new(&mut self.conn).poll_read(cx, buf);
+        if buf.filled().len() > len {
+            self.state.on_read();
+        }
+        read
+    }
+}
+
+impl AsyncWrite for CallerSocket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut self.conn).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[std::io::IoSlice<'_>],
+    ) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut self.conn).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.conn.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.conn).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.conn).poll_shutdown(cx)
+    }
+}
--- a/crates/rw-fleet/src/entry/listener.rs
+++ b/crates/rw-fleet/src/entry/listener.rs
@@ -2,7 +2,6 @@
 //! metrics.
 
 use std::convert::Infallible;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,8 +12,10 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use rw_observe::Event;
+use rw_protocol::Name;
 use tokio::net::{TcpListener, TcpStream};
 
+use super::caller_connection::{CallerSocket, ConnectionState, GuardedBody, RequestGuard};
 use super::response::{self, HandlerResult, ResponseBody};
 use super::{request, stream, unary, Call, Entry, Refusal};
 use crate::connect::enable_dead_peer_detection;
@@ -47,9 +48,8 @@
             Ok((conn, _)) => {
                 let (entry, stop) = (entry.clone(), stop.clone());
                 tokio::spawn(async move {
-                    entry.open_connections.fetch_add(1, Ordering::Relaxed);
-                    serve_connection(&entry, conn, stop).await;
-                    entry.open_connections.fetch_sub(1, Ordering::Relaxed);
+                    let open = entry.connections.add();
+                    serve_connection(&entry, conn, &open.state, stop).await;
                 });
             }
             Err(err) => {
@@ -63,6 +63,7 @@
 async fn serve_connection<D: PlatformCodec>(
     entry: &Arc<Entry<D>>,
     conn: TcpStream,
+    state: &Arc<ConnectionState>,
     stop: flume::Receiver<()>,
 ) {
     if let Err(err) = enable_dead_peer_detection(&conn) {
@@ -73,9 +74,14 @@
     let limits = cfg.map(|cfg| cfg.limits);
     let idle = limits.map_or(IDLE_TIMEOUT, |limits| limits.idle) + IDLE_SLACK;
     let head = limits.map_or(MAX_HEAD_BYTES, |limits| limits.head_bytes);
-    let service = service_fn(|req| {
-        let entry = entry.clone();
-        async move { handle(&entry, req).await }
+    let conn = CallerSocket::new(conn, state.clone());
+    let service = service_fn(|req: Request<Incoming>| {
+        let (entry, state) = (entry.clone(), state.clone());
+        async move {
+            let guard = state.begin_request(request_id(&entry, &req));
+            let res = handle(&entry, req, &guard).await?;
+            Ok::<_, Infallible>(res.map(|body| GuardedBody::new(body, guard)))
+        }
     });
     let conn = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
@@ -95,7 +101,16 @@
     }
 }
 
-async fn handle<D: PlatformCodec>(entry: &Arc<Entry<D>>, req: Request<Incoming>) -> HandlerResult {
+fn request_id<D: PlatformCodec>(entry: &Entry<D>, req: &Request<Incoming>) -> Name {
+    let id = req.headers().get(&entry.cx.codec.headers().attempt);
+    Name::from(id.and_then(|id| id.to_str().ok()).unwrap_or_default())
+}
+
+async fn handle<D: PlatformCodec>(
+    entry: &Arc<Entry<D>>,
+    req: Request<Incoming>,
+    guard: &RequestGuard,
+) -> HandlerResult {
     let names = entry.cx.codec.headers();
     let id = req.headers().get(&names.attempt).cloned();
     let call = match request::read(&entry.cx, req).await {
@@ -110,6 +125,7 @@
             return Ok(response::refusal(&refusal, id.as_ref(), names));
         }
     };
+    guard.on_read(&call);
     entry.load_tracker.count_request(&call.service);
     let result = respond(entry, &call).await;
     Ok(match result {
--- a/crates/rw-fleet/src/entry/mod.rs
+++ b/crates/rw-fleet/src/entry/mod.rs
@@ -3,6 +3,7 @@
 
 mod attempt;
 mod call;
+mod caller_connection;
 mod events;
 mod limit_guard;
 mod limited_selection;
@@ -23,6 +24,7 @@
 mod unary;
 
 pub use call::Call;
+pub use caller_connection::{CallerConnections, ConnectionCounts};
 pub use events::EventReader;
 pub use limit_guard::{grant_permits, LimitGuard};
 pub(crate) use limit_guard::{Asked, TimedReply};
--- a/crates/rw-fleet/src/entry/request.rs
+++ b/crates/rw-fleet/src/entry/request.rs
@@ -76,6 +76,7 @@
         prompt_parts: cx.codec.shared_prompt_parts(&head.headers),
         last_event_id: header_number(&head.headers, &names.last_event).unwrap_or(0),
         headers: forwarded_headers(cx, head.headers),
+        sent: Default::default(),
         route,
         cfg,
     })
--- a/crates/rw-fleet/src/entry/shared.rs
+++ b/crates/rw-fleet/src/entry/shared.rs
@@ -1,7 +1,6 @@
 //! State shared by all requests at an entry.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -10,7 +9,7 @@
 use rw_routing::ExtraRetries;
 
 use super::attempt::{self, Failure};
-use super::{Call, LoadTracker, PoisonGuard};
+use super::{Call, CallerConnections, LoadTracker, PoisonGuard};
 use crate::{BackendServer, Cx, Engine, PlatformCodec, Snapshot};
 
 /// State shared by all requests at an entry.
@@ -21,7 +20,8 @@
     pub load_tracker: Arc<LoadTracker>,
     /// Parts of prompts that crash backend servers.
     pub poison_guard: Arc<PoisonGuard>,
-    pub(super) open_connections: AtomicUsize,
+    /// Open caller connections.
+    pub connections: Arc<CallerConnections>,
     extra_retries: ExtraRetries,
     // Version that requests required last, by model.
     required_weights: Mutex<BTreeMap<Name, u64>>,
@@ -43,17 +43,12 @@
             cx,
             load_tracker,
             poison_guard,
-            open_connections: AtomicUsize::new(0),
+            connections: Arc::default(),
             extra_retries,
             required_weights: Mutex::default(),
         })
     }
 
-    /// Number of open caller connections.
-    pub fn open_connections(&self) -> usize {
-        self.open_connections.load(Ordering::Relaxed)
-    }
-
     /// Number of entries that share the retry budget; `None` until this entry is listed
     /// among them.
     pub fn entry_count(&self) -> Option<usize> {
--- a/crates/rw-fleet/src/run.rs
+++ b/crates/rw-fleet/src/run.rs
@@ -157,18 +157,23 @@
     signals.wait_for_stop(cx).await;
     let stop_requested = Instant::now();
     cx.begin_shutdown();
-    cx.recorder.emit(Event::DaemonDraining, "");
+    let counts = || entry.connections.counts();
+    cx.recorder
+        .emit(Event::DaemonDraining, &counts().to_string());
     tokio::time::sleep(UNREADY_DELAY).await;
+    cx.recorder
+        .emit(Event::CallerPortClosed, &counts().to_string());
     drop(stop);
     let deadline = stop_requested + cx.settings.bounds.grace.saturating_sub(EXIT_MARGIN);
-    while entry.open_connections() > 0 && Instant::now() < deadline {
+    while counts().open > 0 && Instant::now() < deadline {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
-    if entry.open_connections() > 0 {
-        cx.recorder.emit(
-            Event::DrainTimedOut,
-            &format!("open={}", entry.open_connections()),
-        );
+    if counts().open > 0 {
+        cx.recorder
+            .emit(Event::DrainTimedOut, &counts().to_string());
+        for request in entry.connections.unanswered() {
+            cx.recorder.emit(Event::CallCutOff, &request);
+        }
     }
     Ok(())
 }
--- a/crates/rw-observe/src/catalogue.rs
+++ b/crates/rw-observe/src/catalogue.rs
@@ -47,6 +47,8 @@
     101 DaemonDraining Info "The daemon is draining: it refuses new requests and finishes those in progress." "Nothing.";
     102 DaemonStopped Info "The daemon stopped after its last request had finished." "Nothing.";
     103 DrainTimedOut Error "Requests were still running when the drain timeout expired." "Raise limits.drain_ms or look for stuck requests.";
+    104 CallerPortClosed Info "The entry accepts no more connections of callers." "Nothing.";
+    105 CallCutOff Error "The process ended before a request was answered in full." "If the request was received well before the end, extend the grace period; else look for its server.";
     200 GenerationApplied Info "A confirmed generation took effect on this daemon." "Nothing.";
     201 GenerationConfirmed Info "An operator confirmed a plan." "Nothing.";
     202 PlanStale Warn "A plan could not be confirmed because its base generation is outdated." "Plan again.";
