Keep caller connections until their requests are answered when an entry stops

What callers saw: around the stop of an entry, requests on kept and on new connections ended without an answer, and some ran at a server and were cut off.

Causes, each shown by a test against the entry's process over loopback: - The listener was dropped with connections in its queue, which resets them, and a new connection whose task ran first after the stop was closed with its request unread. - The HTTP library closes an idle connection at once, also with a request unread in the socket, or a part of a head read. The choice between reading and closing was random. - No answer after the signal said that the connection ends, so callers used connections until they were closed under them, also right after a stream that had begun before the signal. - A request whose last packet arrived after the stop was passed on although it could outlive the process, and was cut off with it. - Requests at a server at the end of the grace period, and those not read in full, ended with the process instead of an answer. - A connection kept the idle limit of the configuration under which it was opened, while its caller followed the one in force.

Now each answer after the signal closes its connection. When the port closes, the listen queue is emptied. A connection is closed once it had no request for 1 s, all bytes of its answer have left, and the socket holds nothing unread; the idle limit is that of the current configuration.

Each guard was removed once by hand: all turned a test red except that connections are counted before their task runs, which a runtime of one thread does not show.

Ruled out: closing after reading what crosses the close. It would take requests that cannot be answered any more, and a caller could not tell that they were not read.

--- a/crates/rw-fleet/src/entry/caller_connection.rs
+++ b/crates/rw-fleet/src/entry/caller_connection.rs
@@ -8,8 +8,6 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use rw_protocol::Name;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 use super::response::ResponseBody;
@@ -113,6 +111,8 @@
 struct Progress {
     phase: Phase,
     since: Instant,
+    // Bytes of an answer are buffered that the socket has not taken yet.
+    is_sending: bool,
 }
 
 enum Phase {
@@ -134,6 +134,7 @@
         ConnectionState(Mutex::new(Progress {
             phase: Phase::Idle,
             since: Instant::now(),
+            is_sending: false,
         }))
     }
 
@@ -148,7 +149,8 @@
         RequestGuard(self.clone())
     }
 
-    fn on_read(&self) {
+    /// Notes that bytes have arrived.
+    pub fn on_read(&self) {
         let mut progress = self.lock();
         match &mut progress.phase {
             Phase::Idle => {
@@ -160,6 +162,35 @@
         }
     }
 
+    /// Notes that the socket takes bytes of an answer.
+    pub fn on_write(&self) {
+        self.lock().is_sending = true;
+    }
+
+    /// Notes that the socket has taken all bytes so far.
+    pub fn on_flushed(&self) {
+        let mut progress = self.lock();
+        if progress.is_sending && !matches!(progress.phase, Phase::Request(_)) {
+            progress.since = Instant::now();
+        }
+        progress.is_sending = false;
+    }
+
+    /// When the last answer had been sent, or the connection was accepted, or the head of a
+    /// request began to arrive; `None` while a request is in progress.
+    pub fn quiet_since(&self) -> Option<Instant> {
+        let progress = self.lock();
+        match progress.phase {
+            Phase::Idle | Phase::ReadingHead if !progress.is_sending => Some(progress.since),
+            _ => None,
+        }
+    }
+
+    /// Whether a part of a request's head has arrived.
+    pub fn is_reading_head(&self) -> bool {
+        matches!(self.lock().phase, Phase::ReadingHead)
+    }
+
     fn describe(&self) -> Option<String> {
         let progress = self.lock();
         let age_ms = progress.since.elapsed().as_millis();
@@ -187,10 +218,9 @@
     }
 
     fn set(&self, phase: Phase) {
-        *self.lock() = Progress {
-            phase,
-            since: Instant::now(),
-        };
+        let mut progress = self.lock();
+        progress.phase = phase;
+        progress.since = Instant::now();
     }
 
     fn lock(&self) -> MutexGuard<'_, Progress> {
@@ -207,6 +237,22 @@
         self.0.update_request(|req| req.call = Some(call.clone()));
     }
 
+    /// Id of the caller's attempt.
+    pub fn id(&self) -> Name {
+        match &self.0.lock().phase {
+            Phase::Request(req) => req.id.clone(),
+            _ => Name::default(),
+        }
+    }
+
+    /// The request, if it has been read in full.
+    pub fn call(&self) -> Option<Arc<Call>> {
+        match &self.0.lock().phase {
+            Phase::Request(req) => req.call.clone(),
+            _ => None,
+        }
+    }
+
     /// The answer has begun.
     pub fn on_answer(&self) {
         self.0.update_request(|req| req.is_answering = true);
@@ -262,61 +308,3 @@
         self.body.size_hint()
     }
 }
-
-/// Socket of a caller, which notes when bytes arrive.
-pub struct CallerSocket {
-    conn: TcpStream,
-    state: Arc<ConnectionState>,
-}
-
-impl CallerSocket {
-    /// Wraps an accepted connection.
-    pub fn new(conn: TcpStream, state: Arc<ConnectionState>) -> Self {
-        CallerSocket { conn, state }
-    }
-}
-
-impl AsyncRead for CallerSocket {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        let len = buf.filled().len();
-        let read = Pin::new(&mut self.conn).poll_read(cx, buf);
-        if buf.filled().len() > len {
-            self.state.on_read();
-        }
-        read
-    }
-}
-
-impl AsyncWrite for CallerSocket {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.conn).poll_write(cx, buf)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[std::io::IoSlice<'_>],
-    ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.conn).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.conn.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.conn).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.conn).poll_shutdown(cx)
-    }
-}
--- /dev/null
+++ b/crates/rw-fleet/src/entry/caller_socket.rs
@@ -0,0 +1,105 @@
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{ready, Context, Poll};
+
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use super::caller_connection::ConnectionState;
+
+/// Socket of a caller, which notes when bytes arrive.
+#[derive(Clone)]
+pub struct CallerSocket {
+    conn: Arc<TcpStream>,
+    state: Arc<ConnectionState>,
+}
+
+impl CallerSocket {
+    /// Wraps an accepted connection.
+    pub fn new(conn: TcpStream, state: Arc<ConnectionState>) -> Self {
+        CallerSocket {
+            conn: Arc::new(conn),
+            state,
+        }
+    }
+
+    /// Whether bytes of the caller, or its end of the connection, wait to be read. Asks the
+    /// socket, since the runtime may not have seen yet that it can be read.
+    pub fn has_unread(&self) -> bool {
+        let mut byte = [std::mem::MaybeUninit::uninit()];
+        match SockRef::from(&*self.conn).peek(&mut byte) {
+            Ok(_) => true,
+            Err(err) => err.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+}
+
+impl AsyncRead for CallerSocket {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.conn.poll_read_ready(cx))?;
+            match self.conn.try_read_buf(buf) {
+                Ok(len) => {
+                    if len > 0 {
+                        self.state.on_read();
+                    }
+                    return Poll::Ready(Ok(()));
+                }
+                Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
+                Err(err) => return Poll::Ready(Err(err)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for CallerSocket {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.state.on_write();
+        loop {
+            ready!(self.conn.poll_write_ready(cx))?;
+            match self.conn.try_write(buf) {
+                Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.state.on_write();
+        loop {
+            ready!(self.conn.poll_write_ready(cx))?;
+            match self.conn.try_write_vectored(bufs) {
+                Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    // Called once everything buffered has been written.
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.state.on_flushed();
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.conn).shutdown(std::net::Shutdown::Write))
+    }
+}
--- a/crates/rw-fleet/src/entry/listener.rs
+++ b/crates/rw-fleet/src/entry/listener.rs
@@ -2,11 +2,13 @@
 //! metrics.
 
 use std::convert::Infallible;
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -14,10 +16,12 @@
 use rw_observe::Event;
 use rw_protocol::Name;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, sleep_until, Instant};
 
-use super::caller_connection::{CallerSocket, ConnectionState, GuardedBody, RequestGuard};
+use super::caller_connection::{ConnectionState, GuardedBody, RequestGuard};
+use super::caller_socket::CallerSocket;
 use super::response::{self, HandlerResult, ResponseBody};
-use super::{request, stream, unary, Call, Entry, Refusal};
+use super::{request, stream, unary, Call, Entry, Refusal, Shutdown};
 use crate::connect::enable_dead_peer_detection;
 use crate::{CallKind, PlatformCodec};
 
@@ -30,77 +34,138 @@
 /// Time by which idle connections outlive the configured timeout. Without it,
 /// the entry could close a connection just as a caller sends a request.
 const IDLE_SLACK: Duration = Duration::from_secs(2);
+/// Time without a request after which a connection is closed once the caller port is
+/// closed; a caller that was not told that the connection ends may send one until then.
+const IDLE_LIMIT_AT_SHUTDOWN: Duration = Duration::from_secs(1);
+/// Time in which the task of a connection reads what has arrived.
+const READ_PAUSE: Duration = Duration::from_millis(5);
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 
-/// Serves callers until `stop` is closed; open connections then finish their
-/// current request and close.
+/// Serves callers. Returns when the caller port is closed; open connections then finish
+/// their requests and close.
 pub async fn serve_callers<D: PlatformCodec>(
     entry: Arc<Entry<D>>,
     listener: TcpListener,
-    stop: flume::Receiver<()>,
+    shutdown: Shutdown,
 ) {
     loop {
         let conn = tokio::select! {
             conn = listener.accept() => conn,
-            _ = stop.recv_async() => return,
+            _ = shutdown.port_closed.recv_async() => break,
         };
         match conn {
-            Ok((conn, _)) => {
-                let (entry, stop) = (entry.clone(), stop.clone());
-                tokio::spawn(async move {
-                    let open = entry.connections.add();
-                    serve_connection(&entry, conn, &open.state, stop).await;
-                });
-            }
+            Ok((conn, _)) => spawn_connection(&entry, conn, &shutdown),
             Err(err) => {
                 log::warn!("accepting a connection on the caller port failed, retrying: {err}");
-                tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
+                sleep(ACCEPT_RETRY_PAUSE).await;
+            }
+        }
+    }
+    if let Err(err) = empty_listen_queue(&entry, listener, &shutdown) {
+        log::warn!("connections in the listen queue are lost: {err}");
+    }
+}
+
+// Closing the listener resets the connections in its queue, on which callers may have sent
+// requests. The runtime may not have seen them yet, so the socket is asked.
+fn empty_listen_queue<D: PlatformCodec>(
+    entry: &Arc<Entry<D>>,
+    listener: TcpListener,
+    shutdown: &Shutdown,
+) -> io::Result<()> {
+    let listener = listener.into_std()?;
+    loop {
+        match listener.accept() {
+            Ok((conn, _)) => {
+                conn.set_nonblocking(true)?;
+                spawn_connection(entry, TcpStream::from_std(conn)?, shutdown);
             }
+            Err(err) if err.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            Err(err) if err.kind() == io::ErrorKind::ConnectionAborted => {}
+            Err(err) => return Err(err),
         }
     }
 }
 
+fn spawn_connection<D: PlatformCodec>(entry: &Arc<Entry<D>>, conn: TcpStream, shutdown: &Shutdown) {
+    // Counted before its task runs, or the process could end in between.
+    let open = entry.connections.add();
+    let (entry, shutdown) = (entry.clone(), shutdown.clone());
+    tokio::spawn(async move { serve_connection(&entry, conn, &open.state, &shutdown).await });
+}
+
 async fn serve_connection<D: PlatformCodec>(
     entry: &Arc<Entry<D>>,
     conn: TcpStream,
     state: &Arc<ConnectionState>,
-    stop: flume::Receiver<()>,
+    shutdown: &Shutdown,
 ) {
     if let Err(err) = enable_dead_peer_detection(&conn) {
         log::debug!("closing a caller connection, its socket options cannot be set: {err}");
         return;
     }
     let cfg = entry.cx.cluster.snapshot().cfg.clone();
-    let limits = cfg.map(|cfg| cfg.limits);
-    let idle = limits.map_or(IDLE_TIMEOUT, |limits| limits.idle) + IDLE_SLACK;
-    let head = limits.map_or(MAX_HEAD_BYTES, |limits| limits.head_bytes);
-    let conn = CallerSocket::new(conn, state.clone());
+    let head = cfg.map_or(MAX_HEAD_BYTES, |cfg| cfg.limits.head_bytes);
+    let socket = CallerSocket::new(conn, state.clone());
     let service = service_fn(|req: Request<Incoming>| {
-        let (entry, state) = (entry.clone(), state.clone());
+        let (entry, state, shutdown) = (entry.clone(), state.clone(), shutdown.clone());
         async move {
             let guard = state.begin_request(request_id(&entry, &req));
-            let res = handle(&entry, req, &guard).await?;
+            let res = handle(&entry, req, &guard, &shutdown).await?;
             Ok::<_, Infallible>(res.map(|body| GuardedBody::new(body, guard)))
         }
     });
     let conn = hyper::server::conn::http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(idle)
         .max_buf_size(head.max(MIN_HEAD_BYTES))
-        .serve_connection(TokioIo::new(conn), service);
+        .serve_connection(TokioIo::new(socket.clone()), service);
     tokio::pin!(conn);
-    let outcome = tokio::select! {
-        outcome = conn.as_mut() => outcome,
-        _ = stop.recv_async() => {
-            conn.as_mut().graceful_shutdown();
-            conn.await
-        }
+    let served = tokio::select! {
+        biased;
+        served = conn.as_mut() => served,
+        () = wait_until_unused(entry, state, &socket, shutdown) => return,
     };
-    if let Err(err) = outcome {
+    if let Err(err) = served {
         log::debug!("caller connection failed: {err}");
     }
 }
 
+// Waits until a connection has had no request for as long as it may, and nothing of one has
+// arrived: a caller cannot tell whether a request that it sent before the end was executed.
+async fn wait_until_unused<D: PlatformCodec>(
+    entry: &Entry<D>,
+    state: &ConnectionState,
+    socket: &CallerSocket,
+    shutdown: &Shutdown,
+) {
+    let mut is_port_open = true;
+    loop {
+        let limit = match is_port_open || state.is_reading_head() {
+            true => idle_limit(entry),
+            false => IDLE_LIMIT_AT_SHUTDOWN,
+        };
+        let quiet_since = state.quiet_since();
+        let until = quiet_since.unwrap_or_else(Instant::now) + limit;
+        if until <= Instant::now() {
+            if state.is_reading_head() || !socket.has_unread() {
+                return;
+            }
+            sleep(READ_PAUSE).await;
+            continue;
+        }
+        tokio::select! {
+            () = sleep_until(until) => {}
+            _ = shutdown.port_closed.recv_async(), if is_port_open => is_port_open = false,
+        }
+    }
+}
+
+// Callers follow the current configuration, not the one under which they connected.
+fn idle_limit<D: PlatformCodec>(entry: &Entry<D>) -> Duration {
+    let snapshot = entry.cx.cluster.snapshot();
+    let limits = snapshot.cfg.as_ref().map(|cfg| cfg.limits);
+    limits.map_or(IDLE_TIMEOUT, |limits| limits.idle) + IDLE_SLACK
+}
+
 fn request_id<D: PlatformCodec>(entry: &Entry<D>, req: &Request<Incoming>) -> Name {
     let id = req.headers().get(&entry.cx.codec.headers().attempt);
     Name::from(id.and_then(|id| id.to_str().ok()).unwrap_or_default())
@@ -110,37 +175,69 @@
     entry: &Arc<Entry<D>>,
     req: Request<Incoming>,
     guard: &RequestGuard,
+    shutdown: &Shutdown,
 ) -> HandlerResult {
     let names = entry.cx.codec.headers();
     let id = req.headers().get(&names.attempt).cloned();
-    let call = match request::read(&entry.cx, req).await {
-        Ok(call) => Arc::new(call),
-        Err(refusal) => {
-            let attempt_id = id
-                .as_ref()
-                .and_then(|id| id.to_str().ok())
-                .unwrap_or_default();
-            let detail = format!("request={attempt_id} reason={:?}", refusal.reason());
-            entry.cx.recorder.emit(Event::CallRefused, &detail);
-            return Ok(response::refusal(&refusal, id.as_ref(), names));
-        }
+    let result = tokio::select! {
+        biased;
+        result = answer(entry, req, guard) => result,
+        _ = shutdown.requests_end.recv_async() => Err(end_refusal(guard.call())),
     };
+    let mut res = result.unwrap_or_else(|refusal| {
+        record_refusal(entry, guard, &refusal);
+        response::refusal(&refusal, id.as_ref(), names)
+    });
+    if entry.cx.is_shutting_down() {
+        let close = HeaderValue::from_static("close");
+        res.headers_mut().insert(CONNECTION, close);
+    }
+    Ok(res)
+}
+
+async fn answer<D: PlatformCodec>(
+    entry: &Arc<Entry<D>>,
+    req: Request<Incoming>,
+    guard: &RequestGuard,
+) -> std::result::Result<Response<ResponseBody>, Refusal> {
+    let call = Arc::new(request::read(&entry.cx, req).await?);
     guard.on_read(&call);
+    if entry.may_outlive_process(&call) {
+        return Err(stopping_refusal());
+    }
     entry.load_tracker.count_request(&call.service);
-    let result = respond(entry, &call).await;
-    Ok(match result {
-        Ok(res) => res,
-        Err(refusal) => {
-            let detail = format!(
-                "status={} reason={:?} {}",
-                refusal.status().as_u16(),
-                refusal.reason(),
-                refusal.known_load()
-            );
-            entry.record_call(&call, Event::CallRefused, &detail);
-            response::refusal(&refusal, id.as_ref(), names)
-        }
-    })
+    respond(entry, &call).await
+}
+
+// Refusal of a call that is not answered when the process has to end.
+fn end_refusal(call: Option<Arc<Call>>) -> Refusal {
+    match call {
+        Some(call) if call.was_sent() => Refusal::Failed("the entry stopped"),
+        _ => stopping_refusal(),
+    }
+}
+
+// Other entries serve the caller at once.
+fn stopping_refusal() -> Refusal {
+    Refusal::NotRun {
+        reason: "the entry is stopping",
+        retry_after: Duration::ZERO,
+        known_load: String::new(),
+    }
+}
+
+fn record_refusal<D: PlatformCodec>(entry: &Entry<D>, guard: &RequestGuard, refusal: &Refusal) {
+    let Some(call) = guard.call() else {
+        let detail = format!("request={} reason={:?}", guard.id(), refusal.reason());
+        return entry.cx.recorder.emit(Event::CallRefused, &detail);
+    };
+    let detail = format!(
+        "status={} reason={:?} {}",
+        refusal.status().as_u16(),
+        refusal.reason(),
+        refusal.known_load()
+    );
+    entry.record_call(&call, Event::CallRefused, &detail);
 }
 
 async fn respond<D: PlatformCodec>(
@@ -166,7 +263,7 @@
             Ok((conn, _)) => conn,
             Err(err) => {
                 log::warn!("accepting a connection on the probe port failed, retrying: {err}");
-                tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
+                sleep(ACCEPT_RETRY_PAUSE).await;
                 continue;
             }
         };
--- a/crates/rw-fleet/src/entry/shared.rs
+++ b/crates/rw-fleet/src/entry/shared.rs
@@ -1,12 +1,13 @@
 //! State shared by all requests at an entry.
 
 use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
 use rw_observe::Event;
 use rw_protocol::{rendezvous_rank, Name};
 use rw_routing::ExtraRetries;
+use tokio::time::Instant;
 
 use super::attempt::{self, Failure};
 use super::{Call, CallerConnections, LoadTracker, PoisonGuard};
@@ -22,6 +23,8 @@
     pub poison_guard: Arc<PoisonGuard>,
     /// Open caller connections.
     pub connections: Arc<CallerConnections>,
+    // Set when the caller port closes.
+    requests_end: OnceLock<Instant>,
     extra_retries: ExtraRetries,
     // Version that requests required last, by model.
     required_weights: Mutex<BTreeMap<Name, u64>>,
@@ -44,11 +47,25 @@
             load_tracker,
             poison_guard,
             connections: Arc::default(),
+            requests_end: OnceLock::new(),
             extra_retries,
             required_weights: Mutex::default(),
         })
     }
 
+    /// From now on, refuses calls that may still run at `requests_end`.
+    pub fn refuse_calls_beyond(&self, requests_end: Instant) {
+        // An entry stops once.
+        let _ = self.requests_end.set(requests_end);
+    }
+
+    /// Whether the process may end before the call's deadline, and accepts no such calls.
+    pub fn may_outlive_process(&self, call: &Call) -> bool {
+        self.requests_end
+            .get()
+            .is_some_and(|end| call.deadline > *end)
+    }
+
     /// Number of entries that share the retry budget; `None` until this entry is listed
     /// among them.
     pub fn entry_count(&self) -> Option<usize> {
--- a/crates/rw-fleet/src/run.rs
+++ b/crates/rw-fleet/src/run.rs
@@ -10,9 +10,11 @@
 use rw_protocol::Name;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::time::Instant;
+use tokio::time::{sleep_until, Instant};
 
-use crate::entry::{grant_permits, serve_callers, serve_probe, Entry, LoadTracker, PoisonGuard};
+use crate::entry::{
+    grant_permits, serve_callers, serve_probe, Entry, LoadTracker, PoisonGuard, Shutdown, Stages,
+};
 use crate::host::{reconcile_weights, BackendClient, ChunkStore, ObjectArchive, OriginClient};
 use crate::limit_exchange::exchange_limits;
 use crate::peers::{broadcast_load, PeerHandler};
@@ -21,11 +23,6 @@
 use crate::weights_record::record_requests;
 use crate::{follow, Cx, Daemon, DaemonSettings, Error, FleetRole, PlatformCodec, Result};
 
-/// Time from the stop signal until no new connections are accepted: the load
-/// balancer polls readiness once a second and needs two failures.
-const UNREADY_DELAY: Duration = Duration::from_millis(2600);
-/// Part of the grace period reserved for the process to exit.
-const EXIT_MARGIN: Duration = Duration::from_millis(400);
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum number of queued reads of staged chunks; when the queue is full,
 /// peers receive a retry delay.
@@ -152,22 +149,31 @@
         (false, _) => (StatusCode::NOT_FOUND, String::new()),
     };
     tokio::spawn(serve_probe(ready, answer));
-    let (stop, stopped) = flume::bounded::<()>(0);
-    tokio::spawn(serve_callers(entry.clone(), callers, stopped));
+    let (close_port, port_closed) = flume::bounded::<()>(0);
+    let (end_requests, requests_end) = flume::bounded::<()>(0);
+    let shutdown = Shutdown {
+        port_closed,
+        requests_end,
+    };
+    let serving = tokio::spawn(serve_callers(entry.clone(), callers, shutdown));
     signals.wait_for_stop(cx).await;
-    let stop_requested = Instant::now();
+    let stages = Stages::new(Instant::now(), cx.settings.bounds.grace);
     cx.begin_shutdown();
     let counts = || entry.connections.counts();
     cx.recorder
         .emit(Event::DaemonDraining, &counts().to_string());
-    tokio::time::sleep(UNREADY_DELAY).await;
+    sleep_until(stages.port_closes).await;
     cx.recorder
         .emit(Event::CallerPortClosed, &counts().to_string());
-    drop(stop);
-    let deadline = stop_requested + cx.settings.bounds.grace.saturating_sub(EXIT_MARGIN);
-    while counts().open > 0 && Instant::now() < deadline {
-        tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+    entry.refuse_calls_beyond(stages.requests_end);
+    drop(close_port);
+    // Until the listen queue is empty, not all connections are counted.
+    if let Err(err) = serving.await {
+        log::warn!("the task of the caller port failed: {err}");
     }
+    wait_for_connections(&entry, stages.requests_end).await;
+    drop(end_requests);
+    wait_for_connections(&entry, stages.exit).await;
     if counts().open > 0 {
         cx.recorder
             .emit(Event::DrainTimedOut, &counts().to_string());
@@ -178,6 +184,13 @@
     Ok(())
 }
 
+// Waits until all caller connections have ended, or until `deadline`.
+async fn wait_for_connections<D: PlatformCodec>(entry: &Entry<D>, deadline: Instant) {
+    while entry.connections.counts().open > 0 && Instant::now() < deadline {
+        tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+    }
+}
+
 async fn run_host<D: PlatformCodec, B: BackendClient, O: OriginClient, A: ObjectArchive>(
     cx: &Arc<Cx<D>>,
     peers: TcpListener,
