--- a/crates/rw-fleet/src/entry/mod.rs
+++ b/crates/rw-fleet/src/entry/mod.rs
@@ -3,6 +3,8 @@
 
 mod attempt;
 mod call;
+mod caller_connection;
+mod caller_socket;
 mod events;
 mod limit_guard;
 mod limited_selection;
@@ -18,11 +20,13 @@
 mod response;
 mod server_notice;
 mod shared;
+mod shutdown;
 mod stream;
 mod stream_opener;
 mod unary;
 
 pub use call::Call;
+pub use caller_connection::{CallerConnections, ConnectionCounts};
 pub use events::EventReader;
 pub use limit_guard::{grant_permits, LimitGuard};
 pub(crate) use limit_guard::{Asked, TimedReply};
@@ -34,3 +38,4 @@
 pub use refusal::Refusal;
 pub use server_notice::ServerNotice;
 pub use shared::Entry;
+pub use shutdown::{Shutdown, Stages};
--- a/crates/rw-fleet/src/entry/shared.rs
+++ b/crates/rw-fleet/src/entry/shared.rs
@@ -1,16 +1,16 @@
 //! State shared by all requests at an entry.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
 use rw_observe::Event;
 use rw_protocol::{rendezvous_rank, Name};
 use rw_routing::ExtraRetries;
+use tokio::time::Instant;
 
 use super::attempt::{self, Failure};
-use super::{Call, LoadTracker, PoisonGuard};
+use super::{Call, CallerConnections, LoadTracker, PoisonGuard};
 use crate::{BackendServer, Cx, Engine, PlatformCodec, Snapshot};
 
 /// State shared by all requests at an entry.
@@ -21,7 +21,10 @@
     pub load_tracker: Arc<LoadTracker>,
     /// Parts of prompts that crash backend servers.
     pub poison_guard: Arc<PoisonGuard>,
-    pub(super) open_connections: AtomicUsize,
+    /// Open caller connections.
+    pub connections: Arc<CallerConnections>,
+    // Set when the caller port closes.
+    requests_end: OnceLock<Instant>,
     extra_retries: ExtraRetries,
     // Version that requests required last, by model.
     required_weights: Mutex<BTreeMap<Name, u64>>,
@@ -43,15 +46,24 @@
             cx,
             load_tracker,
             poison_guard,
-            open_connections: AtomicUsize::new(0),
+            connections: Arc::default(),
+            requests_end: OnceLock::new(),
             extra_retries,
             required_weights: Mutex::default(),
         })
     }
 
-    /// Number of open caller connections.
-    pub fn open_connections(&self) -> usize {
-        self.open_connections.load(Ordering::Relaxed)
+    /// From now on, refuses calls that may still run at `requests_end`.
+    pub fn refuse_calls_beyond(&self, requests_end: Instant) {
+        // An entry stops once.
+        let _ = self.requests_end.set(requests_end);
+    }
+
+    /// Whether the process may end before the call's deadline, and accepts no such calls.
+    pub fn may_outlive_process(&self, call: &Call) -> bool {
+        self.requests_end
+            .get()
+            .is_some_and(|end| call.deadline > *end)
     }
 
     /// Number of entries that share the retry budget; `None` until this entry is listed
