--- a/crates/rw-fleet/src/connect.rs
+++ b/crates/rw-fleet/src/connect.rs
@@ -109,7 +109,7 @@
     pub async fn send(&mut self, req: Request<Full<Bytes>>) -> Result<Response<BudgetedBody>> {
         self.budget.reset();
         let sent = self.sender.send_request(req).await;
-        let res = sent.map_err(|err| Error::Broken(err.to_string()))?;
+        let res = sent.map_err(|err| Error::Broken(describe(&err)))?;
         Ok(res.map(|body| BudgetedBody::new(body, self.budget.clone())))
     }
 
@@ -119,6 +119,12 @@
     }
 }
 
+/// Text of an error with its causes, such as whether the peer closed or reset the connection.
+pub fn describe(err: &(dyn std::error::Error + 'static)) -> String {
+    let causes = std::iter::successors(err.source(), |cause| cause.source());
+    causes.fold(err.to_string(), |text, cause| format!("{text}: {cause}"))
+}
+
 /// A complete response.
 #[derive(Clone, Debug)]
 pub struct CompleteResponse {
@@ -134,7 +140,7 @@
 pub async fn read_response(res: Response<BudgetedBody>, max: usize) -> Result<CompleteResponse> {
     let (head, body) = res.into_parts();
     let body = Limited::new(body, max).collect().await;
-    let body = body.map_err(|err| Error::Broken(err.to_string()))?;
+    let body = body.map_err(|err| Error::Broken(describe(&*err)))?;
     Ok(CompleteResponse {
         status: head.status,
         headers: head.headers,
--- a/crates/rw-fleet/src/entry/attempt.rs
+++ b/crates/rw-fleet/src/entry/attempt.rs
@@ -33,8 +33,19 @@
     PermitExpired,
     /// The request was sent and may have been executed.
     Unknown(String),
-    /// The request was sent, but no response arrived in time.
-    Timeout,
+    /// The request was sent, but no response arrived within a time limit.
+    Timeout(TimeLimit),
+}
+
+/// The time limit that ended an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TimeLimit {
+    /// Time that an attempt has if another one may follow.
+    Attempt,
+    /// Time without an event after which another server may go on with a stream.
+    Gap,
+    /// Deadline of the call.
+    Deadline,
 }
 
 /// Result of an attempt.
@@ -45,7 +56,7 @@
         match err {
             connect::Error::Unreachable(msg) => Failure::NotSent(msg),
             connect::Error::Broken(msg) => Failure::Unknown(msg),
-            connect::Error::Timeout => Failure::Timeout,
+            connect::Error::Timeout => Failure::Timeout(TimeLimit::Deadline),
         }
     }
 }
@@ -78,7 +89,7 @@
     }
     let sent_at = uptime();
     let res = timeout(limit, conn.send(req)).await;
-    let res = res.map_err(|_| Failure::Timeout)??;
+    let res = res.map_err(|_| timed_out(call))??;
     let notice = ServerNotice::parse(res.status(), res.headers(), names);
     entry.load_tracker.on_notice(server, &notice);
     if !is_to_other_request(call, names, &res) {
@@ -89,6 +100,14 @@
     Ok((conn, res))
 }
 
+/// Failure of an attempt whose time is over, with the limit that ended it.
+pub fn timed_out(call: &Call) -> Failure {
+    Failure::Timeout(match call.time_left().is_zero() {
+        true => TimeLimit::Deadline,
+        false => TimeLimit::Attempt,
+    })
+}
+
 fn is_to_other_request(call: &Call, names: &HeaderNames, res: &Response<BudgetedBody>) -> bool {
     let echoed = res.headers().get(&names.attempt);
     echoed.is_some_and(|id| id.as_bytes() != call.id.as_bytes())
--- a/crates/rw-fleet/src/entry/poison_guard.rs
+++ b/crates/rw-fleet/src/entry/poison_guard.rs
@@ -60,7 +60,7 @@
         is_repeat: bool,
         result: &attempt::Result<T>,
     ) {
-        let broke_off = matches!(result, Err(Failure::Unknown(_) | Failure::Timeout));
+        let broke_off = matches!(result, Err(Failure::Unknown(_) | Failure::Timeout(_)));
         if !broke_off || call.prompt_parts.is_empty() {
             return;
         }
--- a/crates/rw-fleet/src/entry/stream.rs
+++ b/crates/rw-fleet/src/entry/stream.rs
@@ -9,7 +9,7 @@
 use rw_protocol::Name;
 use tokio::time::{timeout, timeout_at, Instant};
 
-use super::attempt::{self, Failure};
+use super::attempt::{self, Failure, TimeLimit};
 use super::poison_guard::RUN_TIME;
 use super::response::{caller_headers, event_body, EventSender, ResponseBody};
 use super::stream_opener::{next_events, Opened, OpenedStream, StreamOpener, MIN_ATTEMPT_TIME};
@@ -52,6 +52,7 @@
         is_trial,
         first_event_latency: call.age(),
         longest_event_gap: Duration::ZERO,
+        last_event_at: Instant::now(),
         selection_detail: stream.selection_detail.clone(),
     };
     tokio::spawn(relay.run(stream));
@@ -71,6 +72,7 @@
     // For the log.
     first_event_latency: Duration,
     longest_event_gap: Duration,
+    last_event_at: Instant,
     // Forecast and known load when the first server was selected, for the log.
     selection_detail: String,
 }
@@ -81,6 +83,9 @@
     Failed(Failure),
 }
 
+/// Why a stream is not resumed.
+type ResumeResult<T> = std::result::Result<T, &'static str>;
+
 impl<D: PlatformCodec> Relay<D> {
     async fn run(mut self, stream: Box<OpenedStream>) {
         let mut current = stream;
@@ -89,8 +94,10 @@
             let backend = current.permit.server.clone();
             let server = backend.id.clone();
             let first_event_at = Instant::now();
+            self.last_event_at = first_event_at;
             let end = self.forward(&mut current, first_event_at).await;
             let last_id = current.reader.last_id();
+            let silent_ms = self.last_event_at.elapsed().as_millis();
             drop(current);
             let failure = match end {
                 RelayEnd::Complete => {
@@ -109,16 +116,17 @@
             self.tried_servers.push(server.clone());
             self.sent_attempts += 1;
             match self.resume(last_id, weights_version).await {
-                Some(next) => {
+                Ok(next) => {
                     self.record(Event::StreamResumed, &server, &format!("after={last_id}"));
                     current = next;
                 }
-                None => {
-                    self.record(
-                        Event::StreamBrokenOff,
-                        &server,
-                        &format!("failure={failure:?}"),
+                Err(reason) => {
+                    let detail = format!(
+                        "failure={failure:?} left_ms={} silent_ms={silent_ms} after={last_id} \
+                         not_resumed={reason:?}",
+                        self.call.time_left().as_millis()
                     );
+                    self.record(Event::StreamBrokenOff, &server, &detail);
                     return self.tx.abort().await;
                 }
             }
@@ -137,11 +145,10 @@
         }
         let stall = self.call.route.max_event_gap * STALL_GAP_FACTOR;
         let deadline = self.call.deadline;
-        let mut last_event_at = Instant::now();
         loop {
             let limit = match self.can_resume() {
-                true => (Instant::now() + stall).min(deadline),
-                false => deadline,
+                Ok(()) => (Instant::now() + stall).min(deadline),
+                Err(_) => deadline,
             };
             let events = timeout_at(limit, next_events(&mut current.body, &mut current.reader));
             let events = tokio::select! {
@@ -149,15 +156,22 @@
                 _ = self.tx.disconnected.recv_async() => return RelayEnd::Disconnected,
             };
             match events {
-                Err(_) => return RelayEnd::Failed(Failure::Timeout),
+                Err(_) => {
+                    let limit = match self.call.time_left().is_zero() {
+                        true => TimeLimit::Deadline,
+                        false => TimeLimit::Gap,
+                    };
+                    return RelayEnd::Failed(Failure::Timeout(limit));
+                }
                 Ok(Err(failure)) => return RelayEnd::Failed(failure),
                 Ok(Ok(None)) => {
                     self.entry.poison_guard.on_run(&self.call);
                     return RelayEnd::Complete;
                 }
                 Ok(Ok(Some(events))) => {
-                    self.longest_event_gap = self.longest_event_gap.max(last_event_at.elapsed());
-                    last_event_at = Instant::now();
+                    self.longest_event_gap =
+                        self.longest_event_gap.max(self.last_event_at.elapsed());
+                    self.last_event_at = Instant::now();
                     current.permit.on_event();
                     let guard = &self.entry.poison_guard;
                     guard.on_event(&current.permit.server);
@@ -174,22 +188,27 @@
         }
     }
 
-    fn can_resume(&self) -> bool {
-        self.call.is_retryable()
-            && self.sent_attempts < self.call.route.max_attempts
-            && self.call.time_left() > MIN_ATTEMPT_TIME
-            && !self.is_trial
-            && self.entry.poison_guard.may_repeat(&self.call)
+    fn can_resume(&self) -> ResumeResult<()> {
+        let reason = if !self.call.is_retryable() {
+            "route without resumption"
+        } else if self.sent_attempts >= self.call.route.max_attempts {
+            "no attempt left"
+        } else if self.call.time_left() <= MIN_ATTEMPT_TIME {
+            "no time left"
+        } else if self.is_trial || !self.entry.poison_guard.may_repeat(&self.call) {
+            "a part of the prompt crashes backend servers"
+        } else {
+            return Ok(());
+        };
+        Err(reason)
     }
 
     async fn resume(
         &self,
         last_event_id: u64,
         weights_version: Option<u64>,
-    ) -> Option<Box<OpenedStream>> {
-        if !self.can_resume() {
-            return None;
-        }
+    ) -> ResumeResult<Box<OpenedStream>> {
+        self.can_resume()?;
         let mut opener = StreamOpener {
             entry: &self.entry,
             call: &self.call,
@@ -201,11 +220,12 @@
         };
         let opened = tokio::select! {
             opened = opener.open(last_event_id) => opened,
-            _ = self.tx.disconnected.recv_async() => return None,
+            _ = self.tx.disconnected.recv_async() => return Err("the caller disconnected"),
         };
         match opened {
-            Ok(Opened::Stream(stream)) => Some(stream),
-            _ => None,
+            Ok(Opened::Stream(stream)) => Ok(stream),
+            Ok(Opened::Complete(_)) => Err("the next server sent no stream"),
+            Err(refusal) => Err(refusal.reason()),
         }
     }
 
--- a/crates/rw-fleet/src/entry/stream_opener.rs
+++ b/crates/rw-fleet/src/entry/stream_opener.rs
@@ -16,7 +16,7 @@
 use super::limited_selection::{LimitedSelection, LIMIT_REASON};
 use super::response::ResponseBody;
 use super::{response, Call, Entry, EventReader, Refusal, SlotPermit};
-use crate::connect::{read_response, Connection};
+use crate::connect::{self, read_response, Connection};
 use crate::limit_exchange::SendPermit;
 use crate::read_budget::BudgetedBody;
 use crate::{BackendServer, Engine, PlatformCodec};
@@ -131,7 +131,7 @@
                 Err(Failure::NotSent(_) | Failure::NotRun(_) | Failure::PermitExpired) => {
                     self.not_run_attempts += 1;
                 }
-                Err(Failure::Timeout) => {
+                Err(Failure::Timeout(_)) => {
                     self.sent_attempts += 1;
                     fallback = Some(Refusal::Timeout);
                 }
@@ -326,7 +326,7 @@
         .await?;
         if !is_event_stream(&res) {
             let response = timeout_at(until, read_response(res, MAX_RESPONSE_BYTES)).await;
-            let response = response.map_err(|_| Failure::Timeout)??;
+            let response = response.map_err(|_| attempt::timed_out(call))??;
             if must_not_relay(response.status, call) {
                 return Err(Failure::Unknown(format!("status {}", response.status)));
             }
@@ -339,7 +339,7 @@
         let weights_version = weights_version.and_then(|v| v.to_str().ok()?.parse().ok());
         let mut reader = EventReader::after(last_event_id);
         let first_events = timeout_at(until, next_events(&mut body, &mut reader)).await;
-        let first_events = first_events.map_err(|_| Failure::Timeout)??;
+        let first_events = first_events.map_err(|_| attempt::timed_out(call))??;
         permit.on_first_event();
         let is_complete = first_events.is_none();
         Ok(Opened::Stream(Box::new(OpenedStream {
@@ -382,7 +382,7 @@
                 false => Err(Failure::Unknown("stream ended inside an event".to_string())),
             };
         };
-        let frame = frame.map_err(|err| Failure::Unknown(err.to_string()))?;
+        let frame = frame.map_err(|err| Failure::Unknown(connect::describe(&err)))?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
--- a/crates/rw-fleet/src/entry/unary.rs
+++ b/crates/rw-fleet/src/entry/unary.rs
@@ -100,7 +100,7 @@
                         *retry_after = self.retry_after();
                     }
                 }
-                Err(Failure::Timeout) => {
+                Err(Failure::Timeout(_)) => {
                     self.sent_attempts += 1;
                     fallback = Refusal::Timeout;
                 }
@@ -183,7 +183,7 @@
             Ok(read_response(res, MAX_RESPONSE_BYTES).await?)
         };
         let result = tokio::time::timeout(limit, exchange).await;
-        result.unwrap_or(Err(Failure::Timeout))
+        result.unwrap_or_else(|_| Err(attempt::timed_out(call)))
     }
 }
 
