Keep a silent stream open until another server has taken it over

Callers saw streams break off (connection closed, no last event) or got 504 although their server was sound and only silent for a while, as an overloaded one is that reads long prompts.

Cause: after three event gaps (1.2 s in the tests), or 1.5 s without a first event, the entry first dropped the stream and then looked for another server. With the retry budget spent, all others full or refusing, or no attempt left, none was found, and the stream was lost. A relay also counted its own attempt out, so a stream that had moved once was dropped for a third server that it may not have.

Now the stream stays open while another server is looked for; the first of the two to send an event serves it, and the other is closed at once. If none is found, the entry waits on until the deadline, and looks again after the next silence. While a stream is open it is sent to no server twice and to no more than the route allows, and a search that finds no server takes no retry from the budget. Silence still counts as one failure of the server, at the same time as before, so dead servers leave the rotation as fast (tests in streams.rs, unchanged). The new event ServerSilent says so.

Not covered: the same-server filter for streaming routes without an engine profile.

--- a/crates/rw-fleet/src/entry/attempt.rs
+++ b/crates/rw-fleet/src/entry/attempt.rs
@@ -42,8 +42,6 @@
 pub enum TimeLimit {
     /// Time that an attempt has if another one may follow.
     Attempt,
-    /// Time without an event after which another server may go on with a stream.
-    Gap,
     /// Deadline of the call.
     Deadline,
 }
--- a/crates/rw-fleet/src/entry/mod.rs
+++ b/crates/rw-fleet/src/entry/mod.rs
@@ -11,6 +11,7 @@
 mod load_tracker;
 mod named_limit;
 mod notice_log;
+mod open_attempts;
 mod permit;
 mod poison_guard;
 mod refusal;
@@ -19,6 +20,7 @@
 mod server_notice;
 mod shared;
 mod stream;
+mod stream_attempt;
 mod stream_opener;
 mod unary;
 
--- a/crates/rw-fleet/src/entry/shared.rs
+++ b/crates/rw-fleet/src/entry/shared.rs
@@ -158,7 +158,28 @@
             Err(Failure::PermitExpired) => false,
             Err(_) => self.load_tracker.on_failure(server),
         };
-        let Err(failure) = result else { return };
+        if let Err(failure) = result {
+            self.log_failure(call, server, failure);
+        }
+        self.log_circuit(server, circuit_opened);
+    }
+
+    /// Counts a failure of a server that has sent nothing for a time, although it may go on,
+    /// so that others are preferred.
+    pub fn record_silence(&self, call: &Call, server: &Name, silence: Duration) {
+        let detail = format!(
+            "request={} server={server} silent_ms={} age_ms={} left_ms={}",
+            call.id,
+            silence.as_millis(),
+            call.age().as_millis(),
+            call.time_left().as_millis()
+        );
+        self.cx.recorder.emit(Event::ServerSilent, &detail);
+        self.log_circuit(server, self.load_tracker.on_failure(server));
+    }
+
+    /// Emits an event about a failed attempt.
+    pub fn log_failure(&self, call: &Call, server: &Name, failure: &Failure) {
         let detail = format!(
             "request={} server={server} failure={failure:?} age_ms={} left_ms={} prompt_parts={}",
             call.id,
@@ -167,10 +188,12 @@
             call.prompt_parts.join(",")
         );
         self.cx.recorder.emit(Event::AttemptFailed, &detail);
-        if circuit_opened {
-            self.cx
-                .recorder
-                .emit(Event::HostCircuitOpen, &format!("host={server}"));
+    }
+
+    fn log_circuit(&self, server: &Name, has_opened: bool) {
+        if has_opened {
+            let detail = format!("host={server}");
+            self.cx.recorder.emit(Event::HostCircuitOpen, &detail);
         }
     }
 }
--- a/crates/rw-fleet/src/entry/stream.rs
+++ b/crates/rw-fleet/src/entry/stream.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::Response;
 use http_body_util::Either;
 use rw_observe::Event;
@@ -12,12 +13,13 @@
 use super::attempt::{self, Failure, TimeLimit};
 use super::poison_guard::RUN_TIME;
 use super::response::{caller_headers, event_body, EventSender, ResponseBody};
-use super::stream_opener::{next_events, Opened, OpenedStream, StreamOpener, MIN_ATTEMPT_TIME};
+use super::stream_attempt::{next_events, Opened, OpenedStream};
+use super::stream_opener::{StreamOpener, MIN_ATTEMPT_TIME};
 use super::{Call, Entry, Refusal};
 use crate::PlatformCodec;
 
-/// Multiple of the route's maximum event gap after which a stalled stream is
-/// resumed on another server.
+/// Multiple of the route's maximum event gap after which another server is asked to go on
+/// with a stream. Its own server may be sound and go on first.
 const STALL_GAP_FACTOR: u32 = 3;
 
 /// Opens the stream of a call and forwards it to the caller in a task.
@@ -34,6 +36,7 @@
         not_run_attempts: 0,
         is_trial,
         weights_version: None,
+        stream_is_open: false,
     };
     let stream = match opener.open(call.last_event_id).await? {
         Opened::Complete(res) => return Ok(*res),
@@ -50,6 +53,7 @@
         tried_servers,
         sent_attempts,
         is_trial,
+        weights_version: stream.weights_version,
         first_event_latency: call.age(),
         longest_event_gap: Duration::ZERO,
         last_event_at: Instant::now(),
@@ -66,9 +70,12 @@
     call: Arc<Call>,
     tx: EventSender,
     tried_servers: Vec<Name>,
+    // Attempts that a server may have executed, with the one that is forwarded.
     sent_attempts: u32,
     // Whether the call was let through although a part of its prompt is quarantined.
     is_trial: bool,
+    // Version of the weights on which the stream began.
+    weights_version: Option<u64>,
     // For the log.
     first_event_latency: Duration,
     longest_event_gap: Duration,
@@ -80,16 +87,24 @@
 enum RelayEnd {
     Complete,
     Disconnected,
+    Resumed(Box<OpenedStream>),
     Failed(Failure),
 }
 
+/// What comes next in a stream.
+enum Next {
+    Events(attempt::Result<Option<Bytes>>),
+    // Another server goes on; the failure is that of the server before, if it is known.
+    Resumed(Box<OpenedStream>, Option<Failure>),
+    Disconnected,
+}
+
 /// Why a stream is not resumed.
 type ResumeResult<T> = std::result::Result<T, &'static str>;
 
 impl<D: PlatformCodec> Relay<D> {
     async fn run(mut self, stream: Box<OpenedStream>) {
         let mut current = stream;
-        let weights_version = current.weights_version;
         loop {
             let backend = current.permit.server.clone();
             let server = backend.id.clone();
@@ -98,6 +113,7 @@
             let end = self.forward(&mut current, first_event_at).await;
             let last_id = current.reader.last_id();
             let silent_ms = self.last_event_at.elapsed().as_millis();
+            let was_silent = current.is_silent;
             drop(current);
             let failure = match end {
                 RelayEnd::Complete => {
@@ -105,17 +121,24 @@
                     return self.record(Event::CallAnswered, &server, "");
                 }
                 RelayEnd::Disconnected => return self.record(Event::CallCancelled, &server, ""),
+                RelayEnd::Resumed(next) => {
+                    self.record(Event::StreamResumed, &server, &format!("after={last_id}"));
+                    current = next;
+                    continue;
+                }
                 RelayEnd::Failed(failure) => failure,
             };
             let result: attempt::Result<()> = Err(failure.clone());
-            self.entry.record_attempt(&self.call, &server, &result);
+            match was_silent {
+                // The failure was counted when the server became silent.
+                true => self.entry.log_failure(&self.call, &server, &failure),
+                false => self.entry.record_attempt(&self.call, &server, &result),
+            }
             if first_event_at.elapsed() < RUN_TIME {
-                let (guard, is_repeat) = (&self.entry.poison_guard, self.sent_attempts > 0);
+                let (guard, is_repeat) = (&self.entry.poison_guard, self.sent_attempts > 1);
                 guard.on_attempt(&self.call, &backend, is_repeat, &result);
             }
-            self.tried_servers.push(server.clone());
-            self.sent_attempts += 1;
-            match self.resume(last_id, weights_version).await {
+            match self.resume(last_id).await {
                 Ok(next) => {
                     self.record(Event::StreamResumed, &server, &format!("after={last_id}"));
                     current = next;
@@ -143,51 +166,107 @@
             self.entry.poison_guard.on_run(&self.call);
             return RelayEnd::Complete;
         }
+        loop {
+            let events = match self.next(current).await {
+                Next::Events(Ok(Some(events))) => events,
+                Next::Events(Ok(None)) => {
+                    self.entry.poison_guard.on_run(&self.call);
+                    return RelayEnd::Complete;
+                }
+                Next::Events(Err(failure)) => return RelayEnd::Failed(failure),
+                Next::Resumed(next, failure) => {
+                    if let Some(failure) = failure {
+                        let server = &current.permit.server.id;
+                        self.entry.log_failure(&self.call, server, &failure);
+                    }
+                    return RelayEnd::Resumed(next);
+                }
+                Next::Disconnected => return RelayEnd::Disconnected,
+            };
+            self.longest_event_gap = self.longest_event_gap.max(self.last_event_at.elapsed());
+            self.last_event_at = Instant::now();
+            current.is_silent = false;
+            current.permit.on_event();
+            let guard = &self.entry.poison_guard;
+            guard.on_event(&current.permit.server);
+            if !has_run && first_event_at.elapsed() >= RUN_TIME {
+                has_run = true;
+                guard.on_run(&self.call);
+            }
+            let sent = timeout(self.call.time_left(), self.tx.send(events)).await;
+            if sent != Ok(true) {
+                return RelayEnd::Disconnected;
+            }
+        }
+    }
+
+    // Waits for the server's next events. If the server is silent, another one is asked to
+    // go on, and the first of the two to send an event serves the stream.
+    async fn next(&mut self, current: &mut OpenedStream) -> Next {
         let stall = self.call.route.max_event_gap * STALL_GAP_FACTOR;
         let deadline = self.call.deadline;
+        let disconnected = self.tx.disconnected.clone();
         loop {
-            let limit = match self.can_resume() {
-                Ok(()) => (Instant::now() + stall).min(deadline),
-                Err(_) => deadline,
-            };
-            let events = timeout_at(limit, next_events(&mut current.body, &mut current.reader));
+            let limit = deadline.min(Instant::now() + stall);
+            let own = next_events(&mut current.body, &mut current.reader);
             let events = tokio::select! {
-                events = events => events,
-                _ = self.tx.disconnected.recv_async() => return RelayEnd::Disconnected,
+                events = timeout_at(limit, own) => events,
+                _ = disconnected.recv_async() => return Next::Disconnected,
             };
+            let timed_out = Err(Failure::Timeout(TimeLimit::Deadline));
             match events {
-                Err(_) => {
-                    let limit = match self.call.time_left().is_zero() {
-                        true => TimeLimit::Deadline,
-                        false => TimeLimit::Gap,
-                    };
-                    return RelayEnd::Failed(Failure::Timeout(limit));
-                }
-                Ok(Err(failure)) => return RelayEnd::Failed(failure),
-                Ok(Ok(None)) => {
-                    self.entry.poison_guard.on_run(&self.call);
-                    return RelayEnd::Complete;
-                }
-                Ok(Ok(Some(events))) => {
-                    self.longest_event_gap =
-                        self.longest_event_gap.max(self.last_event_at.elapsed());
-                    self.last_event_at = Instant::now();
-                    current.permit.on_event();
-                    let guard = &self.entry.poison_guard;
-                    guard.on_event(&current.permit.server);
-                    if !has_run && first_event_at.elapsed() >= RUN_TIME {
-                        has_run = true;
-                        guard.on_run(&self.call);
-                    }
-                    let sent = timeout(self.call.time_left(), self.tx.send(events)).await;
-                    if sent != Ok(true) {
-                        return RelayEnd::Disconnected;
+                Ok(events) => return Next::Events(events),
+                Err(_) if limit == deadline => return Next::Events(timed_out),
+                Err(_) if self.can_resume().is_err() => continue,
+                Err(_) => {}
+            }
+            if !std::mem::replace(&mut current.is_silent, true) {
+                let server = &current.permit.server.id;
+                self.entry.record_silence(&self.call, server, stall);
+            }
+            let (last_id, mut failure) = (current.reader.last_id(), None);
+            let (entry, call) = (self.entry.clone(), self.call.clone());
+            let mut opener = self.opener(&entry, &call);
+            opener.stream_is_open = true;
+            let next = {
+                let search = opener.open(last_id);
+                tokio::pin!(search);
+                loop {
+                    let own = next_events(&mut current.body, &mut current.reader);
+                    tokio::select! {
+                        biased;
+                        events = own, if failure.is_none() => match events {
+                            Err(err) => failure = Some(err),
+                            events => break Some(Next::Events(events)),
+                        },
+                        opened = &mut search => break match opened {
+                            Ok(Opened::Stream(next)) => Some(Next::Resumed(next, failure.take())),
+                            _ => failure.take().map(|failure| Next::Events(Err(failure))),
+                        },
+                        _ = disconnected.recv_async() => break Some(Next::Disconnected),
                     }
                 }
+            };
+            (self.tried_servers, self.sent_attempts) = (opener.tried_servers, opener.sent_attempts);
+            if let Some(next) = next {
+                return next;
             }
         }
     }
 
+    fn opener<'a>(&self, entry: &'a Arc<Entry<D>>, call: &'a Arc<Call>) -> StreamOpener<'a, D> {
+        StreamOpener {
+            entry,
+            call,
+            tried_servers: self.tried_servers.clone(),
+            sent_attempts: self.sent_attempts,
+            not_run_attempts: 0,
+            is_trial: false,
+            weights_version: self.weights_version,
+            stream_is_open: false,
+        }
+    }
+
     fn can_resume(&self) -> ResumeResult<()> {
         let reason = if !self.call.is_retryable() {
             "route without resumption"
@@ -203,25 +282,15 @@
         Err(reason)
     }
 
-    async fn resume(
-        &self,
-        last_event_id: u64,
-        weights_version: Option<u64>,
-    ) -> ResumeResult<Box<OpenedStream>> {
+    async fn resume(&mut self, last_event_id: u64) -> ResumeResult<Box<OpenedStream>> {
         self.can_resume()?;
-        let mut opener = StreamOpener {
-            entry: &self.entry,
-            call: &self.call,
-            tried_servers: self.tried_servers.clone(),
-            sent_attempts: self.sent_attempts,
-            not_run_attempts: 0,
-            is_trial: false,
-            weights_version,
-        };
+        let (entry, call) = (self.entry.clone(), self.call.clone());
+        let mut opener = self.opener(&entry, &call);
         let opened = tokio::select! {
             opened = opener.open(last_event_id) => opened,
             _ = self.tx.disconnected.recv_async() => return Err("the caller disconnected"),
         };
+        (self.tried_servers, self.sent_attempts) = (opener.tried_servers, opener.sent_attempts);
         match opened {
             Ok(Opened::Stream(stream)) => Ok(stream),
             Ok(Opened::Complete(_)) => Err("the next server sent no stream"),
--- a/crates/rw-fleet/src/entry/stream_opener.rs
+++ b/crates/rw-fleet/src/entry/stream_opener.rs
@@ -4,25 +4,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::header::CONTENT_TYPE;
-use http::{HeaderMap, Response, StatusCode};
-use http_body_util::BodyExt;
 use rw_protocol::Name;
 use rw_routing::{EngineSelection, RequestRequirements};
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{sleep_until, timeout_at, Instant};
 
-use super::attempt::{self, AttemptOptions, Failure};
+use super::attempt::{self, AttemptOptions, Failure, TimeLimit};
 use super::limited_selection::{LimitedSelection, LIMIT_REASON};
-use super::response::ResponseBody;
-use super::{response, Call, Entry, EventReader, Refusal, SlotPermit};
-use crate::connect::{self, read_response, Connection};
+use super::open_attempts::OpenAttempts;
+use super::stream_attempt::{start_stream, Opened};
+use super::{Call, Entry, Refusal, SlotPermit};
 use crate::limit_exchange::SendPermit;
-use crate::read_budget::BudgetedBody;
 use crate::{BackendServer, Engine, PlatformCodec};
 
-/// Largest non-streaming response, in bytes.
-const MAX_RESPONSE_BYTES: usize = 1 << 20;
 /// Attempts that may fail without being executed, because the server is
 /// unreachable or full, before the call is refused.
 const MAX_NOT_RUN_ATTEMPTS: u32 = 4;
@@ -32,8 +25,8 @@
 /// Maximum time that a retry waits for a free slot; each engine frees one within
 /// that time.
 const RETRY_SLOT_WAIT: Duration = Duration::from_millis(500);
-/// Time limit for the first event of a stream that can be retried on another
-/// server; most callers disconnect after twice that time.
+/// Time without a first event after which the call is sent to another server as well;
+/// most callers disconnect after twice that time.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Remaining time below which another attempt is not worth its cost.
 pub(super) const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(500);
@@ -52,31 +45,12 @@
 const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
 const QUARANTINE_REASON: &str = "a part of the prompt crashes backend servers";
 
-/// A stream whose first events have been received.
-pub(super) struct OpenedStream {
-    pub(super) permit: SlotPermit,
-    // Dropping the connection would close the stream.
-    _conn: Connection,
-    pub(super) body: BudgetedBody,
-    pub(super) head: HeaderMap,
-    pub(super) weights_version: Option<u64>,
-    pub(super) reader: EventReader,
-    pub(super) first_events: Bytes,
-    pub(super) is_complete: bool,
-    pub(super) selection_detail: String,
-}
-
-pub(super) enum Opened {
-    Stream(Box<OpenedStream>),
-    Complete(Box<Response<ResponseBody>>),
-}
-
 /// Opens a stream, or resumes it, on a backend server.
 pub(super) struct StreamOpener<'a, D> {
     pub(super) entry: &'a Arc<Entry<D>>,
     pub(super) call: &'a Arc<Call>,
     pub(super) tried_servers: Vec<Name>,
-    // Attempts that a server may have executed.
+    // Attempts that a server may have executed, or executes.
     pub(super) sent_attempts: u32,
     pub(super) not_run_attempts: u32,
     // Whether the call is let through although a part of its prompt is quarantined.
@@ -84,83 +58,182 @@
     // Version of the weights that a resumed stream requires; `None` for a new
     // stream.
     pub(super) weights_version: Option<u64>,
+    // Whether the stream is still open at a server that is silent.
+    pub(super) stream_is_open: bool,
+}
+
+/// What the opener does next.
+enum Step {
+    Ended(EndedAttempt),
+    Selected(std::result::Result<(SlotPermit, SendPermit), Refusal>),
+    Silent,
+}
+
+struct EndedAttempt {
+    backend: Arc<BackendServer>,
+    is_repeat: bool,
+    result: attempt::Result<Opened>,
 }
 
 impl<D: PlatformCodec> StreamOpener<'_, D> {
+    /// Sends the call to a server, and to others after failures. If a server is silent,
+    /// the call is sent to another one as well, and the first to send an event serves it.
     pub(super) async fn open(
         &mut self,
         last_event_id: u64,
     ) -> std::result::Result<Opened, Refusal> {
+        let (entry, call, is_trial) = (self.entry, self.call, self.is_trial);
+        let options = AttemptOptions {
+            last_event_id,
+            weights_version: self.weights_version,
+        };
         let mut fallback = None;
+        let mut attempts = OpenAttempts::default();
+        let mut silent_servers: Vec<Name> = Vec::new();
+        // The last attempt, until its server sends something or counts as silent.
+        let mut newest: Option<(Arc<BackendServer>, bool)> = None;
+        let mut is_searching = true;
+        let mut silent_at = Instant::now();
         loop {
-            if self.call.time_left().is_zero() {
-                return Err(self.deadline_refusal(fallback, Refusal::Timeout));
-            }
-            if !self.tried_servers.is_empty() && !self.entry.try_acquire_retry(self.call) {
-                let refusal = self.not_run_refusal("retry budget spent", MIN_RETRY_AFTER);
-                return Err(fallback.unwrap_or(refusal));
-            }
-            if self.is_quarantined() {
-                return Err(self.quarantine_refusal());
-            }
-            let (permit, send_permit) = match self.select_server().await {
-                Ok(selected) => selected,
-                Err(refusal) => return Err(fallback.unwrap_or(refusal)),
-            };
-            let backend = permit.server.clone();
-            let server = backend.id.clone();
-            let guard = &self.entry.poison_guard;
-            // The part may have become known while the call waited for a slot.
-            if self.is_quarantined() {
-                return Err(self.quarantine_refusal());
-            }
-            let result = tokio::select! {
-                result = self.start_stream(permit, send_permit, last_event_id) => result,
-                // The server may not have begun to answer yet, and then keeps running.
-                () = guard.quarantined(self.call), if !self.is_trial => {
-                    self.sent_attempts += 1;
+            let is_open = !attempts.is_empty();
+            let step = tokio::select! {
+                biased;
+                ended = attempts.next() => Step::Ended(ended),
+                // A server may not have begun to answer yet, and then keeps running.
+                () = entry.poison_guard.quarantined(call), if is_open && !is_trial => {
                     return Err(self.quarantine_refusal());
                 }
+                selected = self.find_server(is_open), if is_searching => Step::Selected(selected),
+                () = sleep_until(silent_at), if is_open && !is_searching => Step::Silent,
             };
-            self.entry.record_attempt(self.call, &server, &result);
-            let is_repeat = self.sent_attempts > 0;
-            guard.on_attempt(self.call, &backend, is_repeat, &result);
-            self.tried_servers.push(server);
-            match result {
-                Ok(opened) => return Ok(opened),
-                Err(Failure::NotSent(_) | Failure::NotRun(_) | Failure::PermitExpired) => {
-                    self.not_run_attempts += 1;
-                }
-                Err(Failure::Timeout(_)) => {
+            match step {
+                Step::Selected(Ok((permit, send_permit))) => {
+                    let backend = permit.server.clone();
+                    let is_repeat = self.sent_attempts > 0;
+                    self.tried_servers.push(backend.id.clone());
                     self.sent_attempts += 1;
-                    fallback = Some(Refusal::Timeout);
+                    newest = Some((backend.clone(), is_repeat));
+                    (is_searching, silent_at) = (false, Instant::now() + FIRST_EVENT_TIMEOUT);
+                    let options = &options;
+                    attempts.push(async move {
+                        let result = start_stream(entry, call, permit, send_permit, options).await;
+                        EndedAttempt {
+                            backend,
+                            is_repeat,
+                            result,
+                        }
+                    });
                 }
-                Err(Failure::Unknown(_)) => {
-                    self.sent_attempts += 1;
-                    fallback = Some(Refusal::Failed("the backend server broke off"));
+                // A quarantine explains more than the failure that led to it.
+                Step::Selected(Err(refusal @ Refusal::Failed(_))) if !is_open => {
+                    return Err(refusal);
+                }
+                Step::Selected(Err(refusal)) if !is_open => return Err(fallback.unwrap_or(refusal)),
+                Step::Selected(Err(_)) => {
+                    (is_searching, silent_at) = (false, Instant::now() + FIRST_EVENT_TIMEOUT);
+                }
+                Step::Silent => {
+                    is_searching = self.can_retry();
+                    silent_at = Instant::now() + FIRST_EVENT_TIMEOUT;
+                    if let Some((backend, is_repeat)) = newest.take_if(|_| is_searching) {
+                        entry.record_silence(call, &backend.id, FIRST_EVENT_TIMEOUT);
+                        let failure = Err(Failure::Timeout(TimeLimit::Attempt));
+                        let guard = &entry.poison_guard;
+                        guard.on_attempt::<()>(call, &backend, is_repeat, &failure);
+                        silent_servers.push(backend.id.clone());
+                    }
+                }
+                Step::Ended(ended) => {
+                    let was_silent = silent_servers.contains(&ended.backend.id);
+                    self.record(&ended, was_silent);
+                    match ended.result {
+                        Ok(opened) => return Ok(opened),
+                        Err(failure) => fallback = self.on_failure(failure).or(fallback),
+                    }
+                    is_searching = self.can_retry();
+                    if !is_searching && attempts.is_empty() {
+                        let pause = entry.pause_of_all(&call.service);
+                        let retry_after = pause.unwrap_or(MIN_RETRY_AFTER);
+                        let refusal = self.not_run_refusal("backend servers are full", retry_after);
+                        return Err(fallback.unwrap_or(refusal));
+                    }
                 }
             }
-            if !self.can_retry() {
-                let pause = self.entry.pause_of_all(&self.call.service);
-                let retry_after = pause.unwrap_or(MIN_RETRY_AFTER);
-                let refusal = self.not_run_refusal("backend servers are full", retry_after);
-                return Err(fallback.unwrap_or(refusal));
+        }
+    }
+
+    fn record(&self, ended: &EndedAttempt, was_silent: bool) {
+        let (entry, call, backend) = (self.entry, self.call, &ended.backend);
+        match &ended.result {
+            // The failure was counted when the server became silent.
+            Err(failure) if was_silent => entry.log_failure(call, &backend.id, failure),
+            result => {
+                entry.record_attempt(call, &backend.id, result);
+                let guard = &entry.poison_guard;
+                guard.on_attempt(call, backend, ended.is_repeat, result);
+            }
+        }
+    }
+
+    // Returns what the caller is told if no other attempt succeeds.
+    fn on_failure(&mut self, failure: Failure) -> Option<Refusal> {
+        match failure {
+            Failure::NotSent(_) | Failure::NotRun(_) | Failure::PermitExpired => {
+                self.sent_attempts -= 1;
+                self.not_run_attempts += 1;
+                None
             }
+            Failure::Timeout(_) => Some(Refusal::Timeout),
+            Failure::Unknown(_) => Some(Refusal::Failed("the backend server broke off")),
+        }
+    }
+
+    // Finds a server for the next attempt. While another attempt is open, a search that
+    // finds none takes no retry from the budget.
+    async fn find_server(
+        &self,
+        is_open: bool,
+    ) -> std::result::Result<(SlotPermit, SendPermit), Refusal> {
+        let is_open = is_open || self.stream_is_open;
+        if self.call.time_left().is_zero() {
+            return Err(self.deadline_refusal());
+        }
+        if !is_open && !self.tried_servers.is_empty() {
+            self.take_retry()?;
+        }
+        if self.is_quarantined() {
+            return Err(self.quarantine_refusal());
+        }
+        let selected = self.select_server(is_open).await?;
+        // The part may have become known while the call waited for a slot.
+        if self.is_quarantined() {
+            return Err(self.quarantine_refusal());
+        }
+        if is_open {
+            self.take_retry()?;
         }
+        Ok(selected)
     }
 
-    fn deadline_refusal(&self, fallback: Option<Refusal>, if_sent: Refusal) -> Refusal {
-        if self.sent_attempts > 0 {
-            return fallback.unwrap_or(if_sent);
+    fn take_retry(&self) -> std::result::Result<(), Refusal> {
+        match self.entry.try_acquire_retry(self.call) {
+            true => Ok(()),
+            false => Err(self.not_run_refusal("retry budget spent", MIN_RETRY_AFTER)),
+        }
+    }
+
+    fn deadline_refusal(&self) -> Refusal {
+        match self.sent_attempts {
+            0 => self.not_run_refusal("no time left", MIN_RETRY_AFTER),
+            _ => Refusal::Timeout,
         }
-        self.not_run_refusal("no time left", MIN_RETRY_AFTER)
     }
 
     fn not_run_refusal(&self, reason: &'static str, retry_after: Duration) -> Refusal {
         let service = self.call.cfg.service(&self.call.service);
         let engine = service.and_then(|s| s.engine.as_ref());
         let servers = match engine {
-            Some(engine) => self.eligible_servers(engine),
+            Some(engine) => self.eligible_servers(engine, false),
             None => self.entry.ready_servers(&self.call.service),
         };
         Refusal::NotRun {
@@ -202,12 +275,19 @@
     }
 
     // If every engine is full, waits a limited time for a free slot.
-    async fn select_server(&self) -> std::result::Result<(SlotPermit, SendPermit), Refusal> {
+    async fn select_server(
+        &self,
+        is_open: bool,
+    ) -> std::result::Result<(SlotPermit, SendPermit), Refusal> {
         let (entry, call) = (self.entry, self.call);
         let mut limits = LimitedSelection::new(entry, call);
         let service = call.cfg.service(&call.service);
         let Some(engine) = service.and_then(|s| s.engine.clone()) else {
-            let servers = || entry.admitted_servers(&call.service);
+            let servers = || {
+                let mut servers = entry.admitted_servers(&call.service);
+                servers.retain(|s| !is_open || !self.tried_servers.contains(&s.id));
+                servers
+            };
             let selected = limits.select_least_loaded(servers).await;
             return selected.ok_or_else(|| self.no_server_refusal(&limits));
         };
@@ -217,7 +297,7 @@
         };
         let load_changed = entry.load_tracker.subscribe();
         loop {
-            let servers = limits.admit(self.eligible_servers(&engine));
+            let servers = limits.admit(self.eligible_servers(&engine, is_open));
             let settings = &entry.cx.settings;
             let is_remote = |s: &BackendServer| settings.region_of(&s.zone) != settings.region;
             let selected = entry.load_tracker.select_engine(
@@ -264,7 +344,9 @@
         }
     }
 
-    fn eligible_servers(&self, engine: &Engine) -> Vec<Arc<BackendServer>> {
+    // With `only_untried`, a server that the call was sent to is left out although no other
+    // one is there, because it may still answer.
+    fn eligible_servers(&self, engine: &Engine, only_untried: bool) -> Vec<Arc<BackendServer>> {
         let snapshot = self.entry.cx.cluster.snapshot();
         let min_version = self.entry.min_weights_version(&snapshot, engine);
         let mut servers = self.entry.ready_servers(&self.call.service);
@@ -280,118 +362,9 @@
         });
         servers = self.entry.load_tracker.admitted(servers);
         let is_untried = |s: &Arc<BackendServer>| !self.tried_servers.contains(&s.id);
-        if servers.iter().any(is_untried) {
+        if only_untried || servers.iter().any(is_untried) {
             servers.retain(is_untried);
         }
         servers
     }
-
-    // Sends the call and waits for its first events.
-    async fn start_stream(
-        &self,
-        mut permit: SlotPermit,
-        send_permit: SendPermit,
-        last_event_id: u64,
-    ) -> attempt::Result<Opened> {
-        let (call, names) = (self.call, self.entry.cx.codec.headers());
-        let has_retry_left =
-            call.is_retryable() && self.sent_attempts + 1 < call.route.max_attempts;
-        let limit = if has_retry_left {
-            FIRST_EVENT_TIMEOUT.min(call.time_left())
-        } else {
-            call.time_left()
-        };
-        let until = Instant::now() + limit;
-        let selection_detail = format!(
-            "placed_ms={} patience_ms={} forecast_ms={} running={} unread={} prompt={}",
-            call.age().as_millis(),
-            (call.age() + call.time_left()).as_millis(),
-            permit.forecast.as_millis(),
-            permit.load.running,
-            permit.load.unread_tokens,
-            call.prompt_tokens
-        );
-        let options = AttemptOptions {
-            last_event_id,
-            weights_version: self.weights_version,
-        };
-        let (conn, res) = attempt::send(
-            self.entry,
-            call,
-            &permit.server,
-            &options,
-            send_permit,
-            limit,
-        )
-        .await?;
-        if !is_event_stream(&res) {
-            let response = timeout_at(until, read_response(res, MAX_RESPONSE_BYTES)).await;
-            let response = response.map_err(|_| attempt::timed_out(call))??;
-            if must_not_relay(response.status, call) {
-                return Err(Failure::Unknown(format!("status {}", response.status)));
-            }
-            return Ok(Opened::Complete(Box::new(response::complete(
-                response, names,
-            ))));
-        }
-        let (head, mut body) = res.into_parts();
-        let weights_version = head.headers.get(&names.weights);
-        let weights_version = weights_version.and_then(|v| v.to_str().ok()?.parse().ok());
-        let mut reader = EventReader::after(last_event_id);
-        let first_events = timeout_at(until, next_events(&mut body, &mut reader)).await;
-        let first_events = first_events.map_err(|_| attempt::timed_out(call))??;
-        permit.on_first_event();
-        let is_complete = first_events.is_none();
-        Ok(Opened::Stream(Box::new(OpenedStream {
-            permit,
-            _conn: conn,
-            body,
-            head: head.headers,
-            weights_version,
-            reader,
-            first_events: first_events.unwrap_or_default(),
-            is_complete,
-            selection_detail,
-        })))
-    }
-}
-
-// 503 and 429 tell a caller that its request was not executed, which is not
-// certain here. Other server errors of a retryable call lead to a retry.
-fn must_not_relay(status: StatusCode, call: &Call) -> bool {
-    status == StatusCode::SERVICE_UNAVAILABLE
-        || status == StatusCode::TOO_MANY_REQUESTS
-        || (status.is_server_error() && call.is_retryable())
-}
-
-fn is_event_stream(res: &Response<BudgetedBody>) -> bool {
-    let kind = res.headers().get(CONTENT_TYPE);
-    let kind = kind.and_then(|kind| kind.to_str().ok()).unwrap_or_default();
-    res.status() == StatusCode::OK && kind.starts_with("text/event-stream")
-}
-
-/// Reads the next complete events; `None` at the end of the stream.
-pub(super) async fn next_events(
-    body: &mut BudgetedBody,
-    reader: &mut EventReader,
-) -> attempt::Result<Option<Bytes>> {
-    loop {
-        let Some(frame) = body.frame().await else {
-            return match reader.is_at_boundary() {
-                true => Ok(None),
-                false => Err(Failure::Unknown("stream ended inside an event".to_string())),
-            };
-        };
-        let frame = frame.map_err(|err| Failure::Unknown(connect::describe(&err)))?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        let events = reader.push(&data);
-        if reader.is_overlong() {
-            return Err(Failure::Unknown("event exceeds the size limit".to_string()));
-        }
-        if !events.is_empty() {
-            return Ok(Some(events));
-        }
-    }
 }
