Wait on for a slow server's answer while another one is asked

Callers of idempotent routes got 504 after 0.4 of their time (2 s of 5 s in the tests) although the server would have answered and no other could be asked: the attempt was ended before the entry knew whether a retry was to be had.

Now the call waits on while another server is asked, and the first response counts; the other connection is closed at once. If no server or no retry is left, it waits until the deadline. The attempts of a call share their type with streams. Silence counts as one failure of the server, when it did before.

Removed by hand, each turned a test red: budget for the second server, attempts left, silence counted once, the search itself.

--- a/crates/rw-fleet/src/entry/unary.rs
+++ b/crates/rw-fleet/src/entry/unary.rs
@@ -5,9 +5,11 @@
 
 use http::StatusCode;
 use rw_protocol::Name;
+use tokio::time::{sleep_until, Instant};
 
 use super::attempt::{self, AttemptOptions, Failure};
 use super::limited_selection::{LimitedSelection, LIMIT_REASON};
+use super::open_attempts::OpenAttempts;
 use super::{Call, Entry, Refusal, SlotPermit};
 use crate::connect::{read_response, CompleteResponse};
 use crate::limit_exchange::SendPermit;
@@ -17,8 +19,9 @@
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 /// Backend servers that may be unreachable before a call is refused.
 const MAX_UNREACHABLE_SERVERS: u32 = 4;
-/// Share of the remaining time that an attempt may use if it can be retried.
-const RETRYABLE_ATTEMPT_SHARE: f64 = 0.4;
+/// Share of the remaining time after which a call without a response is sent to another
+/// server as well.
+const PATIENCE_SHARE: f64 = 0.4;
 /// `Retry-After` when no backend server accepts the call; about the time until a
 /// replaced server is detected.
 const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -43,76 +46,162 @@
     entry: &'a Entry<D>,
     call: &'a Call,
     tried_servers: Vec<Name>,
-    // Attempts that a server may have executed.
+    // Attempts that a server may have executed, or executes.
     sent_attempts: u32,
     unreachable_servers: u32,
 }
 
+/// What a call does next.
+enum Step {
+    Ended(Arc<BackendServer>, attempt::Result<CompleteResponse>),
+    Selected(std::result::Result<(SlotPermit, SendPermit), Missing>),
+    Silent,
+}
+
+/// What another attempt lacks.
+enum Missing {
+    Time,
+    Retry,
+    // With the time after which servers at their limits take requests again.
+    Server(Option<Duration>),
+}
+
 impl<D: PlatformCodec> UnaryCall<'_, D> {
+    // Sends the call to a server, and to others after failures. If a server takes long, the
+    // call is sent to another one as well, and the first response counts.
     async fn run(&mut self) -> std::result::Result<CompleteResponse, Refusal> {
+        let (entry, call) = (self.entry, self.call);
         let mut fallback = Refusal::NotRun {
             reason: "no backend server",
             retry_after: self.retry_after(),
-            known_load: self.entry.load_tracker.summary(&self.servers()),
+            known_load: entry.load_tracker.summary(&self.servers()),
         };
         let mut error_response = None;
+        let mut attempts = OpenAttempts::default();
+        let mut silent_servers: Vec<Name> = Vec::new();
+        // The last attempt, until it ends or its server counts as silent.
+        let mut newest: Option<(Name, Instant)> = None;
+        let (mut is_searching, mut silent_at) = (true, Instant::now());
         loop {
-            if self.call.time_left().is_zero() {
-                return error_response.ok_or(if self.sent_attempts > 0 {
-                    Refusal::Timeout
-                } else {
-                    fallback
-                });
-            }
-            let is_retry = !self.tried_servers.is_empty();
-            if is_retry && !self.entry.try_acquire_retry(self.call) {
-                if let Refusal::NotRun { reason, .. } = &mut fallback {
-                    *reason = "retry budget spent";
-                }
-                return error_response.ok_or(fallback);
-            }
-            let mut limits = LimitedSelection::new(self.entry, self.call);
-            let selected = limits.select_least_loaded(|| self.servers()).await;
-            let Some((permit, send_permit)) = selected else {
-                return match limits.retry_after() {
-                    Some(retry_after) if self.sent_attempts == 0 => {
-                        Err(self.limit_refusal(retry_after))
-                    }
-                    _ => error_response.ok_or(fallback),
-                };
+            let is_open = !attempts.is_empty();
+            let step = tokio::select! {
+                biased;
+                (server, result) = attempts.next() => Step::Ended(server, result),
+                selected = self.find_server(is_open), if is_searching => Step::Selected(selected),
+                () = sleep_until(silent_at), if is_open && !is_searching => Step::Silent,
             };
-            let result = self.attempt(&permit, send_permit).await;
-            self.entry
-                .record_attempt(self.call, &permit.server.id, &result);
-            self.tried_servers.push(permit.server.id.clone());
-            match result {
-                Ok(response) if self.is_final(&response) => return Ok(response),
-                Ok(response) => {
+            match step {
+                Step::Selected(Ok((permit, send_permit))) => {
+                    let server = permit.server.clone();
+                    self.tried_servers.push(server.id.clone());
                     self.sent_attempts += 1;
-                    // A response must not imply that the call was not executed.
-                    let may_return = self.call.is_retryable() || !implies_not_run(response.status);
-                    error_response = may_return.then_some(response);
-                    fallback = Refusal::Failed("the backend server failed");
+                    newest = Some((server.id.clone(), Instant::now()));
+                    (is_searching, silent_at) = (false, Instant::now() + self.patience());
+                    attempts.push(async move {
+                        let result = exchange(entry, call, &permit, send_permit).await;
+                        (server, result)
+                    });
+                }
+                Step::Selected(Err(_)) if is_open => {
+                    (is_searching, silent_at) = (false, Instant::now() + self.patience());
                 }
-                Err(Failure::NotSent(_) | Failure::PermitExpired) => self.unreachable_servers += 1,
-                Err(Failure::NotRun(_)) => {
-                    if let Refusal::NotRun { retry_after, .. } = &mut fallback {
-                        *retry_after = self.retry_after();
+                Step::Selected(Err(missing)) => {
+                    match missing {
+                        Missing::Time if self.sent_attempts > 0 => fallback = Refusal::Timeout,
+                        Missing::Server(Some(retry_after)) if self.sent_attempts == 0 => {
+                            return Err(self.limit_refusal(retry_after));
+                        }
+                        Missing::Time | Missing::Server(_) => {}
+                        Missing::Retry => {
+                            if let Refusal::NotRun { reason, .. } = &mut fallback {
+                                *reason = "retry budget spent";
+                            }
+                        }
                     }
+                    return error_response.ok_or(fallback);
                 }
-                Err(Failure::Timeout(_)) => {
-                    self.sent_attempts += 1;
-                    fallback = Refusal::Timeout;
+                Step::Silent => {
+                    is_searching = self.can_retry();
+                    silent_at = Instant::now() + self.patience();
+                    if let Some((server, started_at)) = newest.take_if(|_| is_searching) {
+                        entry.record_silence(call, &server, started_at.elapsed());
+                        silent_servers.push(server);
+                    }
                 }
-                Err(Failure::Unknown(_)) => {
-                    self.sent_attempts += 1;
-                    fallback = Refusal::Failed("the backend server broke off");
+                Step::Ended(server, result) => {
+                    match &result {
+                        // The failure was counted when the server became silent.
+                        Err(failure) if silent_servers.contains(&server.id) => {
+                            entry.log_failure(call, &server.id, failure);
+                        }
+                        result => entry.record_attempt(call, &server.id, result),
+                    }
+                    match result {
+                        Ok(response) if self.is_final(&response) => return Ok(response),
+                        Ok(response) => {
+                            // A response must not imply that the call was not executed.
+                            let may_return =
+                                call.is_retryable() || !implies_not_run(response.status);
+                            error_response = may_return.then_some(response);
+                            fallback = Refusal::Failed("the backend server failed");
+                        }
+                        Err(failure) => self.on_failure(failure, &mut fallback),
+                    }
+                    is_searching = self.can_retry();
+                    if !is_searching && attempts.is_empty() {
+                        return error_response.ok_or(fallback);
+                    }
                 }
             }
-            if !self.can_retry() {
-                return error_response.ok_or(fallback);
+        }
+    }
+
+    fn on_failure(&mut self, failure: Failure, fallback: &mut Refusal) {
+        match failure {
+            Failure::NotSent(_) | Failure::PermitExpired => {
+                self.sent_attempts -= 1;
+                self.unreachable_servers += 1;
+            }
+            Failure::NotRun(_) => {
+                self.sent_attempts -= 1;
+                if let Refusal::NotRun { retry_after, .. } = fallback {
+                    *retry_after = self.retry_after();
+                }
             }
+            Failure::Timeout(_) => *fallback = Refusal::Timeout,
+            Failure::Unknown(_) => *fallback = Refusal::Failed("the backend server broke off"),
+        }
+    }
+
+    // Finds a server for the next attempt. While another attempt is open, a search that
+    // finds none takes no retry from the budget.
+    async fn find_server(
+        &self,
+        is_open: bool,
+    ) -> std::result::Result<(SlotPermit, SendPermit), Missing> {
+        if self.call.time_left().is_zero() {
+            return Err(Missing::Time);
+        }
+        let take_retry = || match self.entry.try_acquire_retry(self.call) {
+            true => Ok(()),
+            false => Err(Missing::Retry),
+        };
+        if !is_open && !self.tried_servers.is_empty() {
+            take_retry()?;
         }
+        let mut limits = LimitedSelection::new(self.entry, self.call);
+        let selected = limits.select_least_loaded(|| self.servers()).await;
+        let selected = selected.ok_or(Missing::Server(limits.retry_after()))?;
+        if is_open {
+            take_retry()?;
+        }
+        Ok(selected)
+    }
+
+    // Time after which another server is asked as well.
+    fn patience(&self) -> Duration {
+        let share = self.call.time_left().mul_f64(PATIENCE_SHARE);
+        share.max(self.call.route.objective * 2)
     }
 
     fn retry_after(&self) -> Duration {
@@ -152,39 +241,23 @@
             known_load: self.entry.load_tracker.summary(&self.servers()),
         }
     }
+}
 
-    async fn attempt(
-        &self,
-        permit: &SlotPermit,
-        send_permit: SendPermit,
-    ) -> attempt::Result<CompleteResponse> {
-        let call = self.call;
-        let has_retry_left =
-            call.is_retryable() && self.sent_attempts + 1 < call.route.max_attempts;
-        let limit = match has_retry_left {
-            true => call
-                .time_left()
-                .mul_f64(RETRYABLE_ATTEMPT_SHARE)
-                .max(call.route.objective * 2),
-            false => call.time_left(),
-        };
-        let limit = limit.min(call.time_left());
-        let exchange = async {
-            let options = AttemptOptions::default();
-            let (_conn, res) = attempt::send(
-                self.entry,
-                call,
-                &permit.server,
-                &options,
-                send_permit,
-                limit,
-            )
-            .await?;
-            Ok(read_response(res, MAX_RESPONSE_BYTES).await?)
-        };
-        let result = tokio::time::timeout(limit, exchange).await;
-        result.unwrap_or_else(|_| Err(attempt::timed_out(call)))
-    }
+// Sends the call to a server and reads the response until the deadline.
+async fn exchange<D: PlatformCodec>(
+    entry: &Entry<D>,
+    call: &Call,
+    permit: &SlotPermit,
+    send_permit: SendPermit,
+) -> attempt::Result<CompleteResponse> {
+    let (limit, options) = (call.time_left(), AttemptOptions::default());
+    let exchange = async {
+        let (_conn, res) =
+            attempt::send(entry, call, &permit.server, &options, send_permit, limit).await?;
+        Ok(read_response(res, MAX_RESPONSE_BYTES).await?)
+    };
+    let result = tokio::time::timeout(limit, exchange).await;
+    result.unwrap_or_else(|_| Err(attempt::timed_out(call)))
 }
 
 // Statuses that tell a caller that its request was not executed.
