Keep connections to peers that do not read for a while

The answer of a sound server was lost, and the caller's connection closed, when the caller did not read for 3 s; a request that may run once got 502 when its server, or a long body, was not read for 3 s.

Cause: TCP_USER_TIMEOUT of 3 s. The kernel applies it to a closed receive window as well, although the peer's kernel acknowledges each probe. Ruled out as causes by the same runs: hyper's own timers and keepalive probes, since the tests pass without the user timeout.

Connections to servers have no user timeout now. Keepalive finds servers that are gone while no data is under way, as before (3 s); the deadline of the request ends the rest. Connections to callers have one of a minute, because nothing else ends a connection whose caller never reads; a caller that is gone without a close is noticed by the deadline of its request and the idle timeout. Calls to the store, the origin and the local server have time limits of their own.

Not run: a peer that acknowledges nothing, which loopback does not give.

--- a/crates/rw-fleet/src/connect.rs
+++ b/crates/rw-fleet/src/connect.rs
@@ -23,8 +23,10 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered probes after which a connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
-/// Time for which sent data may stay unacknowledged.
-const USER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time after which a connection to a caller that takes no data is closed; longer than any
+/// request. The kernel makes no difference between a caller that is gone and one that is
+/// alive but does not read.
+const CALLER_WRITE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Read buffer of a connection in bytes; a larger one would cost memory on
 /// every connection.
 const MAX_READ_BUFFER: usize = 16 * 1024;
@@ -64,16 +66,23 @@
     }
 }
 
-/// Sets the socket options that detect an unresponsive peer.
+/// Sets the socket options of a connection to a caller. A caller that is gone without a
+/// close is noticed by the deadlines of its requests and the idle timeout, and while it does
+/// not read, after a minute.
 pub fn enable_dead_peer_detection(conn: &TcpStream) -> std::io::Result<()> {
+    enable_keepalive(conn)?;
+    SockRef::from(conn).set_tcp_user_timeout(Some(CALLER_WRITE_TIMEOUT))
+}
+
+// Detects peers that are gone while no data is under way. A user timeout would also close
+// connections whose peer is alive but does not read; deadlines bound what is under way.
+fn enable_keepalive(conn: &TcpStream) -> std::io::Result<()> {
     conn.set_nodelay(true)?;
-    let sock = SockRef::from(conn);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
-    sock.set_tcp_keepalive(&keepalive)?;
-    sock.set_tcp_user_timeout(Some(USER_TIMEOUT))
+    SockRef::from(conn).set_tcp_keepalive(&keepalive)
 }
 
 impl Connection {
@@ -84,7 +93,7 @@
             .await
             .map_err(|_| unreachable("connecting timed out".to_string()))?
             .map_err(|err| unreachable(err.to_string()))?;
-        enable_dead_peer_detection(&conn).map_err(|err| unreachable(err.to_string()))?;
+        enable_keepalive(&conn).map_err(|err| unreachable(err.to_string()))?;
         let budget = ReadBudget::default();
         let io = BudgetedIo::new(TokioIo::new(conn), budget.clone());
         let (sender, conn) = hyper::client::conn::http1::Builder::new()
