--- a/crates/rw-fleet/src/entry/mod.rs
+++ b/crates/rw-fleet/src/entry/mod.rs
@@ -13,6 +13,7 @@
 mod load_tracker;
 mod named_limit;
 mod notice_log;
+mod open_attempts;
 mod permit;
 mod poison_guard;
 mod refusal;
@@ -22,6 +23,7 @@
 mod shared;
 mod shutdown;
 mod stream;
+mod stream_attempt;
 mod stream_opener;
 mod unary;
 
