Log what a host verified before each load order, and what the server answered

Hypotheses differ in times that were not logged: how old the first read of a staged chunk is when the order leaves and when its answer arrives, how long the verification took, and whether a load that the server's report shows followed an order of this daemon.

OrderSent and OrderFailed now give these times and the answer; LoadObserved (720) names each load or restart that a report shows. No logic changes.

--- a/crates/rw-fleet/src/host/staging.rs
+++ b/crates/rw-fleet/src/host/staging.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::time::Duration;
 
+use rw_coord::uptime;
 use rw_observe::{Event, Recorder};
 use rw_protocol::{verify_chunk, Manifest, Name};
 use tokio::time::timeout;
@@ -19,6 +21,16 @@
     staged_early: (Name, BTreeSet<u32>),
 }
 
+/// How the staged chunks of a version were verified.
+pub(super) struct Verification {
+    /// Uptime at which the first read began.
+    pub(super) started_at: Duration,
+    /// Time that it took.
+    pub(super) elapsed: Duration,
+    /// Chunks that were staged again.
+    pub(super) repaired: u32,
+}
+
 impl<B: BackendClient> StagingArea<B> {
     pub(super) fn new(store: Arc<ChunkStore>, backend: B) -> Self {
         StagingArea {
@@ -71,7 +83,9 @@
         model: &Name,
         manifest: &Manifest,
         recorder: &Recorder,
-    ) -> Option<()> {
+    ) -> Option<Verification> {
+        let started_at = uptime();
+        let mut repaired = 0;
         let id = rw_protocol::manifest_id(manifest);
         for chunk in 0..manifest.chunks.len() as u32 {
             if self.is_intact(model, manifest, chunk).await {
@@ -81,12 +95,17 @@
                 Event::StageRepaired,
                 &format!("manifest={id} chunk={chunk}"),
             );
+            repaired += 1;
             self.stage_chunk(model, &id, manifest, chunk).await?;
             if !self.is_intact(model, manifest, chunk).await {
                 return None;
             }
         }
-        Some(())
+        Some(Verification {
+            started_at,
+            elapsed: uptime() - started_at,
+            repaired,
+        })
     }
 
     // Stages a chunk unless an intact copy is already staged.
--- a/crates/rw-fleet/src/host/weights_reconciler.rs
+++ b/crates/rw-fleet/src/host/weights_reconciler.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rw_coord::uptime;
 use rw_observe::Event;
 use rw_protocol::{rendezvous_rank, Manifest, Name};
 use rw_weights::load_delay;
@@ -84,6 +85,7 @@
         staging,
         scheduled_load: None,
         status_sender: StatusSender::new(),
+        last_load: None,
     };
     while ticks.recv_async().await.is_ok() {
         reconciler.reconcile().await;
@@ -100,6 +102,9 @@
     // host may load it.
     scheduled_load: Option<(u64, Duration)>,
     status_sender: StatusSender,
+    // Start of the server in Unix milliseconds and the number of loads that it had
+    // begun, from its last report.
+    last_load: Option<(u64, u64)>,
 }
 
 impl<D: PlatformCodec, B: BackendClient> WeightsReconciler<D, B> {
@@ -111,6 +116,7 @@
             Some(report) => report,
             None => return self.assume_not_loaded(),
         };
+        self.log_load(&report);
         self.store.set_serving(report.weights_version > 0);
         self.send_status(
             &engine.model,
@@ -239,10 +245,10 @@
     // corrupt.
     async fn send_load_order(&mut self, target: &TargetVersion, manifest: &Manifest) {
         let recorder = &self.cx.recorder;
-        let repaired = self.staging.repair(&target.model, manifest, recorder).await;
-        if repaired.is_none() {
+        let repair = self.staging.repair(&target.model, manifest, recorder);
+        let Some(verification) = repair.await else {
             return;
-        }
+        };
         let Some(report) = read_report(&self.backend, &target.engine).await else {
             return;
         };
@@ -257,29 +263,46 @@
             version: target.version,
             sequence: report.sequence,
         };
+        let sent_at = uptime();
+        let result = timeout(BACKEND_TIMEOUT, self.backend.load(&order)).await;
+        let answered_at = uptime();
+        let (event, answer) = match result {
+            Ok(Ok(LoadOutcome::Started)) => (Event::OrderSent, "started".to_string()),
+            Ok(Ok(LoadOutcome::InEffect)) => (Event::OrderSent, "in-effect".to_string()),
+            Ok(Ok(LoadOutcome::Conflict)) => (Event::OrderFailed, "conflict".to_string()),
+            Ok(Err(err)) => (Event::OrderFailed, format!("{:?}", err.to_string())),
+            // The next poll shows whether the order arrived.
+            Err(_) => (Event::OrderFailed, "timeout".to_string()),
+        };
         let detail = format!(
-            "model={} version={} sequence={}",
-            order.model, order.version, order.sequence
+            "model={} version={} sequence={} answer={answer} answered_after_ms={} \
+             verified_in_ms={} repaired={} oldest_read_ms={} oldest_read_at_answer_ms={}",
+            order.model,
+            order.version,
+            order.sequence,
+            (answered_at - sent_at).as_millis(),
+            verification.elapsed.as_millis(),
+            verification.repaired,
+            (sent_at - verification.started_at).as_millis(),
+            (answered_at - verification.started_at).as_millis()
         );
-        match timeout(BACKEND_TIMEOUT, self.backend.load(&order)).await {
-            Ok(Ok(LoadOutcome::Started | LoadOutcome::InEffect)) => {
-                self.cx.recorder.emit(Event::OrderSent, &detail);
-            }
-            Ok(Ok(LoadOutcome::Conflict)) => {
-                self.cx
-                    .recorder
-                    .emit(Event::OrderFailed, &format!("{detail} reason=conflict"));
-            }
-            Ok(Err(err)) => {
-                let detail = format!("{detail} reason={:?}", err.to_string());
-                self.cx.recorder.emit(Event::OrderFailed, &detail);
-            }
-            // The next poll shows whether the order arrived.
-            Err(_) => {
-                self.cx
-                    .recorder
-                    .emit(Event::OrderFailed, &format!("{detail} reason=timeout"));
-            }
+        self.cx.recorder.emit(event, &detail);
+    }
+
+    // Records each load that the server has begun, whoever ordered it.
+    fn log_load(&mut self, report: &BackendReport) {
+        let key = (report.started_ms, report.sequence);
+        let last = self.last_load.replace(key);
+        if last.is_none_or(|last| last != key) {
+            let detail = format!(
+                "weights={} busy={} sequence={} server_started_ms={} first_report={}",
+                report.weights_version,
+                report.busy,
+                report.sequence,
+                report.started_ms,
+                last.is_none()
+            );
+            self.cx.recorder.emit(Event::LoadObserved, &detail);
         }
     }
 }
--- a/crates/rw-observe/src/catalogue.rs
+++ b/crates/rw-observe/src/catalogue.rs
@@ -102,6 +102,7 @@
     717 ServerLimitNamed Info "A backend server named a limit on the requests per second that it takes from all entries together." "Find out why the server is in need; entries keep to the limit.";
     718 ServerLimitEnded Info "A backend server names no limit on its requests any more." "Nothing.";
     719 ServerLimitUsed Info "How the limit of a backend server is used, by entry, since this entry grants its permits." "If requests are refused all the time, add backend servers.";
+    720 LoadObserved Info "The report of a backend server shows that it has begun to load weights, or has started again." "Nothing.";
 }
 
 /// Renders the event catalogue as a Markdown page.
