Send requests to newly loaded weights only once the host has verified them

What callers saw: tokens made with weights of which a chunk was corrupt when the server took them. An entry used a version as soon as the server's own row listed it, whether or not the host beside it knew of the load; a host that had ended, stood still or had not looked yet could not hold it back, as its last pause expires after 6 s.

An entry now remembers for each start of a server the newest version that it held when its row was first seen, or with which its host said since that it accepts requests, and sends nothing to a newer one. This also holds while the row is gone for a time. Hosts repeat the status of a server that accepts requests, every 2 s and later every 10 s, as an entry that missed it would now send nothing.

Weighed: a pause that does not expire would keep a sound server out of service when its host dies before the order; here only weights that nobody vouched for are held back.

--- a/crates/rw-fleet/src/cluster_state.rs
+++ b/crates/rw-fleet/src/cluster_state.rs
@@ -16,7 +16,7 @@
 use crate::kept_content::keep_newer_content;
 use crate::requested_weights::push_requested;
 use crate::row_compression::{compress, decompress};
-use crate::server_statuses::remove_outdated_status;
+use crate::server_statuses::{remove_outdated_status, trust_first_weights};
 use crate::weights_record::StoreClock;
 use crate::{BackendServer, PlatformCodec, RequestedWeights, RowContent, Snapshot};
 
@@ -316,6 +316,7 @@
                 snapshot.servers.retain(|_, old| !conflict(old));
                 self.log_server_change(snapshot, &server);
                 remove_outdated_status(snapshot, &server);
+                trust_first_weights(snapshot, &server);
                 if !server.ready {
                     departures.record(&server);
                 }
--- a/crates/rw-fleet/src/entry/stream_opener.rs
+++ b/crates/rw-fleet/src/entry/stream_opener.rs
@@ -276,6 +276,7 @@
                 .is_none_or(|version| loaded_version == version);
             has_version
                 && loaded_version >= min_version
+                && snapshot.has_trusted_weights(s)
                 && !snapshot.is_paused(&s.id, rw_coord::uptime())
         });
         servers = self.entry.load_tracker.admitted(servers);
--- a/crates/rw-fleet/src/host/status_sender.rs
+++ b/crates/rw-fleet/src/host/status_sender.rs
@@ -7,15 +7,20 @@
 
 use crate::{peers, Cx, PlatformCodec, StatusSequence};
 
-/// Interval at which the status of a server that accepts no requests is repeated
-/// for entries that missed it.
+/// Interval at which a status is repeated for entries that missed it, while the server
+/// accepts no requests and for some time after a change.
 const STATUS_INTERVAL: Duration = Duration::from_secs(2);
+/// Time after a change from which a status is repeated less often.
+const STEADY_AFTER: Duration = Duration::from_secs(10);
+/// Interval from then on, while the server accepts requests.
+const STEADY_INTERVAL: Duration = Duration::from_secs(10);
 
-/// Sends a status when it changes, and repeats it while the server accepts no requests.
+/// Sends a status when it changes, and repeats it.
 pub(super) struct StatusSender {
     sequence: StatusSequence,
     last_status: Option<ServerStatus>,
-    // Time since the daemon's start.
+    // Times since the daemon's start.
+    changed_at: Duration,
     sent_at: Duration,
 }
 
@@ -24,6 +29,7 @@
         StatusSender {
             sequence: StatusSequence::new(rw_coord::unix_ms()),
             last_status: None,
+            changed_at: Duration::ZERO,
             sent_at: Duration::ZERO,
         }
     }
@@ -41,10 +47,16 @@
                 && last_status.weights == weights
                 && last_status.accepting == accepting
         });
-        let sent_recently = cx.now() < self.sent_at + STATUS_INTERVAL;
-        // The status of a server that accepts requests is not repeated, as the
-        // server's own row contains the same.
-        if unchanged && (sent_recently || accepting) {
+        let now = cx.now();
+        if !unchanged {
+            self.changed_at = now;
+        }
+        // An entry that missed the status sends nothing to a server with new weights.
+        let interval = match accepting && now >= self.changed_at + STEADY_AFTER {
+            true => STEADY_INTERVAL,
+            false => STATUS_INTERVAL,
+        };
+        if unchanged && now < self.sent_at + interval {
             return;
         }
         let status = ServerStatus {
@@ -56,6 +68,6 @@
         };
         peers::broadcast_status(cx, &status);
         self.last_status = Some(status);
-        self.sent_at = cx.now();
+        self.sent_at = now;
     }
 }
--- a/crates/rw-fleet/src/server_statuses.rs
+++ b/crates/rw-fleet/src/server_statuses.rs
@@ -5,10 +5,14 @@
 use rw_coord::uptime;
 use rw_protocol::ServerStatus;
 
-use crate::snapshot::ReceivedStatus;
+use crate::snapshot::{ReceivedStatus, TrustedWeights};
 use crate::status_sequence::supersedes;
 use crate::{BackendServer, ClusterState, PlatformCodec, Snapshot};
 
+/// Servers that are gone whose trusted weights are kept: a server's row is gone at times
+/// although the server runs.
+const MAX_GONE_SERVERS: usize = 256;
+
 impl<D: PlatformCodec> ClusterState<D> {
     /// Applies the status of a backend server, sent by the daemon beside it,
     /// unless a newer one of the same process was received before.
@@ -23,6 +27,10 @@
             received_at: uptime(),
             status: status.clone(),
         };
+        if status.accepting {
+            let known = snapshot.trusted_weights.entry(status.server.clone());
+            known.or_default().version = status.weights;
+        }
         snapshot.server_statuses.insert(status.server, received);
         state.snapshot = Arc::new(snapshot);
         drop(state);
@@ -30,6 +38,28 @@
     }
 }
 
+/// Trusts the weights that a server has when its row is first seen. Those that it loads
+/// later, or after another start, have to be verified by its host.
+pub(crate) fn trust_first_weights(snapshot: &mut Snapshot, server: &BackendServer) {
+    let version = snapshot.registered_version(server);
+    let started_ms = Some(server.started_ms);
+    let first = TrustedWeights {
+        started_ms,
+        version,
+    };
+    let trusted = snapshot.trusted_weights.entry(server.id.clone());
+    let trusted = trusted.or_insert(first);
+    if trusted.started_ms.is_some_and(|at| at != server.started_ms) {
+        trusted.version = 0;
+    }
+    trusted.started_ms = started_ms;
+    let servers = &snapshot.servers;
+    if snapshot.trusted_weights.len() > servers.len() + MAX_GONE_SERVERS {
+        let trusted_weights = &mut snapshot.trusted_weights;
+        trusted_weights.retain(|id, _| servers.contains_key(id) || *id == server.id);
+    }
+}
+
 /// Removes the status of an earlier start of a server, which has lost what it held.
 pub(crate) fn remove_outdated_status(snapshot: &mut Snapshot, server: &BackendServer) {
     let known = snapshot.servers.get(&server.id);
--- a/crates/rw-fleet/src/snapshot.rs
+++ b/crates/rw-fleet/src/snapshot.rs
@@ -25,6 +25,16 @@
     pub status: ServerStatus,
 }
 
+/// Weights with which a backend server may answer requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TrustedWeights {
+    /// Start of the server in Unix milliseconds; `None` if its row is not known yet.
+    pub started_ms: Option<u64>,
+    /// Newest version that it held when its row was first seen, or that its host has
+    /// verified since.
+    pub version: u64,
+}
+
 /// State of the platform at one moment.
 #[derive(Clone, Debug, Default)]
 pub struct Snapshot {
@@ -42,6 +52,8 @@
     pub daemons: BTreeMap<Name, Daemon>,
     /// Latest status of each backend server, by its identity.
     pub server_statuses: BTreeMap<Name, ReceivedStatus>,
+    /// Trusted weights of each backend server, by its identity.
+    pub trusted_weights: BTreeMap<Name, TrustedWeights>,
 }
 
 impl Snapshot {
@@ -56,7 +68,7 @@
     }
 
     // A server that holds only some of the layers cannot answer requests alone.
-    fn registered_version(&self, server: &BackendServer) -> u64 {
+    pub(crate) fn registered_version(&self, server: &BackendServer) -> u64 {
         let service = self
             .cfg
             .as_ref()
@@ -70,6 +82,13 @@
         }
     }
 
+    /// Whether the weights that a server has loaded may answer requests: its host has
+    /// verified them, or they were loaded before this daemon knew the server.
+    pub fn has_trusted_weights(&self, server: &BackendServer) -> bool {
+        let trusted = self.trusted_weights.get(&server.id);
+        trusted.is_none_or(|trusted| self.loaded_version(server) <= trusted.version)
+    }
+
     /// Whether the daemon beside a server has reported that the server accepts
     /// no requests. The daemon repeats such a status; one that is not repeated
     /// expires.
--- a/crates/rw-fleet/tests/common/mod.rs
+++ b/crates/rw-fleet/tests/common/mod.rs
@@ -11,7 +11,7 @@
 use rw_observe::{Metrics, Recorder};
 use rw_protocol::{Name, StoredRow, TableVersion};
 
-/// Decodes rows `server ADDR [STATE [START [HEARTBEAT]]]`, `weights N`, `daemon ADDR`,
+/// Decodes rows `server ADDR [STATE [START [HEARTBEAT [WEIGHTS]]]]`, `weights N`, `daemon ADDR`,
 /// `record VERSION REQUESTED_AT_MS` and `configuration N`; any other row is invalid.
 pub struct TextCodec(HeaderNames);
 
@@ -136,7 +136,7 @@
         zone: "z".into(),
         slots: 1,
         ready: fields.get(1) != Some(&"draining"),
-        weights_version: 0,
+        weights_version: number(4).map_err(error)?,
         layers: 0,
         written_at: row.version,
         started_ms: number(2).map_err(error)?,
