Prove that weights were intact when a server took them

What callers saw: tokens made with weights of which a chunk had been corrupt for longer than the 3 s that the platform allows when the server took them.

Cause: a host read the staged chunks one after the other, then the report, then ordered. Nothing bounded the time from the first read to the moment at which the server took the chunks, and nothing looked at them afterwards: slow reads, a host or a server that stood still, an order taken after the host gave up, a server that started again under its id and had lost a chunk, another version staged over the one still to be taken.

Evidence: 8 of the 14 tests of taken_weights.rs that there were then failed on the code before (a chunk corrupt for 3.95 s taken from the socket of a frozen server, a missing chunk after a restart, and so on). The other six are the other side: lost, late and wrong answers load once, a restarted daemon pauses nothing. Ruled out: chunks read back for other hosts, downloaded, archived or kept in memory are compared with their digests when they arrive.

Change: each staged chunk has the uptime at which its last sound read began; reads use four connections; an order leaves while the oldest read is at most 1.5 s old, and is put off once if it is not. Each load that the server's report shows, whoever ordered it, has to be proven (taken_weights.rs): by the reads before it, if the response came in time, or by reading again. Until then the host says that the server accepts no requests. Weights that cannot be proven are ordered again. A daemon that starts beside a serving server says nothing until it knows.

Guards removed one by one, tests that turned red: proof (4), age of reads (1: the host that stands still, as a process), concurrent reads (1), forgotten reads after a restart (1), writes since the load (1), damaged weights (4), reload (4), status while unproven (5), silence about found weights (1), found weights that stay unknown (1).

Open: whether a server loads a version again that it has (the protocol says 200 for an order in effect); if not, it stays out of service until the next version or a restart.

--- a/crates/rw-fleet/src/host/mod.rs
+++ b/crates/rw-fleet/src/host/mod.rs
@@ -6,9 +6,11 @@
 mod clients;
 mod download;
 mod fetch_manifest;
+mod load_order;
 mod staged_chunk_reader;
 mod staging;
 mod status_sender;
+mod taken_weights;
 mod target_version;
 mod version_downloads;
 mod weights_reconciler;
@@ -18,4 +20,5 @@
 pub use clients::{
     BackendClient, BackendReport, ClientError, LoadOrder, LoadOutcome, OriginClient, Result,
 };
+pub use staging::CONCURRENT_READS;
 pub use weights_reconciler::reconcile_weights;
--- a/crates/rw-fleet/src/host/staged_chunk_reader.rs
+++ b/crates/rw-fleet/src/host/staged_chunk_reader.rs
@@ -37,7 +37,7 @@
         let Some(target) = self.loaded_target().await else {
             return false;
         };
-        let Some(manifest) = self.manifest(&target).await else {
+        let Some(manifest) = known_manifest(&self.store, &self.origin, &target).await else {
             return false;
         };
         let id = rw_protocol::manifest_id(&manifest);
@@ -69,26 +69,29 @@
             version => target(&self.cx, version),
         }
     }
+}
 
-    async fn manifest(&self, target: &TargetVersion) -> Option<Manifest> {
-        let name = version_name(&target.model, target.version);
-        if let Some(manifest) = self.store.manifest(&name) {
-            return Some(manifest);
+/// Manifest of a version, from the origin if this host does not know it; `None` if it
+/// cannot be fetched now.
+pub(super) async fn known_manifest<O: OriginClient>(
+    store: &ChunkStore,
+    origin: &O,
+    target: &TargetVersion,
+) -> Option<Manifest> {
+    let name = version_name(&target.model, target.version);
+    if let Some(manifest) = store.manifest(&name) {
+        return Some(manifest);
+    }
+    let request = origin.manifest(&target.origin, &target.model, target.version);
+    match timeout(BACKEND_TIMEOUT, request).await {
+        Ok(Ok(manifest)) => {
+            store.add_version(&name, manifest.clone());
+            Some(manifest)
         }
-
-        let request = self
-            .origin
-            .manifest(&target.origin, &target.model, target.version);
-        match timeout(BACKEND_TIMEOUT, request).await {
-            Ok(Ok(manifest)) => {
-                self.store.add_version(&name, manifest.clone());
-                Some(manifest)
-            }
-            Ok(Err(err)) => {
-                log::debug!("fetching the manifest of {name} from the origin failed: {err}");
-                None
-            }
-            Err(_) => None,
+        Ok(Err(err)) => {
+            log::debug!("fetching the manifest of {name} from the origin failed: {err}");
+            None
         }
+        Err(_) => None,
     }
 }
--- a/crates/rw-fleet/src/host/staging.rs
+++ b/crates/rw-fleet/src/host/staging.rs
@@ -1,126 +1,242 @@
-//! Writes chunks to the backend server's staging area.
+//! Writes chunks to the backend server's staging area and reads them back.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use rw_coord::uptime;
 use rw_observe::{Event, Recorder};
 use rw_protocol::{verify_chunk, Manifest, Name};
+use tokio::task::JoinSet;
 use tokio::time::timeout;
 
 use super::weights_reconciler::BACKEND_TIMEOUT;
-use super::{BackendClient, ChunkStore};
+use super::{BackendClient, ChunkStore, ClientError};
 
-/// Area from which the backend server beside a host loads weights.
-pub(super) struct StagingArea<B> {
-    store: Arc<ChunkStore>,
-    backend: B,
-    // Id of a manifest, and its chunks that were staged before its download was
-    // complete.
-    staged_early: (Name, BTreeSet<u32>),
+/// Age of the oldest read at which a load order is sent: half the time for which a chunk
+/// may have been corrupt when the server takes it. The rest is for the order.
+pub(super) const MAX_READ_AGE: Duration = Duration::from_millis(1500);
+/// Staged chunks that are read concurrently; each read has a connection of its own.
+pub const CONCURRENT_READS: usize = 4;
+/// Timeout of one read. A server that answers one after the other makes concurrent reads
+/// wait for each other.
+const READ_TIMEOUT: Duration = Duration::from_secs(4);
+/// Passes over the chunks that are missing, corrupt or were read too long ago: one to
+/// stage them, one to verify them, and one to verify those that were repaired.
+const MAX_PASSES: u32 = 3;
+
+/// What a host knows about a staged chunk. Times are uptimes of the machine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct StagedChunk {
+    /// When the last read that found the chunk intact began.
+    pub(super) intact_at: Option<Duration>,
+    /// When the chunk was last written, of whatever version; `MAX` if a write without a response may still
+    /// be performed.
+    pub(super) written_at: Option<Duration>,
 }
 
 /// How the staged chunks of a version were verified.
+#[derive(Clone, Copy, Debug)]
 pub(super) struct Verification {
-    /// Uptime at which the first read began.
-    pub(super) started_at: Duration,
+    /// Uptime at which the oldest read began.
+    pub(super) oldest_read_at: Duration,
     /// Time that it took.
     pub(super) elapsed: Duration,
     /// Chunks that were staged again.
     pub(super) repaired: u32,
 }
 
+impl Verification {
+    /// Whether every chunk was read recently enough to send a load order.
+    pub(super) fn is_recent(&self) -> bool {
+        uptime() <= self.oldest_read_at + MAX_READ_AGE
+    }
+}
+
+/// Area from which the backend server beside a host loads weights.
+pub(super) struct StagingArea<B> {
+    store: Arc<ChunkStore>,
+    backend: B,
+    // Id of the manifest of the version that is staged, or was staged last.
+    id: Name,
+    chunks: Vec<StagedChunk>,
+    // Uptime since which it is staged.
+    selected_at: Duration,
+}
+
 impl<B: BackendClient> StagingArea<B> {
     pub(super) fn new(store: Arc<ChunkStore>, backend: B) -> Self {
         StagingArea {
             store,
             backend,
-            staged_early: (Name::from(""), BTreeSet::new()),
+            id: Name::from(""),
+            chunks: Vec::new(),
+            selected_at: Duration::ZERO,
         }
     }
 
-    /// Stages the available chunks of a version that is still being downloaded.
-    pub(super) async fn stage_available(&mut self, model: &Name, manifest: &Manifest) {
+    /// Id of the manifest of the staged version; empty if none is known.
+    pub(super) fn manifest_id(&self) -> &Name {
+        &self.id
+    }
+
+    pub(super) fn chunks(&self) -> &[StagedChunk] {
+        &self.chunks
+    }
+
+    /// Turns to the chunks of a version, of which nothing is known yet unless it is
+    /// the current one.
+    pub(super) fn select(&mut self, manifest: &Manifest) {
         let id = rw_protocol::manifest_id(manifest);
-        if self.staged_early.0 != id {
-            self.staged_early = (id.clone(), BTreeSet::new());
+        if self.id != id {
+            self.id = id;
+            self.selected_at = uptime();
+            self.forget_reads();
+            let chunks = manifest.chunks.len();
+            self.chunks.resize(chunks, StagedChunk::default());
         }
-        for chunk in 0..manifest.chunks.len() as u32 {
-            let available = self.store.chunk(&id, chunk).is_some();
-            if !available || self.staged_early.1.contains(&chunk) {
-                continue;
-            }
-            if self
-                .stage_chunk(model, &id, manifest, chunk)
-                .await
-                .is_none()
-            {
-                return;
-            }
-            self.staged_early.1.insert(chunk);
+    }
+
+    /// Forgets all reads, as the server may have lost what it held.
+    pub(super) fn forget_reads(&mut self) {
+        for chunk in &mut self.chunks {
+            chunk.intact_at = None;
         }
     }
 
-    /// Stages all chunks; `None` if one of them failed.
-    pub(super) async fn stage_all(&self, model: &Name, manifest: &Manifest) -> Option<()> {
-        let id = rw_protocol::manifest_id(manifest);
-        for chunk in 0..manifest.chunks.len() as u32 {
-            // Chunks staged early are verified with all others before the load
-            // order.
-            if self.staged_early.0 == id && self.staged_early.1.contains(&chunk) {
-                continue;
+    /// Stages the available chunks of a version that is still being downloaded.
+    pub(super) async fn stage_available(&mut self, model: &Name, manifest: &Manifest) {
+        self.select(manifest);
+        let is_new = |chunk: &u32| {
+            self.chunks[*chunk as usize].intact_at.is_none()
+                && !self.is_written(*chunk)
+                && self.store.chunk(&self.id, *chunk).is_some()
+        };
+        let new: Vec<u32> = (0..manifest.chunks.len() as u32).filter(is_new).collect();
+        let Some(missing) = self.read(model, manifest, &new).await else {
+            return;
+        };
+        for chunk in missing {
+            if self.write(model, chunk).await.is_none() {
+                return;
             }
-            self.stage_chunk(model, &id, manifest, chunk).await?;
         }
-        Some(())
     }
 
-    /// Verifies all staged chunks and stages corrupt ones again; `None` if some
-    /// are still corrupt afterwards.
-    pub(super) async fn repair(
-        &self,
+    /// Stages all chunks of a version and verifies them; `None` if one of them is not
+    /// intact or not readable. After some passes the oldest read may be older than
+    /// [`MAX_READ_AGE`], when the server sends its chunks slowly.
+    pub(super) async fn verify(
+        &mut self,
         model: &Name,
         manifest: &Manifest,
         recorder: &Recorder,
     ) -> Option<Verification> {
         let started_at = uptime();
+        self.select(manifest);
         let mut repaired = 0;
-        let id = rw_protocol::manifest_id(manifest);
-        for chunk in 0..manifest.chunks.len() as u32 {
-            if self.is_intact(model, manifest, chunk).await {
-                continue;
+        for _ in 0..MAX_PASSES {
+            let pass_began_at = uptime();
+            let since = pass_began_at.saturating_sub(MAX_READ_AGE);
+            let outdated = self.chunks_not_read_since(since);
+            if outdated.is_empty() {
+                break;
             }
-            recorder.emit(
-                Event::StageRepaired,
-                &format!("manifest={id} chunk={chunk}"),
-            );
-            repaired += 1;
-            self.stage_chunk(model, &id, manifest, chunk).await?;
-            if !self.is_intact(model, manifest, chunk).await {
-                return None;
+            let damaged = self.read(model, manifest, &outdated).await?;
+            // Another pass would take as long.
+            if damaged.is_empty() && uptime() - pass_began_at > MAX_READ_AGE {
+                break;
+            }
+            for chunk in damaged {
+                if self.is_written(chunk) {
+                    let detail = format!("manifest={} chunk={chunk}", self.id);
+                    recorder.emit(Event::StageRepaired, &detail);
+                    repaired += 1;
+                }
+                self.write(model, chunk).await?;
             }
         }
-        Some(Verification {
-            started_at,
+        let reads = self.chunks.iter().map(|chunk| chunk.intact_at);
+        let oldest = reads.min().unwrap_or(Some(started_at));
+        oldest.map(|oldest_read_at| Verification {
+            oldest_read_at,
             elapsed: uptime() - started_at,
             repaired,
         })
     }
 
-    // Stages a chunk unless an intact copy is already staged.
-    async fn stage_chunk(
-        &self,
+    // Whether the chunk has been written since its version was selected.
+    fn is_written(&self, chunk: u32) -> bool {
+        let written_at = self.chunks[chunk as usize].written_at;
+        written_at.is_some_and(|at| at >= self.selected_at)
+    }
+
+    fn chunks_not_read_since(&self, since: Duration) -> Vec<u32> {
+        let chunks = self.chunks.iter().zip(0..);
+        let outdated = chunks.filter(|(chunk, _)| chunk.intact_at.is_none_or(|at| at < since));
+        outdated.map(|(_, index)| index).collect()
+    }
+
+    /// Reads chunks of the selected version and returns those that are missing or
+    /// corrupt; `None` if one cannot be read.
+    pub(super) async fn read(
+        &mut self,
         model: &Name,
-        id: &Name,
         manifest: &Manifest,
-        chunk: u32,
-    ) -> Option<()> {
-        if self.is_intact(model, manifest, chunk).await {
-            return Some(());
+        chunks: &[u32],
+    ) -> Option<Vec<u32>> {
+        let mut pending = chunks.iter().copied();
+        let mut reads = JoinSet::new();
+        let (mut damaged, mut all_read) = (Vec::new(), true);
+        loop {
+            for chunk in pending.by_ref().take(CONCURRENT_READS - reads.len()) {
+                let (backend, model) = (self.backend.clone(), model.clone());
+                reads.spawn(async move {
+                    let began_at = uptime();
+                    let read = timeout(READ_TIMEOUT, backend.read_staged(&model, chunk)).await;
+                    (chunk, began_at, read)
+                });
+            }
+            let (chunk, began_at, read) = match reads.join_next().await {
+                Some(Ok(read)) => read,
+                Some(Err(err)) => {
+                    log::warn!("reading a staged chunk failed: {err}");
+                    all_read = false;
+                    continue;
+                }
+                None => break,
+            };
+            let intact_at = &mut self.chunks[chunk as usize].intact_at;
+            match read {
+                Ok(Ok(body)) if verify_chunk(manifest, chunk, &body) => *intact_at = Some(began_at),
+                Ok(Ok(_)) | Ok(Err(ClientError::Missing)) => {
+                    *intact_at = None;
+                    damaged.push(chunk);
+                }
+                Ok(Err(err)) => {
+                    log::debug!("reading staged chunk {chunk} failed: {err}");
+                    all_read = false;
+                }
+                Err(_) => {
+                    log::debug!("reading staged chunk {chunk} timed out");
+                    all_read = false;
+                }
+            }
         }
-        let body = self.store.chunk(id, chunk)?;
-        match timeout(BACKEND_TIMEOUT, self.backend.stage(model, chunk, body.0)).await {
+        all_read.then_some(damaged)
+    }
+
+    async fn write(&mut self, model: &Name, chunk: u32) -> Option<()> {
+        let body = self.store.chunk(&self.id, chunk)?;
+        let staged = &mut self.chunks[chunk as usize];
+        staged.intact_at = None;
+        let is_pending = staged.written_at == Some(Duration::MAX);
+        staged.written_at = Some(Duration::MAX);
+        let result = timeout(BACKEND_TIMEOUT, self.backend.stage(model, chunk, body.0)).await;
+        match result {
+            Ok(Ok(())) if !is_pending => {
+                staged.written_at = Some(uptime());
+                Some(())
+            }
             Ok(Ok(())) => Some(()),
             Ok(Err(err)) => {
                 log::debug!("staging chunk {chunk} failed: {err}");
@@ -132,9 +248,4 @@
             }
         }
     }
-
-    async fn is_intact(&self, model: &Name, manifest: &Manifest, chunk: u32) -> bool {
-        let read = timeout(BACKEND_TIMEOUT, self.backend.read_staged(model, chunk)).await;
-        matches!(read, Ok(Ok(body)) if verify_chunk(manifest, chunk, &body))
-    }
 }
--- /dev/null
+++ b/crates/rw-fleet/src/host/taken_weights.rs
@@ -0,0 +1,156 @@
+//! Whether the weights that a backend server has taken were intact at that moment.
+//!
+//! A staged chunk may turn corrupt at any time and does not become intact by itself. The
+//! server takes the staged chunks when it accepts an order, which may be long after the
+//! order was sent. A chunk counts as intact if it was read shortly before that moment,
+//! or after it and was not written in between.
+
+use std::time::Duration;
+
+use super::staging::StagedChunk;
+use super::BackendReport;
+
+/// Time for which a chunk may have been corrupt when the server takes it. Part of the
+/// platform's protocol.
+const MAX_CORRUPT_TIME: Duration = Duration::from_secs(3);
+
+/// A load, and the uptimes between which the server took the staged chunks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Load {
+    /// Request of the last report in which the load had not begun.
+    pub(super) not_before: Duration,
+    /// Arrival of the response or report that shows the load.
+    pub(super) not_after: Duration,
+}
+
+impl Load {
+    /// Chunks that have to be read to know whether they were intact; `None` if that
+    /// can no longer be known of one of them, since it was written meanwhile.
+    pub(super) fn unproven(&self, chunks: &[StagedChunk]) -> Option<Vec<u32>> {
+        let mut out = Vec::new();
+        for (chunk, index) in chunks.iter().zip(0..) {
+            let was_written = chunk.written_at.is_some_and(|at| at >= self.not_before);
+            let is_proven = chunk.intact_at.is_some_and(|at| {
+                let is_recent = at.saturating_add(MAX_CORRUPT_TIME) >= self.not_after;
+                is_recent && (at <= self.not_before || !was_written)
+            });
+            match (is_proven, was_written) {
+                (true, _) => {}
+                (false, true) => return None,
+                (false, false) => out.push(index),
+            }
+        }
+        Some(out)
+    }
+}
+
+/// What is known of the weights that a server has loaded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum TakenWeights {
+    /// They were intact, or the server held them from its start, or there are none.
+    Intact,
+    /// They were loaded before this daemon started, and an earlier one may have verified
+    /// them.
+    Found(Load),
+    /// Like `Found`, and what is staged no longer shows what the server took.
+    Unknown,
+    /// Not known yet.
+    Unverified(Load),
+    /// They may hold a corrupt chunk and have to be loaded again.
+    Damaged,
+}
+
+/// Start of a server in Unix milliseconds, and the number of loads that it has begun.
+type LoadCount = (u64, u64);
+
+/// Follows the loads of a server in its reports.
+pub(super) struct LoadWatch {
+    weights: TakenWeights,
+    // The last report, and the uptime at which it was requested.
+    last: Option<(LoadCount, Duration)>,
+    // The load that the last accepted order began, and the arrival of the response.
+    accepted: Option<(LoadCount, Duration)>,
+}
+
+/// What a report shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Observed {
+    Nothing,
+    /// A load has begun.
+    Load,
+    /// The server has started again.
+    Restart,
+}
+
+impl LoadWatch {
+    pub(super) fn new() -> Self {
+        LoadWatch {
+            weights: TakenWeights::Intact,
+            last: None,
+            accepted: None,
+        }
+    }
+
+    pub(super) fn weights(&self) -> TakenWeights {
+        self.weights
+    }
+
+    pub(super) fn set_weights(&mut self, weights: TakenWeights) {
+        self.weights = weights;
+    }
+
+    /// Whether the server has sent a report.
+    pub(super) fn has_report(&self) -> bool {
+        self.last.is_some()
+    }
+
+    // Start of the server as of its last report.
+    fn server_start(&self) -> Option<u64> {
+        self.last.map(|((started_ms, _), _)| started_ms)
+    }
+
+    /// Applies a report that was requested and arrived at the given uptimes.
+    pub(super) fn on_report(
+        &mut self,
+        report: &BackendReport,
+        requested_at: Duration,
+        arrived_at: Duration,
+    ) -> Observed {
+        let count = (report.started_ms, report.sequence);
+        let last = self.last.replace((count, requested_at));
+        // The server held the weights when it started, or has none.
+        let was_never_ordered = report.sequence == 0 && !report.busy;
+        let has_none = report.weights_version == 0 && !report.busy;
+        let load = |not_before| {
+            let accepted = self.accepted.filter(|(accepted, _)| *accepted == count);
+            Load {
+                not_before,
+                not_after: accepted.map_or(arrived_at, |(_, at)| at),
+            }
+        };
+        let observed = match last {
+            Some((old, _)) if old == count => Observed::Nothing,
+            // A server that starts again counts its loads anew.
+            Some(((started_ms, sequence), _))
+                if started_ms != report.started_ms || sequence > report.sequence =>
+            {
+                Observed::Restart
+            }
+            _ => Observed::Load,
+        };
+        self.weights = match last {
+            Some((old, _)) if old == count => self.weights,
+            _ if was_never_ordered || has_none => TakenWeights::Intact,
+            None if report.busy => TakenWeights::Unverified(load(Duration::ZERO)),
+            None => TakenWeights::Found(load(Duration::ZERO)),
+            Some((_, not_before)) => TakenWeights::Unverified(load(not_before)),
+        };
+        observed
+    }
+
+    /// Records that an order was accepted, which makes the number of loads `sequence`.
+    pub(super) fn on_accepted(&mut self, sequence: u64, answered_at: Duration) {
+        let started_ms = self.server_start().unwrap_or_default();
+        self.accepted = Some(((started_ms, sequence), answered_at));
+    }
+}
--- a/crates/rw-fleet/src/host/weights_reconciler.rs
+++ b/crates/rw-fleet/src/host/weights_reconciler.rs
@@ -7,7 +7,7 @@
 
 use rw_coord::uptime;
 use rw_observe::Event;
-use rw_protocol::{rendezvous_rank, Manifest, Name};
+use rw_protocol::{rendezvous_rank, Name};
 use rw_weights::load_delay;
 use tokio::time::timeout;
 
@@ -17,11 +17,11 @@
 use super::staged_chunk_reader::StagedChunkReader;
 use super::staging::StagingArea;
 use super::status_sender::StatusSender;
+use super::taken_weights::{LoadWatch, Observed, TakenWeights};
 use super::target_version::{next_target, own_engine};
 use super::version_downloads::{download_versions, Progress, UNKNOWN_VERSION};
 use super::{
-    BackendClient, BackendReport, ChunkStore, LoadOrder, LoadOutcome, ObjectArchive, OriginClient,
-    StagedChunkRequest,
+    BackendClient, BackendReport, ChunkStore, ObjectArchive, OriginClient, StagedChunkRequest,
 };
 use crate::requested_weights::enforced_after;
 use crate::{Cx, Engine, PlatformCodec};
@@ -64,6 +64,7 @@
         origin: origin.clone(),
     };
     tokio::spawn(reader.run(pending_reads));
+    let own_origin = origin.clone();
     let progress = Arc::new(Progress {
         loaded: AtomicU64::new(UNKNOWN_VERSION),
         downloaded: AtomicU64::new(0),
@@ -81,68 +82,78 @@
         cx,
         store,
         backend,
-        progress,
+        origin: own_origin,
         staging,
+        watch: LoadWatch::new(),
+        late_orders: 0,
+        no_order_before: Duration::ZERO,
+        no_check_before: Duration::ZERO,
+        progress,
         scheduled_load: None,
         status_sender: StatusSender::new(),
-        last_load: None,
+        server: None,
     };
     while ticks.recv_async().await.is_ok() {
         reconciler.reconcile().await;
     }
 }
 
-struct WeightsReconciler<D, B> {
-    cx: Arc<Cx<D>>,
-    store: Arc<ChunkStore>,
-    backend: B,
+pub(super) struct WeightsReconciler<D, B, O> {
+    pub(super) cx: Arc<Cx<D>>,
+    pub(super) store: Arc<ChunkStore>,
+    pub(super) backend: B,
+    pub(super) origin: O,
+    pub(super) staging: StagingArea<B>,
+    pub(super) watch: LoadWatch,
+    // Orders that were put off since the oldest read was too long ago.
+    pub(super) late_orders: u32,
+    // Uptime before which no order is sent, after the server refused to load the
+    // weights that it has.
+    pub(super) no_order_before: Duration,
+    // Uptime before which weights found at the start are not looked at again.
+    pub(super) no_check_before: Duration,
     progress: Arc<Progress>,
-    staging: StagingArea<B>,
     // Version to load next, and the time since the daemon's start at which this
     // host may load it.
     scheduled_load: Option<(u64, Duration)>,
     status_sender: StatusSender,
-    // Start of the server in Unix milliseconds and the number of loads that it had
-    // begun, from its last report.
-    last_load: Option<(u64, u64)>,
+    server: Option<Name>,
 }
 
-impl<D: PlatformCodec, B: BackendClient> WeightsReconciler<D, B> {
+impl<D: PlatformCodec, B: BackendClient, O: OriginClient> WeightsReconciler<D, B, O> {
     async fn reconcile(&mut self) {
         let Some(engine) = own_engine(&self.cx) else {
             return;
         };
-        let report = match read_report(&self.backend, &engine).await {
+        let report = match self.read_report(&engine).await {
             Some(report) => report,
             None => return self.assume_not_loaded(),
         };
-        self.log_load(&report);
         self.store.set_serving(report.weights_version > 0);
-        self.send_status(
-            &engine.model,
-            report.weights_version,
-            !report.busy && !report.leaving && report.weights_version > 0,
-        );
+        self.report_status(&engine.model, &report);
         if report.busy {
-            return;
+            return self.read_while_loading(&report).await;
         }
-        self.progress
-            .loaded
-            .store(report.weights_version, Ordering::Relaxed);
-        let Some(target) = next_target(&self.cx, report.weights_version) else {
-            return;
+        self.verify_taken(&report).await;
+        self.report_status(&engine.model, &report);
+        // Weights that may hold a corrupt chunk count as none: they are loaded again.
+        let loaded = match self.watch.weights() {
+            TakenWeights::Damaged => 0,
+            _ => report.weights_version,
+        };
+        self.progress.loaded.store(loaded, Ordering::Relaxed);
+        let Some(target) = next_target(&self.cx, loaded) else {
+            return self.verify_found(&report).await;
         };
         let name = version_name(&target.model, target.version);
         if !self.store.is_complete(&name) {
             // A restarted server may need weights that were downloaded earlier.
             if self.progress.downloaded.load(Ordering::Relaxed) >= target.version {
-                self.progress
-                    .downloaded
-                    .store(report.weights_version, Ordering::Relaxed);
+                self.progress.downloaded.store(loaded, Ordering::Relaxed);
             }
             // A server without weights does not need what it has staged, so chunks
             // are staged as they arrive.
-            if report.weights_version == 0 {
+            if loaded == 0 {
                 if let Some(manifest) = self.store.manifest(&name) {
                     self.staging.stage_available(&target.model, &manifest).await;
                 }
@@ -150,13 +161,9 @@
             return;
         }
         if let Some(manifest) = self.store.manifest(&name) {
-            let load_at = self.scheduled_load_time(&target, report.weights_version);
-            if self.cx.now() < load_at {
-                return;
-            }
-            let staged = self.staging.stage_all(&target.model, &manifest).await;
-            if staged.is_some() {
-                self.send_load_order(&target, &manifest).await;
+            let load_at = self.scheduled_load_time(&target, loaded);
+            if self.cx.now() >= load_at && uptime() >= self.no_order_before {
+                self.order_load(&target, &manifest).await;
             }
         }
     }
@@ -179,22 +186,59 @@
         }
     }
 
-    fn own_server(&self) -> Option<Name> {
+    // Remembers the server: its row is gone at times although it runs.
+    pub(super) fn own_server(&mut self) -> Option<Name> {
         let snapshot = self.cx.cluster.snapshot();
-        let own = snapshot
-            .servers
-            .values()
-            .find(|s| Some(s.addr) == self.cx.settings.backend);
-        own.map(|s| s.id.clone())
+        let mut servers = snapshot.servers.values();
+        if let Some(own) = servers.find(|s| Some(s.addr) == self.cx.settings.backend) {
+            self.server = Some(own.id.clone());
+        }
+        self.server.clone()
     }
 
-    fn send_status(&mut self, model: &Name, weights: u64, accepting: bool) {
+    pub(super) fn send_status(&mut self, model: &Name, weights: u64, accepting: bool) {
         if let Some(server) = self.own_server() {
             self.status_sender
                 .send(&self.cx, server, model, weights, accepting);
         }
     }
 
+    // Entries send requests to new weights only once a status says that the server
+    // accepts requests with them. Of weights that an earlier daemon may have verified,
+    // this one says nothing, and entries go on as before.
+    fn report_status(&mut self, model: &Name, report: &BackendReport) {
+        let is_open = !report.busy && !report.leaving && report.weights_version > 0;
+        let accepting = match self.watch.weights() {
+            TakenWeights::Found(_) | TakenWeights::Unknown if is_open => return,
+            weights => is_open && weights == TakenWeights::Intact,
+        };
+        self.send_status(model, report.weights_version, accepting);
+    }
+
+    // Reads the server's report and follows its loads.
+    pub(super) async fn read_report(&mut self, engine: &Engine) -> Option<BackendReport> {
+        let requested_at = uptime();
+        let report = read_report(&self.backend, engine).await?;
+        let is_first = !self.watch.has_report();
+        let observed = self.watch.on_report(&report, requested_at, uptime());
+        if observed == Observed::Restart {
+            self.staging.forget_reads();
+        }
+        if observed != Observed::Nothing {
+            let detail = format!(
+                "weights={} busy={} sequence={} server_started_ms={} first_report={is_first} \
+                 restart={}",
+                report.weights_version,
+                report.busy,
+                report.sequence,
+                report.started_ms,
+                observed == Observed::Restart
+            );
+            self.cx.recorder.emit(Event::LoadObserved, &detail);
+        }
+        Some(report)
+    }
+
     // Time since the daemon's start at which this host may load the version.
     // Hosts load one after another within the remaining time, so that as few
     // servers as possible refuse requests at the same time. The last one may
@@ -215,7 +259,7 @@
         }
     }
 
-    fn load_delay(&self, target: &TargetVersion, loaded: u64) -> Duration {
+    fn load_delay(&mut self, target: &TargetVersion, loaded: u64) -> Duration {
         let snapshot = self.cx.cluster.snapshot();
         let Some(age) = snapshot.age_of_oldest_pending(&target.model, loaded, rw_coord::uptime())
         else {
@@ -240,71 +284,6 @@
             .count();
         load_delay(earlier_hosts, ranks.len(), remaining)
     }
-
-    // Verifies all chunks right before the order, since staged bytes may become
-    // corrupt.
-    async fn send_load_order(&mut self, target: &TargetVersion, manifest: &Manifest) {
-        let recorder = &self.cx.recorder;
-        let repair = self.staging.repair(&target.model, manifest, recorder);
-        let Some(verification) = repair.await else {
-            return;
-        };
-        let Some(report) = read_report(&self.backend, &target.engine).await else {
-            return;
-        };
-        if report.busy || report.weights_version == target.version {
-            return;
-        }
-        // Entries have to stop sending before the server starts to refuse
-        // requests.
-        self.send_status(&target.model, report.weights_version, false);
-        let order = LoadOrder {
-            model: target.model.clone(),
-            version: target.version,
-            sequence: report.sequence,
-        };
-        let sent_at = uptime();
-        let result = timeout(BACKEND_TIMEOUT, self.backend.load(&order)).await;
-        let answered_at = uptime();
-        let (event, answer) = match result {
-            Ok(Ok(LoadOutcome::Started)) => (Event::OrderSent, "started".to_string()),
-            Ok(Ok(LoadOutcome::InEffect)) => (Event::OrderSent, "in-effect".to_string()),
-            Ok(Ok(LoadOutcome::Conflict)) => (Event::OrderFailed, "conflict".to_string()),
-            Ok(Err(err)) => (Event::OrderFailed, format!("{:?}", err.to_string())),
-            // The next poll shows whether the order arrived.
-            Err(_) => (Event::OrderFailed, "timeout".to_string()),
-        };
-        let detail = format!(
-            "model={} version={} sequence={} answer={answer} answered_after_ms={} \
-             verified_in_ms={} repaired={} oldest_read_ms={} oldest_read_at_answer_ms={}",
-            order.model,
-            order.version,
-            order.sequence,
-            (answered_at - sent_at).as_millis(),
-            verification.elapsed.as_millis(),
-            verification.repaired,
-            (sent_at - verification.started_at).as_millis(),
-            (answered_at - verification.started_at).as_millis()
-        );
-        self.cx.recorder.emit(event, &detail);
-    }
-
-    // Records each load that the server has begun, whoever ordered it.
-    fn log_load(&mut self, report: &BackendReport) {
-        let key = (report.started_ms, report.sequence);
-        let last = self.last_load.replace(key);
-        if last.is_none_or(|last| last != key) {
-            let detail = format!(
-                "weights={} busy={} sequence={} server_started_ms={} first_report={}",
-                report.weights_version,
-                report.busy,
-                report.sequence,
-                report.started_ms,
-                last.is_none()
-            );
-            self.cx.recorder.emit(Event::LoadObserved, &detail);
-        }
-    }
 }
 
 // Reads the server's report; incomplete weights count as none.
--- a/crates/rw-observe/src/catalogue.rs
+++ b/crates/rw-observe/src/catalogue.rs
@@ -103,6 +103,9 @@
     718 ServerLimitEnded Info "A backend server names no limit on its requests any more." "Nothing.";
     719 ServerLimitUsed Info "How the limit of a backend server is used, by entry, since this entry grants its permits." "If requests are refused all the time, add backend servers.";
     720 LoadObserved Info "The report of a backend server shows that it has begun to load weights, or has started again." "Nothing.";
+    721 WeightsVerified Info "The staged chunks were intact when the backend server took its weights from them." "Nothing.";
+    722 WeightsDamaged Error "A staged chunk may have been corrupt when the backend server took its weights; it gets no requests until it has loaded again." "Nothing if an order follows that is answered with 'started'; otherwise restart the backend server or request other weights.";
+    723 WeightsUnknown Warn "A host that started again cannot tell whether the weights of its backend server were intact when they were taken; entries go on as before." "Nothing, unless the server gets no requests: then restart it or request other weights.";
 }
 
 /// Renders the event catalogue as a Markdown page.
