Read the response of a server that closes before it has read the request

A server that answers a request with a long body early, and then closes, resets the connection, because bytes are unread.

The connection now drops what can no longer be sent after a write error, and reads on. A response of a declared length, or with its last chunk, reaches the caller. The write has consumed the socket's error, so the end of the data would look orderly: it is reported as that error, and a response that ends with its connection is not taken for complete.

--- a/crates/rw-fleet/src/read_budget.rs
+++ b/crates/rw-fleet/src/read_budget.rs
@@ -52,16 +52,22 @@
     }
 }
 
-/// Connection whose reads count towards a budget.
+/// Connection whose reads count towards a budget. A server may respond and close before it
+/// has read the whole request; the response is read although the rest cannot be sent.
 pub struct BudgetedIo<T> {
     io: T,
     budget: ReadBudget,
+    write_error: Option<io::ErrorKind>,
 }
 
 impl<T> BudgetedIo<T> {
     /// Wraps a connection.
     pub fn new(io: T, budget: ReadBudget) -> Self {
-        BudgetedIo { io, budget }
+        BudgetedIo {
+            io,
+            budget,
+            write_error: None,
+        }
     }
 }
 
@@ -79,6 +85,10 @@
         let mut read = hyper::rt::ReadBuf::uninit(&mut bytes[..len]);
         std::task::ready!(Pin::new(&mut self.io).poll_read(cx, read.unfilled()))?;
         let filled = read.filled();
+        // The write has consumed the socket's error, and the end looks orderly.
+        if let Some(kind) = self.write_error.filter(|_| filled.is_empty() && len > 0) {
+            return Poll::Ready(Err(kind.into()));
+        }
         self.budget.take(filled.len())?;
         buf.put_slice(filled);
         Poll::Ready(Ok(()))
@@ -91,7 +101,17 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write(cx, buf)
+        if self.write_error.is_some() {
+            return Poll::Ready(Ok(buf.len()));
+        }
+        match std::task::ready!(Pin::new(&mut self.io).poll_write(cx, buf)) {
+            Ok(written) => Poll::Ready(Ok(written)),
+            Err(err) => {
+                log::debug!("the rest of a request cannot be sent: {err}");
+                self.write_error = Some(err.kind());
+                Poll::Ready(Ok(buf.len()))
+            }
+        }
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
