Answer what has reached the sockets of a stopping entry of a deployment, too

The same causes as on the platform: the listener was dropped with connections in its queue, and idle connections were closed with a request unread or with a part of a head read. Answers while the entry drained did not announce the end, except those after the port had closed.

The queue is emptied, answers of a draining entry close their connection, and open connections take requests for 1 s more; then one is told to end only if its socket holds nothing unread. The socket of callers is shared with the entry on the platform.

Costs: an entry with idle connections ends up to 1 s later.

--- a/crates/rw-daemon/src/entry/caller_server.rs
+++ b/crates/rw-daemon/src/entry/caller_server.rs
@@ -1,19 +1,22 @@
 //! HTTP server for callers.
 
 use std::convert::Infallible;
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::body::{Frame, Incoming};
+use hyper::header::{HeaderValue, CONNECTION};
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use rw_fleet::CallerSocket;
 use rw_observe::Event;
 use rw_protocol::{Blob, Name};
 use serde_json::{json, Value};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 use super::call::{run_call, AnswerSink, BufferSink};
 use super::request::{self, CallerRequest};
@@ -24,6 +27,11 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Parts of a streamed answer that are buffered for a slow caller.
 const STREAM_BUFFER_PARTS: usize = 64;
+/// Time for which open connections take requests after the port is closed. A request may
+/// have arrived in part, or arrive before its caller learns that the connection ends.
+const LAST_REQUESTS_TIME: Duration = Duration::from_secs(1);
+/// Time in which the task of a connection reads what has arrived.
+const READ_PAUSE: Duration = Duration::from_millis(5);
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Accepts connections until `stop` is closed; returns once every connection has
@@ -41,37 +49,85 @@
             _ = stop.recv_async() => break,
         };
         match conn {
-            Ok((conn, _)) => {
-                let (entry, stop) = (entry.clone(), stop.clone());
-                tokio::spawn(async move {
-                    serve_connection(entry, conn, stop).await;
-                    drop(permit);
-                });
-            }
+            Ok((conn, _)) => spawn_connection(&entry, conn, &stop, permit),
             Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
         }
     }
-    drop(listener);
+    if let Err(err) = empty_listen_queue(&entry, listener, &stop, &permits) {
+        log::warn!("connections in the listen queue are lost: {err}");
+    }
     // All permits are available once the last connection has ended.
     let _ = permits.acquire_many(limit as u32).await;
 }
 
+fn spawn_connection(
+    entry: &Arc<Entry>,
+    conn: TcpStream,
+    stop: &flume::Receiver<()>,
+    permit: OwnedSemaphorePermit,
+) {
+    let (entry, stop) = (entry.clone(), stop.clone());
+    tokio::spawn(async move {
+        serve_connection(entry, conn, stop).await;
+        drop(permit);
+    });
+}
+
+// Closing the listener resets the connections in its queue, on which callers may have sent
+// requests. The runtime may not have seen them yet, so the socket is asked.
+fn empty_listen_queue(
+    entry: &Arc<Entry>,
+    listener: TcpListener,
+    stop: &flume::Receiver<()>,
+    permits: &Arc<Semaphore>,
+) -> io::Result<()> {
+    let listener = listener.into_std()?;
+    while let Ok(permit) = permits.clone().try_acquire_owned() {
+        match listener.accept() {
+            Ok((conn, _)) => {
+                conn.set_nonblocking(true)?;
+                spawn_connection(entry, TcpStream::from_std(conn)?, stop, permit);
+            }
+            Err(err) if err.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            Err(err) if err.kind() == io::ErrorKind::ConnectionAborted => {}
+            Err(err) => return Err(err),
+        }
+    }
+    Ok(())
+}
+
 async fn serve_connection(entry: Arc<Entry>, conn: TcpStream, stop: flume::Receiver<()>) {
     let _ = conn.set_nodelay(true);
+    let socket = CallerSocket::new(conn, Arc::new(()));
     let max_head = entry.cx.deployment.limits.max_header_bytes as usize;
     let service = service_fn(move |req| {
         let entry = entry.clone();
-        async move { Ok::<_, Infallible>(handle_request(&entry, req).await) }
+        async move {
+            let mut res = handle_request(&entry, req).await;
+            if entry.cx.is_draining() {
+                let close = HeaderValue::from_static("close");
+                res.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(res)
+        }
     });
     let conn = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
         .max_buf_size(max_head)
-        .serve_connection(TokioIo::new(conn), service);
+        .serve_connection(TokioIo::new(socket.clone()), service);
     tokio::pin!(conn);
+    // A connection must not be closed with a request unread.
+    let stopped = async {
+        let _ = stop.recv_async().await;
+        tokio::time::sleep(LAST_REQUESTS_TIME).await;
+        while socket.has_unread() {
+            tokio::time::sleep(READ_PAUSE).await;
+        }
+    };
     let result = tokio::select! {
         result = conn.as_mut() => Some(result),
-        _ = stop.recv_async() => None,
+        () = stopped => None,
     };
     if result.is_none() {
         conn.as_mut().graceful_shutdown();
--- a/crates/rw-fleet/src/entry/caller_connection.rs
+++ b/crates/rw-fleet/src/entry/caller_connection.rs
@@ -10,6 +10,7 @@
 use rw_protocol::Name;
 use tokio::time::Instant;
 
+use super::caller_socket::SocketObserver;
 use super::response::ResponseBody;
 use super::Call;
 
@@ -149,33 +150,6 @@
         RequestGuard(self.clone())
     }
 
-    /// Notes that bytes have arrived.
-    pub fn on_read(&self) {
-        let mut progress = self.lock();
-        match &mut progress.phase {
-            Phase::Idle => {
-                progress.phase = Phase::ReadingHead;
-                progress.since = Instant::now();
-            }
-            Phase::ReadingHead => {}
-            Phase::Request(req) => req.has_read_ahead |= req.call.is_some() || req.is_answering,
-        }
-    }
-
-    /// Notes that the socket takes bytes of an answer.
-    pub fn on_write(&self) {
-        self.lock().is_sending = true;
-    }
-
-    /// Notes that the socket has taken all bytes so far.
-    pub fn on_flushed(&self) {
-        let mut progress = self.lock();
-        if progress.is_sending && !matches!(progress.phase, Phase::Request(_)) {
-            progress.since = Instant::now();
-        }
-        progress.is_sending = false;
-    }
-
     /// When the last answer had been sent, or the connection was accepted, or the head of a
     /// request began to arrive; `None` while a request is in progress.
     pub fn quiet_since(&self) -> Option<Instant> {
@@ -228,6 +202,32 @@
     }
 }
 
+impl SocketObserver for ConnectionState {
+    fn on_read(&self) {
+        let mut progress = self.lock();
+        match &mut progress.phase {
+            Phase::Idle => {
+                progress.phase = Phase::ReadingHead;
+                progress.since = Instant::now();
+            }
+            Phase::ReadingHead => {}
+            Phase::Request(req) => req.has_read_ahead |= req.call.is_some() || req.is_answering,
+        }
+    }
+
+    fn on_write(&self) {
+        self.lock().is_sending = true;
+    }
+
+    fn on_flushed(&self) {
+        let mut progress = self.lock();
+        if progress.is_sending && !matches!(progress.phase, Phase::Request(_)) {
+            progress.since = Instant::now();
+        }
+        progress.is_sending = false;
+    }
+}
+
 /// A request in progress on a connection.
 pub struct RequestGuard(Arc<ConnectionState>);
 
--- a/crates/rw-fleet/src/entry/caller_socket.rs
+++ b/crates/rw-fleet/src/entry/caller_socket.rs
@@ -7,18 +7,37 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-use super::caller_connection::ConnectionState;
+/// Notes what a [`CallerSocket`] does.
+pub trait SocketObserver {
+    /// Bytes have arrived.
+    fn on_read(&self) {}
+    /// The socket is about to take bytes.
+    fn on_write(&self) {}
+    /// The socket has taken all bytes so far.
+    fn on_flushed(&self) {}
+}
+
+impl SocketObserver for () {}
 
-/// Socket of a caller, which notes when bytes arrive.
-#[derive(Clone)]
-pub struct CallerSocket {
+/// Socket of a caller. A clone of it tells whether anything is unread while the HTTP
+/// library reads from it.
+pub struct CallerSocket<O> {
     conn: Arc<TcpStream>,
-    state: Arc<ConnectionState>,
+    state: Arc<O>,
+}
+
+impl<O> Clone for CallerSocket<O> {
+    fn clone(&self) -> Self {
+        CallerSocket {
+            conn: self.conn.clone(),
+            state: self.state.clone(),
+        }
+    }
 }
 
-impl CallerSocket {
+impl<O> CallerSocket<O> {
     /// Wraps an accepted connection.
-    pub fn new(conn: TcpStream, state: Arc<ConnectionState>) -> Self {
+    pub fn new(conn: TcpStream, state: Arc<O>) -> Self {
         CallerSocket {
             conn: Arc::new(conn),
             state,
@@ -36,7 +55,7 @@
     }
 }
 
-impl AsyncRead for CallerSocket {
+impl<O: SocketObserver> AsyncRead for CallerSocket<O> {
     fn poll_read(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -58,7 +77,7 @@
     }
 }
 
-impl AsyncWrite for CallerSocket {
+impl<O: SocketObserver> AsyncWrite for CallerSocket<O> {
     fn poll_write(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/crates/rw-fleet/src/entry/listener.rs
+++ b/crates/rw-fleet/src/entry/listener.rs
@@ -134,7 +134,7 @@
 async fn wait_until_unused<D: PlatformCodec>(
     entry: &Entry<D>,
     state: &ConnectionState,
-    socket: &CallerSocket,
+    socket: &CallerSocket<ConnectionState>,
     shutdown: &Shutdown,
 ) {
     let mut is_port_open = true;
--- a/crates/rw-fleet/src/entry/mod.rs
+++ b/crates/rw-fleet/src/entry/mod.rs
@@ -27,6 +27,7 @@
 
 pub use call::Call;
 pub use caller_connection::{CallerConnections, ConnectionCounts};
+pub use caller_socket::{CallerSocket, SocketObserver};
 pub use events::EventReader;
 pub use limit_guard::{grant_permits, LimitGuard};
 pub(crate) use limit_guard::{Asked, TimedReply};
--- a/crates/rw-fleet/src/lib.rs
+++ b/crates/rw-fleet/src/lib.rs
@@ -45,7 +45,7 @@
     Team,
 };
 pub use context::Cx;
-pub use entry::{EventReader, Refusal, Stages};
+pub use entry::{CallerSocket, EventReader, Refusal, SocketObserver, Stages};
 pub use error::{Error, Result};
 pub use random::SharedRng;
 pub use requested_weights::RequestedWeights;
