Abort a stream whose caller did not read in time, instead of ending it as complete

What callers could see: a stream with events missing that looked complete.

Cause: at the deadline of a caller that had left no room for more events, the relay dropped its sender, and the end of the channel ended the response like the last event does.

Now only finish() ends a response as complete, and a sender that is dropped aborts it, on every path. The log has StreamBrokenOff with the reason instead of CallCancelled.

--- a/crates/rw-fleet/src/entry/response.rs
+++ b/crates/rw-fleet/src/entry/response.rs
@@ -2,6 +2,8 @@
 
 use std::convert::Infallible;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -33,18 +35,19 @@
 
 impl std::error::Error for StreamAborted {}
 
-type EventBatch = std::result::Result<Bytes, StreamAborted>;
-
 /// Stream of events to a caller. Dropping it closes
 /// [`EventSender::disconnected`].
 pub struct EventBody {
-    batches: flume::r#async::RecvStream<'static, EventBatch>,
+    batches: flume::r#async::RecvStream<'static, Bytes>,
+    // Whether the end of the batches is the end of the stream.
+    finished: Arc<AtomicBool>,
     _alive: flume::Sender<()>,
 }
 
-/// Sender of an [`EventBody`].
+/// Sender of an [`EventBody`]. Unless it was finished, dropping it aborts the response.
 pub struct EventSender {
-    batches: flume::Sender<EventBatch>,
+    batches: flume::Sender<Bytes>,
+    finished: Arc<AtomicBool>,
     /// Closed when the caller disconnects.
     pub disconnected: flume::Receiver<()>,
 }
@@ -52,14 +55,12 @@
 impl EventSender {
     /// Sends events. Returns false once the caller has disconnected.
     pub async fn send(&self, events: Bytes) -> bool {
-        self.batches.send_async(Ok(events)).await.is_ok()
+        self.batches.send_async(events).await.is_ok()
     }
 
-    /// Aborts the response, so the caller does not take it for complete.
-    pub async fn abort(&self) {
-        if self.batches.send_async(Err(StreamAborted)).await.is_err() {
-            log::debug!("caller disconnected before the stream was aborted");
-        }
+    /// Ends the response as complete.
+    pub fn finish(self) {
+        self.finished.store(true, Ordering::Release);
     }
 }
 
@@ -67,13 +68,16 @@
 pub fn event_body() -> (EventSender, EventBody) {
     let (tx, rx) = flume::bounded(MAX_BUFFERED_BATCHES);
     let (alive, disconnected) = flume::bounded(0);
+    let finished = Arc::new(AtomicBool::new(false));
     let body = EventBody {
         batches: rx.into_stream(),
+        finished: finished.clone(),
         _alive: alive,
     };
     (
         EventSender {
             batches: tx,
+            finished,
             disconnected,
         },
         body,
@@ -90,7 +94,11 @@
     ) -> Poll<Option<std::result::Result<Frame<Bytes>, StreamAborted>>> {
         use futures_core::Stream;
         let batch = std::task::ready!(Pin::new(&mut self.batches).poll_next(cx));
-        Poll::Ready(batch.map(|batch| batch.map(Frame::data)))
+        Poll::Ready(match batch {
+            Some(events) => Some(Ok(Frame::data(events))),
+            None if self.finished.load(Ordering::Acquire) => None,
+            None => Some(Err(StreamAborted)),
+        })
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/crates/rw-fleet/src/entry/stream.rs
+++ b/crates/rw-fleet/src/entry/stream.rs
@@ -87,6 +87,8 @@
 enum RelayEnd {
     Complete,
     Disconnected,
+    // The caller left no room for more events until its deadline.
+    Unread,
     Resumed(Box<OpenedStream>),
     Failed(Failure),
 }
@@ -118,7 +120,13 @@
             let failure = match end {
                 RelayEnd::Complete => {
                     self.entry.load_tracker.on_success(&server);
-                    return self.record(Event::CallAnswered, &server, "");
+                    self.record(Event::CallAnswered, &server, "");
+                    return self.tx.finish();
+                }
+                RelayEnd::Unread => {
+                    let detail =
+                        format!("failure=\"the caller did not read in time\" after={last_id}");
+                    return self.record(Event::StreamBrokenOff, &server, &detail);
                 }
                 RelayEnd::Disconnected => return self.record(Event::CallCancelled, &server, ""),
                 RelayEnd::Resumed(next) => {
@@ -149,8 +157,7 @@
                          not_resumed={reason:?}",
                         self.call.time_left().as_millis()
                     );
-                    self.record(Event::StreamBrokenOff, &server, &detail);
-                    return self.tx.abort().await;
+                    return self.record(Event::StreamBrokenOff, &server, &detail);
                 }
             }
         }
@@ -194,8 +201,10 @@
                 guard.on_run(&self.call);
             }
             let sent = timeout(self.call.time_left(), self.tx.send(events)).await;
-            if sent != Ok(true) {
-                return RelayEnd::Disconnected;
+            match sent {
+                Ok(true) => {}
+                Ok(false) => return RelayEnd::Disconnected,
+                Err(_) => return RelayEnd::Unread,
             }
         }
     }
