Load weights again in parts when a chunk may have been corrupt

What callers saw: a server whose weights may hold a corrupt chunk stayed out of service until the next version or a restart, and a daemon that started beside it could take the damaged weights for intact.

Cause: the host repaired the staging area and sent the whole order again, which a server answers with 200 and ignores for the weights that it has. The repair also removed the only sign of the damage that a starting daemon could find.

Change: layer 0 alone is ordered first, without touching the staging area; then the staged chunks are repaired and the other layers ordered, which drops layer 0; then all. Each load is proven like any other. Layers that are not proven make what keeps them damaged, and so do incomplete weights that an earlier daemon left.

--- a/crates/rw-fleet/src/host/clients.rs
+++ b/crates/rw-fleet/src/host/clients.rs
@@ -2,6 +2,7 @@
 //! origin of weights.
 
 use std::future::Future;
+use std::ops::Range;
 
 use bytes::Bytes;
 use quick_error::quick_error;
@@ -35,10 +36,14 @@
 /// Report of a backend server on its weights and load orders.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct BackendReport {
-    /// Version of the loaded weights, starting with the first layer; 0 if none.
+    /// Version of the loaded weights; 0 if none.
     pub weights_version: u64,
+    /// First loaded layer.
+    pub from: u32,
     /// Number of loaded layers.
     pub layers: u32,
+    /// Version of the loaded layers, even if they are not all; 0 if none.
+    pub layers_version: u64,
     /// Whether a load order is in progress.
     pub busy: bool,
     /// Number of load orders that took effect since the server started.
@@ -56,6 +61,9 @@
     pub model: Name,
     /// Staged version.
     pub version: u64,
+    /// Layers to hold afterwards; all if `None`. The server drops others, and loads only
+    /// those that it does not have.
+    pub layers: Option<Range<u32>>,
     /// Expected number of load orders that took effect since the server started.
     pub sequence: u64,
 }
--- a/crates/rw-fleet/src/host/load_order.rs
+++ b/crates/rw-fleet/src/host/load_order.rs
@@ -9,7 +9,9 @@
 
 use super::chunk_store::version_name;
 use super::download::TargetVersion;
+use super::reload::LoadStep;
 use super::staged_chunk_reader::known_manifest;
+use super::staging::Verification;
 use super::taken_weights::{Load, TakenWeights};
 use super::target_version::{next_target, target};
 use super::weights_reconciler::{WeightsReconciler, BACKEND_TIMEOUT};
@@ -40,31 +42,58 @@
         };
         // A server that started again may have lost some of them.
         let is_lost = self.staging.chunks().iter().any(|c| c.intact_at.is_none());
-        let weights = self.watch.weights();
-        let is_damaged = weights == TakenWeights::Damaged;
-        let is_loaded = report.weights_version == target.version && !is_damaged;
-        if report.busy || is_lost || is_loaded {
+        if report.busy || is_lost {
             return;
         }
+        let step = match self.load_step(target, &report) {
+            // The staging area is verified only once that is done.
+            None | Some(LoadStep::Drop(_)) => return,
+            Some(step) => step,
+        };
         if !verification.is_recent() && self.late_orders < MAX_LATE_ORDERS {
             self.late_orders += 1;
             return;
         }
         self.late_orders = 0;
+        self.order(target, &report, &step, Some(verification)).await;
+    }
+
+    pub(super) fn load_step(
+        &self,
+        target: &TargetVersion,
+        report: &BackendReport,
+    ) -> Option<LoadStep> {
+        let layers = target.engine.layers;
+        LoadStep::next(report, self.watch.weights(), target.version, layers)
+    }
+
+    // Sends an order; `verification` is of the staged chunks, if the server is to take
+    // any of them.
+    pub(super) async fn order(
+        &mut self,
+        target: &TargetVersion,
+        report: &BackendReport,
+        step: &LoadStep,
+        verification: Option<Verification>,
+    ) {
         // Entries have to stop sending before the server starts to refuse
         // requests.
         self.send_status(&target.model, report.weights_version, false);
         let order = LoadOrder {
             model: target.model.clone(),
             version: target.version,
+            layers: step.layers(),
             sequence: report.sequence,
         };
         let sent_at = uptime();
         let result = timeout(BACKEND_TIMEOUT, self.backend.load(&order)).await;
         let answered_at = uptime();
+        if matches!(result, Ok(Ok(LoadOutcome::Started)) | Ok(Err(_)) | Err(_)) {
+            self.ordered = order.sequence + 1;
+        }
         if matches!(result, Ok(Ok(LoadOutcome::Started))) {
             self.watch.on_accepted(order.sequence + 1, answered_at);
-        } else if is_damaged {
+        } else if report.layers_version == target.version {
             self.no_order_before = answered_at + RELOAD_INTERVAL;
         }
         let (event, answer) = match result {
@@ -75,18 +104,24 @@
             // The next poll shows whether the order arrived.
             Err(_) => (Event::OrderFailed, "timeout".to_string()),
         };
-        let detail = format!(
-            "model={} version={} sequence={} answer={answer} answered_after_ms={} \
-             verified_in_ms={} repaired={} oldest_read_ms={} oldest_read_at_answer_ms={}",
+        let layers = order.layers.unwrap_or(0..target.engine.layers);
+        let mut detail = format!(
+            "model={} version={} layers={layers:?} sequence={} answer={answer} \
+             answered_after_ms={}",
             order.model,
             order.version,
             order.sequence,
-            (answered_at - sent_at).as_millis(),
-            verification.elapsed.as_millis(),
-            verification.repaired,
-            (sent_at - verification.oldest_read_at).as_millis(),
-            (answered_at - verification.oldest_read_at).as_millis()
+            (answered_at - sent_at).as_millis()
         );
+        if let Some(verification) = verification {
+            detail += &format!(
+                " verified_in_ms={} repaired={} oldest_read_ms={} oldest_read_at_answer_ms={}",
+                verification.elapsed.as_millis(),
+                verification.repaired,
+                (sent_at - verification.oldest_read_at).as_millis(),
+                (answered_at - verification.oldest_read_at).as_millis()
+            );
+        }
         self.cx.recorder.emit(event, &detail);
     }
 
@@ -120,6 +155,10 @@
             None => return,
         };
         self.watch.set_weights(weights);
+        // Another daemon beside the server may know that its load was sound.
+        if weights == TakenWeights::Damaged && self.ordered != report.sequence {
+            self.no_order_before = uptime() + RELOAD_INTERVAL;
+        }
     }
 
     // Does the same with weights that this daemon found when it started. Corrupt
@@ -143,7 +182,7 @@
     // Whether all chunks of the loaded version were intact when the server took them;
     // `None` if that is not known yet.
     async fn prove(&mut self, load: Load, report: &BackendReport) -> Option<bool> {
-        let target = target(&self.cx, report.weights_version)?;
+        let target = target(&self.cx, report.layers_version)?;
         let manifest = known_manifest(&self.store, &self.origin, &target).await?;
         let mut read = 0;
         let mut is_proven = false;
--- a/crates/rw-fleet/src/host/mod.rs
+++ b/crates/rw-fleet/src/host/mod.rs
@@ -7,6 +7,7 @@
 mod download;
 mod fetch_manifest;
 mod load_order;
+mod reload;
 mod staged_chunk_reader;
 mod staging;
 mod status_sender;
--- /dev/null
+++ b/crates/rw-fleet/src/host/reload.rs
@@ -0,0 +1,60 @@
+//! Which layers a backend server is ordered to load next.
+//!
+//! A server ignores an order for weights that it has. Weights that may hold a corrupt
+//! chunk are loaded again in parts: all layers but the first are dropped, then the others
+//! are loaded in its place, and then the first one.
+
+use std::ops::Range;
+
+use super::taken_weights::TakenWeights;
+use super::BackendReport;
+
+/// Next order to a server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum LoadStep {
+    /// Drop layers of complete weights that may hold a corrupt chunk. Until then the
+    /// staging area stays as it is: its corrupt chunk tells a daemon that starts
+    /// meanwhile what the server may have taken.
+    Drop(Range<u32>),
+    /// Load these layers from the staging area.
+    Layers(Range<u32>),
+    /// Load all layers that the server does not have.
+    All,
+}
+
+impl LoadStep {
+    /// Next order to a server that is to load a version of so many layers; `None` if
+    /// there is nothing to order, or it depends on what is not known yet.
+    pub(super) fn next(
+        report: &BackendReport,
+        weights: TakenWeights,
+        version: u64,
+        layers: u32,
+    ) -> Option<LoadStep> {
+        if report.layers_version != version {
+            return Some(LoadStep::All);
+        }
+        let held = report.from..report.from + report.layers;
+        match weights {
+            // Complete weights.
+            TakenWeights::Damaged if report.weights_version == version => {
+                // One layer cannot be dropped.
+                (layers > 1).then_some(LoadStep::Drop(0..1))
+            }
+            _ if report.weights_version == version => None,
+            // Whatever layer 0 was taken from, this drops it.
+            _ if held == (0..1) => Some(LoadStep::Layers(1..layers)),
+            TakenWeights::Unverified(_) => None,
+            TakenWeights::Intact if held.end == layers => Some(LoadStep::All),
+            _ => Some(LoadStep::Layers(0..1)),
+        }
+    }
+
+    /// Layers to hold afterwards; `None` for all.
+    pub(super) fn layers(&self) -> Option<Range<u32>> {
+        match self {
+            LoadStep::Drop(layers) | LoadStep::Layers(layers) => Some(layers.clone()),
+            LoadStep::All => None,
+        }
+    }
+}
--- a/crates/rw-fleet/src/host/taken_weights.rs
+++ b/crates/rw-fleet/src/host/taken_weights.rs
@@ -5,6 +5,7 @@
 //! order was sent. A chunk counts as intact if it was read shortly before that moment,
 //! or after it and was not written in between.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use super::staging::StagedChunk;
@@ -60,6 +61,21 @@
     Damaged,
 }
 
+/// Loaded layers of a version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Layers {
+    version: u64,
+    range: Range<u32>,
+}
+
+impl Layers {
+    fn overlap(&self, other: &Layers) -> bool {
+        let start = self.range.start.max(other.range.start);
+        let end = self.range.end.min(other.range.end);
+        self.version == other.version && start < end
+    }
+}
+
 /// Start of a server in Unix milliseconds, and the number of loads that it has begun.
 type LoadCount = (u64, u64);
 
@@ -70,6 +86,15 @@
     last: Option<(LoadCount, Duration)>,
     // The load that the last accepted order began, and the arrival of the response.
     accepted: Option<(LoadCount, Duration)>,
+    // Layers that the server held before the load in progress and that may hold a corrupt
+    // chunk.
+    untrusted: Option<Layers>,
+    // Layers as of the last report without a load in progress.
+    held: Option<Layers>,
+    // Whether the load in progress began before the first report.
+    is_found: bool,
+    // Whether the result of the last load is still to be seen.
+    is_unsettled: bool,
 }
 
 /// What a report shows.
@@ -88,6 +113,10 @@
             weights: TakenWeights::Intact,
             last: None,
             accepted: None,
+            untrusted: None,
+            held: None,
+            is_found: true,
+            is_unsettled: false,
         }
     }
 
@@ -120,7 +149,7 @@
         let last = self.last.replace((count, requested_at));
         // The server held the weights when it started, or has none.
         let was_never_ordered = report.sequence == 0 && !report.busy;
-        let has_none = report.weights_version == 0 && !report.busy;
+        let has_none = report.layers == 0 && !report.busy;
         let load = |not_before| {
             let accepted = self.accepted.filter(|(accepted, _)| *accepted == count);
             Load {
@@ -138,6 +167,18 @@
             }
             _ => Observed::Load,
         };
+        if observed != Observed::Nothing {
+            let is_trusted = self.weights == TakenWeights::Intact;
+            let held = self.held.take();
+            match observed {
+                // It holds nothing of what it held before.
+                Observed::Restart => self.untrusted = None,
+                _ if !is_trusted && held.is_some() => self.untrusted = held,
+                _ => {}
+            }
+            self.is_found = last.is_none();
+            self.is_unsettled = true;
+        }
         self.weights = match last {
             Some((old, _)) if old == count => self.weights,
             _ if was_never_ordered || has_none => TakenWeights::Intact,
@@ -145,9 +186,29 @@
             None => TakenWeights::Found(load(Duration::ZERO)),
             Some((_, not_before)) => TakenWeights::Unverified(load(not_before)),
         };
+        if self.is_unsettled && !report.busy {
+            self.is_unsettled = false;
+            self.on_loaded(report);
+        }
         observed
     }
 
+    // A load keeps layers that the server had. Nothing is known of the origin of
+    // incomplete weights that an earlier daemon left behind.
+    fn on_loaded(&mut self, report: &BackendReport) {
+        let layers = Layers {
+            version: report.layers_version,
+            range: report.from..report.from + report.layers,
+        };
+        let untrusted = self.untrusted.take();
+        let keeps_untrusted = untrusted.is_some_and(|old| old.overlap(&layers));
+        let is_partial = report.layers > 0 && report.weights_version == 0;
+        if keeps_untrusted || (is_partial && self.is_found) {
+            self.weights = TakenWeights::Damaged;
+        }
+        self.held = Some(layers);
+    }
+
     /// Records that an order was accepted, which makes the number of loads `sequence`.
     pub(super) fn on_accepted(&mut self, sequence: u64, answered_at: Duration) {
         let started_ms = self.server_start().unwrap_or_default();
--- a/crates/rw-fleet/src/host/weights_reconciler.rs
+++ b/crates/rw-fleet/src/host/weights_reconciler.rs
@@ -14,6 +14,7 @@
 use super::archive::ArchiveWriter;
 use super::chunk_store::version_name;
 use super::download::TargetVersion;
+use super::reload::LoadStep;
 use super::staged_chunk_reader::StagedChunkReader;
 use super::staging::StagingArea;
 use super::status_sender::StatusSender;
@@ -86,6 +87,7 @@
         staging,
         watch: LoadWatch::new(),
         late_orders: 0,
+        ordered: 0,
         no_order_before: Duration::ZERO,
         no_check_before: Duration::ZERO,
         progress,
@@ -107,6 +109,9 @@
     pub(super) watch: LoadWatch,
     // Orders that were put off since the oldest read was too long ago.
     pub(super) late_orders: u32,
+    // Number of loads of the server once it has taken the last order of this daemon that it
+    // may take; 0 if there was none.
+    pub(super) ordered: u64,
     // Uptime before which no order is sent, after the server refused to load the
     // weights that it has.
     pub(super) no_order_before: Duration,
@@ -145,6 +150,13 @@
         let Some(target) = next_target(&self.cx, loaded) else {
             return self.verify_found(&report).await;
         };
+        let can_order = uptime() >= self.no_order_before;
+        if let Some(step @ LoadStep::Drop(_)) = self.load_step(&target, &report) {
+            if can_order {
+                self.order(&target, &report, &step, None).await;
+            }
+            return;
+        }
         let name = version_name(&target.model, target.version);
         if !self.store.is_complete(&name) {
             // A restarted server may need weights that were downloaded earlier.
@@ -162,7 +174,7 @@
         }
         if let Some(manifest) = self.store.manifest(&name) {
             let load_at = self.scheduled_load_time(&target, loaded);
-            if self.cx.now() >= load_at && uptime() >= self.no_order_before {
+            if self.cx.now() >= load_at && can_order {
                 self.order_load(&target, &manifest).await;
             }
         }
@@ -226,9 +238,11 @@
         }
         if observed != Observed::Nothing {
             let detail = format!(
-                "weights={} busy={} sequence={} server_started_ms={} first_report={is_first} \
-                 restart={}",
-                report.weights_version,
+                "weights={} layers={}..{} busy={} sequence={} server_started_ms={} \
+                 first_report={is_first} restart={}",
+                report.layers_version,
+                report.from,
+                report.from + report.layers,
                 report.busy,
                 report.sequence,
                 report.started_ms,
@@ -292,7 +306,7 @@
     engine: &Engine,
 ) -> Option<BackendReport> {
     match timeout(BACKEND_TIMEOUT, backend.report()).await {
-        Ok(Ok(report)) if report.layers < engine.layers => Some(BackendReport {
+        Ok(Ok(report)) if report.from > 0 || report.layers < engine.layers => Some(BackendReport {
             weights_version: 0,
             ..report
         }),
