--- a/crates/rw-fleet/src/entry/stream.rs
+++ b/crates/rw-fleet/src/entry/stream.rs
@@ -21,6 +21,8 @@
 /// Multiple of the route's maximum event gap after which another server is asked to go on
 /// with a stream. Its own server may be sound and go on first.
 const STALL_GAP_FACTOR: u32 = 3;
+/// Shortest such silence, for routes that state no gap.
+const MIN_STALL: Duration = Duration::from_millis(100);
 
 /// Opens the stream of a call and forwards it to the caller in a task.
 pub async fn run<D: PlatformCodec>(
@@ -212,7 +214,7 @@
     // Waits for the server's next events. If the server is silent, another one is asked to
     // go on, and the first of the two to send an event serves the stream.
     async fn next(&mut self, current: &mut OpenedStream) -> Next {
-        let stall = self.call.route.max_event_gap * STALL_GAP_FACTOR;
+        let stall = (self.call.route.max_event_gap * STALL_GAP_FACTOR).max(MIN_STALL);
         let deadline = self.call.deadline;
         let disconnected = self.tx.disconnected.clone();
         loop {
--- a/crates/rw-fleet/src/entry/unary.rs
+++ b/crates/rw-fleet/src/entry/unary.rs
@@ -22,6 +22,8 @@
 /// Share of the remaining time after which a call without a response is sent to another
 /// server as well.
 const PATIENCE_SHARE: f64 = 0.4;
+/// Shortest such time, for routes that state no objective.
+const MIN_PATIENCE: Duration = Duration::from_millis(100);
 /// `Retry-After` when no backend server accepts the call; about the time until a
 /// replaced server is detected.
 const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -201,7 +203,7 @@
     // Time after which another server is asked as well.
     fn patience(&self) -> Duration {
         let share = self.call.time_left().mul_f64(PATIENCE_SHARE);
-        share.max(self.call.route.objective * 2)
+        share.max(self.call.route.objective * 2).max(MIN_PATIENCE)
     }
 
     fn retry_after(&self) -> Duration {
--- a/crates/rw-fleet/src/host/staging.rs
+++ b/crates/rw-fleet/src/host/staging.rs
@@ -29,8 +29,8 @@
 pub(super) struct StagedChunk {
     /// When the last read that found the chunk intact began.
     pub(super) intact_at: Option<Duration>,
-    /// When the chunk was last written, of whatever version; `MAX` if a write without a response may still
-    /// be performed.
+    /// When the chunk was last written, of whatever version; `MAX` after a write without a
+    /// response, which may still be performed.
     pub(super) written_at: Option<Duration>,
 }
 
@@ -188,7 +188,12 @@
         let mut reads = JoinSet::new();
         let (mut damaged, mut all_read) = (Vec::new(), true);
         loop {
-            for chunk in pending.by_ref().take(CONCURRENT_READS - reads.len()) {
+            // After a failed read, the others would only wait for the server as long.
+            let more = match all_read {
+                true => CONCURRENT_READS - reads.len(),
+                false => 0,
+            };
+            for chunk in pending.by_ref().take(more) {
                 let (backend, model) = (self.backend.clone(), model.clone());
                 reads.spawn(async move {
                     let began_at = uptime();
