Take a lower number of loads than the accepted one for a restart of the server

A host that has the answer to its order knows that number; a report with a lower one is now a restart, after which all reads are forgotten.

--- a/crates/rw-fleet/src/host/taken_weights.rs
+++ b/crates/rw-fleet/src/host/taken_weights.rs
@@ -157,7 +157,12 @@
                 not_after: accepted.map_or(arrived_at, |(_, at)| at),
             }
         };
+        // The server began the accepted load, so a lower number is that of another start.
+        let is_behind = self.accepted.is_some_and(|((started_ms, sequence), _)| {
+            started_ms == report.started_ms && sequence > report.sequence
+        });
         let observed = match last {
+            _ if is_behind => Observed::Restart,
             Some((old, _)) if old == count => Observed::Nothing,
             // A server that starts again counts its loads anew.
             Some(((started_ms, sequence), _))
@@ -180,7 +185,7 @@
             self.is_unsettled = true;
         }
         self.weights = match last {
-            Some((old, _)) if old == count => self.weights,
+            Some((old, _)) if old == count && !is_behind => self.weights,
             _ if was_never_ordered || has_none => TakenWeights::Intact,
             None if report.busy => TakenWeights::Unverified(load(Duration::ZERO)),
             None => TakenWeights::Found(load(Duration::ZERO)),
@@ -190,6 +195,9 @@
             self.is_unsettled = false;
             self.on_loaded(report);
         }
+        if is_behind {
+            self.accepted = None;
+        }
         observed
     }
 
