--- a/crates/rw-fleet/src/cluster_state.rs
+++ b/crates/rw-fleet/src/cluster_state.rs
@@ -17,7 +17,6 @@
 use crate::requested_weights::push_requested;
 use crate::row_compression::{compress, decompress};
 use crate::server_statuses::{remove_outdated_status, trust_first_weights};
-use crate::weights_record::StoreClock;
 use crate::{BackendServer, PlatformCodec, RequestedWeights, RowContent, Snapshot};
 
 /// Tombstones of deleted rows kept so that other daemons learn of the deletion.
@@ -32,7 +31,6 @@
     // Whether rows of an earlier era of the store may remain.
     has_earlier_eras: bool,
     pub(crate) contacts: Contacts,
-    pub(crate) store_clock: StoreClock,
 }
 
 /// Rows of the platform's store as this daemon knows them, and the state
@@ -117,7 +115,7 @@
         }
         prune_tombstones(&mut state);
         if changed {
-            snapshot.merge_recorded_ages(&state.store_clock, uptime());
+            snapshot.merge_recorded_ages(uptime());
             state.snapshot = Arc::new(snapshot);
             drop(state);
             self.changed.notify();
@@ -282,7 +280,12 @@
                     return false;
                 }
                 if snapshot.target_version(&model) < version {
-                    let detail = format!("model={model} version={version}");
+                    let clock_ms = snapshot.store_clock.now_ms(uptime()).unwrap_or_default();
+                    let detail = format!(
+                        "model={model} version={version} first_read={first_read} \
+                         row_version={} store_clock_ms={clock_ms}",
+                        row.version
+                    );
                     self.recorder.emit(Event::WeightsNamed, &detail);
                     let (observed_at, observed_age) = match first_read {
                         true => (self.started_at, None),
--- a/crates/rw-fleet/src/snapshot.rs
+++ b/crates/rw-fleet/src/snapshot.rs
@@ -7,6 +7,7 @@
 use rw_protocol::{Name, ServerStatus};
 
 use crate::requested_weights::enforced_after;
+use crate::weights_record::StoreClock;
 use crate::{BackendServer, Bounds, Configuration, Daemon, RequestedWeights, WeightsRecord};
 
 /// Share of the rollout deadline; a version that is followed by a newer one
@@ -44,6 +45,8 @@
     pub servers: BTreeMap<Name, Arc<BackendServer>>,
     /// Requested weights by model, oldest request first.
     pub requested_weights: BTreeMap<Name, Vec<RequestedWeights>>,
+    /// Estimate of the store's steady clock.
+    pub(crate) store_clock: StoreClock,
     /// Records of when weights were requested, by the key of their row.
     pub weights_records: BTreeMap<Name, WeightsRecord>,
     /// Recorded quarantines by row: the quarantined parts of prompts, none if it ended.
--- a/crates/rw-fleet/src/weights_record.rs
+++ b/crates/rw-fleet/src/weights_record.rs
@@ -88,8 +88,8 @@
 impl Snapshot {
     /// Merges the recorded ages into those of the requested weights. A time that the
     /// clock has not reached belongs to another clock and is ignored.
-    pub(crate) fn merge_recorded_ages(&mut self, clock: &StoreClock, uptime: Duration) {
-        let Some(now_ms) = clock.now_ms(uptime) else {
+    pub(crate) fn merge_recorded_ages(&mut self, uptime: Duration) {
+        let Some(now_ms) = self.store_clock.now_ms(uptime) else {
             return;
         };
         for record in self.weights_records.values() {
@@ -124,10 +124,11 @@
         let mut state = self.state();
         let now = uptime();
         let era = Revision::from(version).era;
-        let is_better = state.store_clock.observe(era, clock_ms, now);
-        if is_better && !state.snapshot.weights_records.is_empty() {
+        let mut clock = state.snapshot.store_clock;
+        if clock.observe(era, clock_ms, now) {
             let mut snapshot = Snapshot::clone(&state.snapshot);
-            snapshot.merge_recorded_ages(&state.store_clock, now);
+            snapshot.store_clock = clock;
+            snapshot.merge_recorded_ages(now);
             state.snapshot = Arc::new(snapshot);
         }
     }
@@ -137,7 +138,7 @@
     pub fn missing_weights_records(&self) -> Vec<WeightsRecord> {
         let now = uptime();
         let state = self.state();
-        let Some(now_ms) = state.store_clock.now_ms(now) else {
+        let Some(now_ms) = state.snapshot.store_clock.now_ms(now) else {
             return Vec::new();
         };
         let records = state.snapshot.requested_weights.iter();
@@ -206,8 +207,11 @@
     let write = store.write_row(table, &key, &value);
     match timeout(WRITE_TIMEOUT, write).await {
         Ok(Ok(())) => {
-            let versions: Vec<u64> = record.requests.iter().map(|r| r.version).collect();
-            let detail = format!("model={} versions={versions:?}", record.model);
+            let requests = record.requests.iter();
+            let times: Vec<String> = requests
+                .map(|r| format!("{}@{}", r.version, r.requested_at_ms))
+                .collect();
+            let detail = format!("model={} requested_at_ms={}", record.model, times.join(","));
             cx.recorder.emit(Event::WeightsRecorded, &detail);
         }
         Ok(Err(err)) => log::debug!("recording requested weights failed, retrying: {err}"),
