--- a/crates/rw-fleet/src/change_times.rs
+++ b/crates/rw-fleet/src/change_times.rs
@@ -7,20 +7,45 @@
 use crate::TimeSpan;
 
 /// Time after which a call has reached the store.
-pub(crate) const ARRIVAL_TIME: Duration = Duration::from_millis(300);
+pub const ARRIVAL_TIME: Duration = Duration::from_millis(300);
+/// Delay up to which a timer counts as on time; one that is later shows that this daemon
+/// did not run.
+const MAX_TIMER_DELAY: Duration = Duration::from_millis(100);
 
-/// When a call for changes was made and ended.
+/// When a call to the store was made and ended, as uptimes.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct PollTimes {
+pub struct CallTimes {
     /// Uptime at the call.
     pub called_at: Duration,
     /// Uptime at its end.
     pub ended_at: Duration,
 }
 
-/// Bounds of when the next changes of a table are made that the feed delivers.
+/// Whether a call waits at the store: it has had no response at `checked_at`, when a timer
+/// of [`ARRIVAL_TIME`] ended. A daemon that did not run meanwhile may have sent it late.
+///
+/// ```
+/// use std::time::Duration;
+/// let check = |ms| rw_fleet::waits_at_store(Duration::ZERO, Duration::from_millis(ms));
+/// assert!(check(301) && !check(2000));
+/// ```
+pub fn waits_at_store(called_at: Duration, checked_at: Duration) -> bool {
+    checked_at.saturating_sub(called_at) < ARRIVAL_TIME + MAX_TIMER_DELAY
+}
+
+/// When the changes of a table were made that its feed delivers.
+///
+/// ```
+/// use rw_fleet::{ChangeTimes, TimeSpan};
+/// let mut times = ChangeTimes::default();
+/// times.on_changes(Some(1000));
+/// let was_waiting = times.of_changes(9000, true, None);
+/// assert_eq!(was_waiting, Some(TimeSpan::at(9000)));
+/// let was_late = times.of_changes(9000, false, None);
+/// assert_eq!(was_late, Some(TimeSpan { earliest_ms: 1000, latest_ms: 9000 }));
+/// ```
 #[derive(Debug, Default)]
-pub(crate) struct ChangeTimes {
+pub struct ChangeTimes {
     // Time of the store's clock up to which all changes have been delivered.
     covered_until_ms: Option<u64>,
     // Uptime at the last call in an outage, in which the store acknowledges nothing.
@@ -33,7 +58,7 @@
     /// `clock_ms` is the time of the response, `outage_end_ms` that of the last call in an
     /// outage. A call that was waiting at the store is answered as soon as there are
     /// changes.
-    pub(crate) fn of_changes(
+    pub fn of_changes(
         &self,
         clock_ms: u64,
         was_waiting: bool,
@@ -50,12 +75,12 @@
     }
 
     /// Uptime at the last call in an outage since the last response.
-    pub(crate) fn outage_until(&self) -> Option<Duration> {
+    pub fn outage_until(&self) -> Option<Duration> {
         self.outage_until
     }
 
     /// All changes up to a time of the store's clock have been delivered.
-    pub(crate) fn on_changes(&mut self, clock_ms: Option<u64>) {
+    pub fn on_changes(&mut self, clock_ms: Option<u64>) {
         *self = ChangeTimes {
             covered_until_ms: clock_ms,
             ..ChangeTimes::default()
@@ -64,7 +89,7 @@
 
     /// A complete table was read. The read may lag by as much as `max_lag`, so changes of
     /// that time may follow.
-    pub(crate) fn on_table_read(&mut self, clock_ms: Option<u64>, max_lag: Duration) {
+    pub fn on_table_read(&mut self, clock_ms: Option<u64>, max_lag: Duration) {
         let lag_ms = max_lag.as_millis() as u64;
         let covered = clock_ms.map(|clock_ms| clock_ms.saturating_sub(lag_ms));
         self.covered_until_ms = self.covered_until_ms.max(covered);
@@ -73,7 +98,7 @@
 
     /// A call failed. The store is away if it refuses the call, or leaves two calls in
     /// succession without a response; one may hang on a silent connection.
-    pub(crate) fn on_failure(&mut self, err: &Error, times: PollTimes) {
+    pub fn on_failure(&mut self, err: &Error, times: CallTimes) {
         let hung = times.ended_at.saturating_sub(times.called_at) >= ARRIVAL_TIME;
         let is_away = match err {
             Error::Refused(_) => true,
--- a/crates/rw-fleet/src/cluster_state.rs
+++ b/crates/rw-fleet/src/cluster_state.rs
@@ -14,7 +14,7 @@
 use crate::departures::Departures;
 use crate::eras::{era, has_earlier_rows};
 use crate::kept_content::keep_newer_content;
-use crate::requested_weights::push_requested;
+use crate::requested_weights::{merge_time, push_requested};
 use crate::row_compression::{compress, decompress};
 use crate::server_statuses::{remove_outdated_status, trust_first_weights};
 use crate::{BackendServer, PlatformCodec, RequestedWeights, RowContent, Snapshot, TimeSpan};
@@ -239,11 +239,12 @@
         made: Option<TimeSpan>,
     ) -> bool {
         let row_key = (row.table.clone(), row.key.clone());
-        if state
-            .rows
-            .get(&row_key)
-            .is_some_and(|old| old.version >= row.version)
-        {
+        let known = state.rows.get(&row_key).map(|old| old.version);
+        if known >= Some(row.version) {
+            // Another daemon may have sent the row without knowing when it was made.
+            if known == Some(row.version) {
+                self.merge_time_made(snapshot, &row, made);
+            }
             return false;
         }
         let mut row = compress(row);
@@ -278,6 +279,17 @@
         true
     }
 
+    fn merge_time_made(&self, snapshot: &mut Snapshot, row: &StoredRow, made: Option<TimeSpan>) {
+        let (Some(made), false) = (made, row.deleted) else {
+            return;
+        };
+        if let Ok(RowContent::Weights { model, version }) = self.codec.decode(&decompress(row)) {
+            if let Some(versions) = snapshot.requested_weights.get_mut(&model) {
+                merge_time(versions, version, made);
+            }
+        }
+    }
+
     // Returns false for content that is older than what is in effect.
     fn apply_content(
         &self,
--- a/crates/rw-fleet/src/follow.rs
+++ b/crates/rw-fleet/src/follow.rs
@@ -43,6 +43,8 @@
 const MAX_LAG_MS: u64 = 300;
 /// Time after which an observed lag is ignored.
 const LAG_EXPIRY_MS: u64 = 1500;
+/// Minimum interval at which the store's clock is read by a call of its own.
+const CLOCK_READ_INTERVAL: Duration = Duration::from_secs(10);
 /// Time within which servers and daemons register again after the store came back
 /// from an older copy.
 const REREGISTRATION_TIME: Duration = Duration::from_millis(2500);
@@ -61,6 +63,8 @@
     // Time since the daemon's start at which another entry was found to be
     // ahead; 0 if none is.
     lag_since_ms: AtomicU64,
+    // Time since the daemon's start from which it may read the store's clock again.
+    clock_read_from_ms: AtomicU64,
 }
 
 impl SyncStatus {
@@ -76,6 +80,18 @@
             .all(|t| t.load(Ordering::Relaxed))
     }
 
+    // Whether the store's clock may be read now. Such a call is billed and may not help
+    // while the store is slow.
+    pub(crate) fn may_read_clock(&self, now: Duration) -> bool {
+        let now_ms = now.as_millis() as u64;
+        let next_ms = now_ms + CLOCK_READ_INTERVAL.as_millis() as u64;
+        let from_ms = self.clock_read_from_ms.load(Ordering::Relaxed);
+        if now_ms >= from_ms {
+            self.clock_read_from_ms.store(next_ms, Ordering::Relaxed);
+        }
+        now_ms >= from_ms
+    }
+
     // Returns whether the status changed.
     pub(crate) fn set_connected(&self, index: usize, connected: bool) -> bool {
         self.connected_tables[index].swap(connected, Ordering::Relaxed) != connected
--- a/crates/rw-fleet/src/lib.rs
+++ b/crates/rw-fleet/src/lib.rs
@@ -39,6 +39,7 @@
 mod store_feed;
 mod weights_record;
 
+pub use change_times::{waits_at_store, CallTimes, ChangeTimes, ARRIVAL_TIME};
 pub use cluster_state::ClusterState;
 pub use codec::{HeaderNames, PlatformCodec, RowContent, TableNames};
 pub use configuration::{
--- a/crates/rw-fleet/src/request_times.rs
+++ b/crates/rw-fleet/src/request_times.rs
@@ -38,10 +38,9 @@
     fn observe_store_clock(&mut self, reading: ClockReading, called_at: Duration) {
         let shift_ms = self.store_clock.observe(reading, called_at, uptime());
         let Some(shift_ms) = shift_ms else { return };
-        let requests = self.requested_weights.values_mut().flatten();
-        for span in requests.filter_map(|requested| requested.requested.as_mut()) {
-            span.earliest_ms = span.earliest_ms.saturating_add_signed(shift_ms);
-            span.latest_ms = span.latest_ms.saturating_add_signed(shift_ms);
+        for requested in self.requested_weights.values_mut().flatten() {
+            // A time before the start of the new clock cannot be expressed on it.
+            requested.requested = requested.requested.and_then(|span| span.shift(shift_ms));
         }
     }
 }
--- a/crates/rw-fleet/src/store_clock.rs
+++ b/crates/rw-fleet/src/store_clock.rs
@@ -4,8 +4,11 @@
 
 use rw_protocol::StoreClockReading;
 
-/// Difference up to which two readings of the clock belong together.
+/// Difference up to which clocks of two eras count as the same.
 const MAX_SKEW_MS: i64 = 1000;
+/// Rate at which the store's clock and the uptime of this machine may drift apart, in parts
+/// per million.
+const MAX_DRIFT_PPM: u64 = 200;
 
 /// Time of the store's steady clock within which something happened, in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,6 +28,21 @@
         }
     }
 
+    /// The span on a clock that shows `shift_ms` more; `None` if that clock cannot express
+    /// it.
+    ///
+    /// ```
+    /// use rw_fleet::TimeSpan;
+    /// assert_eq!(TimeSpan::at(50).shift(-20), Some(TimeSpan::at(30)));
+    /// assert_eq!(TimeSpan::at(50).shift(-60), None);
+    /// ```
+    pub fn shift(self, shift_ms: i64) -> Option<TimeSpan> {
+        Some(TimeSpan {
+            earliest_ms: self.earliest_ms.checked_add_signed(shift_ms)?,
+            latest_ms: self.latest_ms.checked_add_signed(shift_ms)?,
+        })
+    }
+
     /// Combines what two daemons know of when something happened. Spans that exclude each
     /// other show that one daemon learned of it late, so the earlier one counts.
     ///
@@ -96,12 +114,31 @@
     last: Option<Offsets>,
 }
 
-// Bounds of the difference between the store's clock and the uptime of this machine.
+// Bounds of the difference between the store's clock and the uptime of this machine, as
+// they were at an uptime.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Offsets {
     era: u32,
     earliest_ms: i64,
     latest_ms: i64,
+    known_at: Duration,
+}
+
+impl Offsets {
+    // Bounds at a later uptime, after which both clocks may have drifted.
+    fn at(self, uptime: Duration) -> Self {
+        let elapsed_us = uptime.saturating_sub(self.known_at).as_micros() as u64;
+        let drift_ms = (elapsed_us / 1_000_000 * MAX_DRIFT_PPM / 1000) as i64;
+        if drift_ms == 0 {
+            return self;
+        }
+        Offsets {
+            era: self.era,
+            earliest_ms: self.earliest_ms - drift_ms,
+            latest_ms: self.latest_ms + drift_ms,
+            known_at: uptime,
+        }
+    }
 }
 
 impl StoreClock {
@@ -118,11 +155,13 @@
             era: reading.era,
             earliest_ms: reading.time.earliest_ms as i64 - millis(received_at),
             latest_ms: reading.time.latest_ms as i64 - millis(called_at),
+            known_at: received_at,
         };
         let Some(last) = self.last else {
             self.last = Some(new);
             return None;
         };
+        let last = last.at(received_at);
         if new.era != last.era {
             if new.era < last.era {
                 return None;
@@ -132,14 +171,14 @@
             return (shift_ms.abs() > MAX_SKEW_MS).then_some(shift_ms);
         }
         // A reading behind the known bounds is from a copy that lags; one that is ahead of
-        // them corrects a drift of this machine's clock.
+        // them shows that an earlier one was.
         if new.earliest_ms > last.latest_ms {
             self.last = Some(new);
         } else if new.latest_ms >= last.earliest_ms {
             self.last = Some(Offsets {
-                era: last.era,
                 earliest_ms: last.earliest_ms.max(new.earliest_ms),
                 latest_ms: last.latest_ms.min(new.latest_ms),
+                ..last
             });
         }
         None
@@ -147,7 +186,7 @@
 
     /// What the clock shows at an uptime; `None` before the first reading.
     pub fn read(&self, uptime: Duration) -> Option<ClockReading> {
-        let last = self.last?;
+        let last = self.last?.at(uptime);
         let at = |offset_ms: i64| (millis(uptime) + offset_ms).max(0) as u64;
         Some(ClockReading {
             era: last.era,
@@ -158,6 +197,12 @@
         })
     }
 
+    /// Width of the bounds at an uptime in milliseconds; `None` before the first reading.
+    pub fn uncertainty_ms(&self, uptime: Duration) -> Option<u64> {
+        let time = self.read(uptime)?.time;
+        Some(time.latest_ms - time.earliest_ms)
+    }
+
     /// Era of the store whose clock this is; `None` before the first reading.
     pub fn era(&self) -> Option<u32> {
         self.last.map(|last| last.era)
--- a/crates/rw-fleet/src/store_feed.rs
+++ b/crates/rw-fleet/src/store_feed.rs
@@ -11,7 +11,7 @@
 use rw_protocol::{rendezvous_rank, Name, TableVersion};
 use tokio::time::timeout;
 
-use crate::change_times::{ChangeTimes, PollTimes, ARRIVAL_TIME};
+use crate::change_times::{waits_at_store, CallTimes, ChangeTimes, ARRIVAL_TIME};
 use crate::follow::{MAX_RETRY_DELAY, MIN_RETRY_DELAY, OUTAGE_POLL_INTERVAL};
 use crate::peer_selection::{store_readers, MAX_STORE_READERS};
 use crate::startup::StartupGate;
@@ -30,9 +30,8 @@
 const MEMBER_CHANGE_DELAY: Duration = Duration::from_millis(200);
 /// Time that a response may take beyond the long-poll timeout.
 const LONG_POLL_SLACK: Duration = Duration::from_millis(700);
-/// Delay up to which a timer counts as on time; one that is later shows that this daemon
-/// did not run.
-const MAX_TIMER_DELAY: Duration = Duration::from_millis(100);
+/// Uncertainty of the store's clock above which it is read again.
+const MAX_CLOCK_UNCERTAINTY_MS: u64 = 200;
 /// Share of the settling time after which a call that hangs has to be over.
 const LONG_POLL_SHARE: f64 = 0.9;
 /// Factor on the retry delay of entries that are no store readers: in an outage all
@@ -136,11 +135,11 @@
             }
             Err(FeedError::Failed(err)) => {
                 failed_reads += 1;
-                let poll = PollTimes {
+                let call = CallTimes {
                     called_at,
                     ended_at: uptime(),
                 };
-                times.on_failure(&err, poll);
+                times.on_failure(&err, call);
                 set_table_connected(&cx, index, table, false, &err.to_string());
                 let pause = backoff.next_delay();
                 tokio::time::sleep(match is_fallback_reader(&cx) {
@@ -223,6 +222,7 @@
     let after = cx.cluster.table_version(table);
     let is_vigilant = **table != *cx.codec.tables().daemons && is_vigilant(cx);
     let wait = match is_vigilant {
+        _ if needs_clock(cx, table) => Duration::ZERO,
         true => long_poll_timeout(&cx.settings.bounds),
         false => MAX_STORE_LONG_POLL,
     };
@@ -232,8 +232,7 @@
     let changes = match timeout(ARRIVAL_TIME, &mut feed).await {
         Ok(changes) => changes,
         Err(_) => {
-            // A daemon that did not run may have sent the call late.
-            was_waiting = uptime() - called_at < ARRIVAL_TIME + MAX_TIMER_DELAY;
+            was_waiting = waits_at_store(called_at, uptime());
             let rest = (wait + LONG_POLL_SLACK).saturating_sub(ARRIVAL_TIME);
             timeout(rest, feed).await.map_err(|_| timeout_error())?
         }
@@ -249,6 +248,16 @@
     Ok(())
 }
 
+// Whether a response without delay has to tell the store's clock: how long ago weights were
+// requested is known only as exactly as that.
+fn needs_clock<D: PlatformCodec>(cx: &Cx<D>, table: &Name) -> bool {
+    let clock = cx.cluster.snapshot().store_clock;
+    let uncertainty_ms = clock.uncertainty_ms(uptime());
+    **table == *cx.codec.tables().operator
+        && uncertainty_ms.is_some_and(|ms| ms > MAX_CLOCK_UNCERTAINTY_MS)
+        && cx.sync.may_read_clock(cx.now())
+}
+
 fn observe_clock<D: PlatformCodec>(cx: &Cx<D>, read: &TableRows, called_at: Duration) {
     if let Some(clock_ms) = read.clock_ms {
         cx.cluster
