Test each bound of the times of requests for weights

Each guard was removed once by hand: the check of a waiting call, the time up to which a feed was complete, the outage after two calls, the call of a reading, the latest time of the clock, times of known rows, readings behind, the lag of a read, the drift, and the earlier of two times that exclude each other. The last one survived: its assertion of before held for both times, so it now asks for a moment at which only the earlier one is due. The three before it had no test.

--- a/crates/rw-fleet/tests/cluster_state.rs
+++ b/crates/rw-fleet/tests/cluster_state.rs
@@ -94,7 +94,7 @@
     // moves back.
     cluster.merge_request_times(&[requested_version_time(NOW_MS)]);
     assert!(requires_new(
-        uptime + bounds().rollout_deadline - Duration::from_millis(900)
+        uptime + bounds().rollout_deadline - Duration::from_millis(2200)
     ));
 }
 
--- a/crates/rw-fleet/tests/request_times.rs
+++ b/crates/rw-fleet/tests/request_times.rs
@@ -253,6 +253,46 @@
     }
 }
 
+fn exact(clock_ms: u64) -> ClockReading {
+    ClockReading {
+        era: 0,
+        time: TimeSpan::at(clock_ms),
+    }
+}
+
+/// Guards against requests that become younger by a reading from a copy that lags.
+#[test]
+fn a_reading_behind_the_known_clock_is_ignored() {
+    let mut clock = StoreClock::default();
+    clock.observe(exact(70_000), ms(1000), ms(1000));
+    clock.observe(exact(68_000), ms(2000), ms(2000));
+    assert_eq!(clock.read(ms(2000)), Some(exact(71_000)));
+}
+
+/// Guards against ages that are wrong for good after a long time on a machine whose clock
+/// goes faster or slower than the store's.
+#[rstest]
+#[case::faster(3_600_300)]
+#[case::slower(3_599_700)]
+fn the_bounds_of_the_clock_allow_for_drift(#[case] uptime_ms: u64) {
+    let hour_ms = 3_600_000;
+    let mut clock = StoreClock::default();
+    clock.observe(exact(0), ms(0), ms(0));
+    let time = clock.read(ms(uptime_ms)).expect("a reading").time;
+    assert!((time.earliest_ms..=time.latest_ms).contains(&hour_ms));
+    clock.observe(exact(hour_ms), ms(uptime_ms), ms(uptime_ms));
+    assert_eq!(clock.read(ms(uptime_ms)), Some(exact(hour_ms)));
+}
+
+/// Guards against a request that counts as new because a read that lags lacked it.
+#[test]
+fn a_change_right_after_a_read_may_be_as_old_as_the_read_lags() {
+    let mut times = ChangeTimes::default();
+    times.on_table_read(Some(10_000), ms(3000));
+    let span = times.of_changes(10_100, false, None).expect("bounded");
+    assert_eq!((span.earliest_ms, span.latest_ms), (7000, 10_100));
+}
+
 fn reply(cluster_clock_ms: u64, requested: Option<u64>) -> RowsReply {
     let times = requested.map(|at_ms| RequestedVersionTime {
         model: "m".into(),
