--- a/crates/rw-fleet/tests/common/mod.rs
+++ b/crates/rw-fleet/tests/common/mod.rs
@@ -1,4 +1,5 @@
 //! Codec of text rows, and helpers to write them.
+#![allow(dead_code)]
 
 use std::sync::Arc;
 use std::time::Duration;
