--- a/crates/rw-fleet/src/change_times.rs
+++ b/crates/rw-fleet/src/change_times.rs
@@ -6,19 +6,29 @@
 
 use crate::TimeSpan;
 
-/// Time after which a call has reached the store.
-pub const ARRIVAL_TIME: Duration = Duration::from_millis(300);
+/// Time after which a call has reached the store, also over a new connection.
+pub const ARRIVAL_TIME: Duration = Duration::from_secs(1);
 /// Delay up to which a timer counts as on time; one that is later shows that this daemon
 /// did not run.
 const MAX_TIMER_DELAY: Duration = Duration::from_millis(100);
+/// Time after which a call that is refused has not reached the store.
+const CONNECT_TIME: Duration = Duration::from_millis(500);
+/// Number of calls in succession that fail before failures of connections count as an
+/// outage.
+const OUTAGE_FAILURES: u32 = 4;
+/// Longest pause between two calls in succession; after a longer one, this daemon did not
+/// run.
+const MAX_CALL_PAUSE: Duration = Duration::from_millis(2500);
 
-/// When a call to the store was made and ended, as uptimes.
+/// When a call to the store was made and ended.
 #[derive(Clone, Copy, Debug)]
 pub struct CallTimes {
     /// Uptime at the call.
     pub called_at: Duration,
     /// Uptime at its end.
     pub ended_at: Duration,
+    /// Time after which the call is given up.
+    pub limit: Duration,
 }
 
 /// Whether a call waits at the store: it has had no response at `checked_at`, when a timer
@@ -48,9 +58,9 @@
 pub struct ChangeTimes {
     // Time of the store's clock up to which all changes have been delivered.
     covered_until_ms: Option<u64>,
-    // Uptime at the last call in an outage, in which the store acknowledges nothing.
-    outage_until: Option<Duration>,
-    has_failed: bool,
+    // Number of calls that have failed in succession, and uptime at the end of the last.
+    failures: u32,
+    failed_at: Duration,
 }
 
 impl ChangeTimes {
@@ -74,11 +84,6 @@
         })
     }
 
-    /// Uptime at the last call in an outage since the last response.
-    pub fn outage_until(&self) -> Option<Duration> {
-        self.outage_until
-    }
-
     /// All changes up to a time of the store's clock have been delivered.
     pub fn on_changes(&mut self, clock_ms: Option<u64>) {
         *self = ChangeTimes {
@@ -93,20 +98,28 @@
         let lag_ms = max_lag.as_millis() as u64;
         let covered = clock_ms.map(|clock_ms| clock_ms.saturating_sub(lag_ms));
         self.covered_until_ms = self.covered_until_ms.max(covered);
-        self.has_failed = false;
+        self.failures = 0;
     }
 
-    /// A call failed. The store is away if it refuses the call, or leaves two calls in
-    /// succession without a response; one may hang on a silent connection.
-    pub fn on_failure(&mut self, err: &Error, times: CallTimes) {
-        let hung = times.ended_at.saturating_sub(times.called_at) >= ARRIVAL_TIME;
-        let is_away = match err {
-            Error::Refused(_) => true,
-            _ => hung && self.has_failed,
-        };
-        if is_away {
-            self.outage_until = Some(times.called_at);
+    /// A call failed. Returns whether it shows that the store was away, and acknowledged
+    /// nothing: the store refused it, or one more call in succession hung or ended with
+    /// its connection. One alone may hang on a silent connection.
+    pub fn on_failure(&mut self, err: &Error, call: CallTimes) -> bool {
+        let pause = call.called_at.saturating_sub(self.failed_at);
+        let took = call.ended_at.saturating_sub(call.called_at);
+        let did_not_run = took >= call.limit + MAX_TIMER_DELAY;
+        if pause > MAX_CALL_PAUSE || did_not_run {
+            self.failures = 0;
+        }
+        self.failures += 1;
+        self.failed_at = call.ended_at;
+        let is_refused = matches!(err, Error::Refused(_));
+        match err {
+            Error::Limited(_) => false,
+            _ if is_refused && took < CONNECT_TIME => true,
+            // A connection may not open because of lost packets.
+            _ if is_refused || took >= call.limit => self.failures > 1 && !did_not_run,
+            _ => self.failures >= OUTAGE_FAILURES,
         }
-        self.has_failed = true;
     }
 }
--- a/crates/rw-fleet/src/cluster_state.rs
+++ b/crates/rw-fleet/src/cluster_state.rs
@@ -14,10 +14,9 @@
 use crate::departures::Departures;
 use crate::eras::{era, has_earlier_rows};
 use crate::kept_content::keep_newer_content;
-use crate::requested_weights::{merge_time, push_requested};
 use crate::row_compression::{compress, decompress};
 use crate::server_statuses::{remove_outdated_status, trust_first_weights};
-use crate::{BackendServer, PlatformCodec, RequestedWeights, RowContent, Snapshot, TimeSpan};
+use crate::{BackendServer, PlatformCodec, RowContent, Snapshot, TimeSpan};
 
 /// Tombstones of deleted rows kept so that other daemons learn of the deletion.
 const MAX_TOMBSTONES: usize = 2000;
@@ -37,7 +36,7 @@
 /// derived from them.
 pub struct ClusterState<D> {
     codec: Arc<D>,
-    recorder: Recorder,
+    pub(crate) recorder: Recorder,
     pub(crate) started_at: Duration,
     state: Mutex<State>,
     pub(crate) changed: ChangeNotifier,
@@ -132,7 +131,7 @@
         }
         prune_tombstones(&mut state);
         if changed {
-            snapshot.merge_recorded_times(uptime());
+            snapshot.merge_recorded_times();
             state.snapshot = Arc::new(snapshot);
             drop(state);
             self.changed.notify();
@@ -242,8 +241,10 @@
         let known = state.rows.get(&row_key).map(|old| old.version);
         if known >= Some(row.version) {
             // Another daemon may have sent the row without knowing when it was made.
-            if known == Some(row.version) {
-                self.merge_time_made(snapshot, &row, made);
+            if known == Some(row.version) && !row.deleted {
+                if let (Some(made), Ok(content)) = (made, self.codec.decode(&decompress(&row))) {
+                    snapshot.merge_time_made(&content, made);
+                }
             }
             return false;
         }
@@ -279,17 +280,6 @@
         true
     }
 
-    fn merge_time_made(&self, snapshot: &mut Snapshot, row: &StoredRow, made: Option<TimeSpan>) {
-        let (Some(made), false) = (made, row.deleted) else {
-            return;
-        };
-        if let Ok(RowContent::Weights { model, version }) = self.codec.decode(&decompress(row)) {
-            if let Some(versions) = snapshot.requested_weights.get_mut(&model) {
-                merge_time(versions, version, made);
-            }
-        }
-    }
-
     // Returns false for content that is older than what is in effect.
     fn apply_content(
         &self,
@@ -317,26 +307,7 @@
                 }
             }
             RowContent::Weights { model, version } => {
-                if snapshot.target_version(&model) > version {
-                    return false;
-                }
-                if snapshot.target_version(&model) < version {
-                    let (earliest_ms, latest_ms) =
-                        made.map_or((0, 0), |made| (made.earliest_ms, made.latest_ms));
-                    let detail = format!(
-                        "model={model} version={version} row_version={} \
-                         earliest_ms={earliest_ms} latest_ms={latest_ms}",
-                        row.version
-                    );
-                    self.recorder.emit(Event::WeightsNamed, &detail);
-                    let requested = RequestedWeights {
-                        version,
-                        requested: made,
-                        started_at: self.started_at,
-                    };
-                    let versions = snapshot.requested_weights.entry(model).or_default();
-                    push_requested(versions, requested);
-                }
+                return self.add_requested(snapshot, row.version, model, version, made);
             }
             RowContent::Server(server) => {
                 if departures.is_outdated(&server) {
@@ -367,7 +338,7 @@
                 snapshot.daemons.insert(daemon.name.clone(), daemon);
             }
             RowContent::WeightsRecord(record) => {
-                snapshot.weights_records.insert(row.key.clone(), record);
+                snapshot.add_record(row.key.clone(), record, uptime());
             }
             RowContent::Quarantine(parts) => {
                 snapshot.quarantines.insert(row.key.clone(), parts);
--- a/crates/rw-fleet/src/follow.rs
+++ b/crates/rw-fleet/src/follow.rs
@@ -65,6 +65,8 @@
     lag_since_ms: AtomicU64,
     // Time since the daemon's start from which it may read the store's clock again.
     clock_read_from_ms: AtomicU64,
+    // Uptime at the last call that showed that the store was away; 0 if none did.
+    store_away_at_ms: AtomicU64,
 }
 
 impl SyncStatus {
@@ -92,6 +94,17 @@
         now_ms >= from_ms
     }
 
+    // A call at `called_at`, an uptime, showed that the store was away.
+    pub(crate) fn note_store_away(&self, called_at: Duration) {
+        let at_ms = called_at.as_millis() as u64;
+        self.store_away_at_ms.fetch_max(at_ms, Ordering::Relaxed);
+    }
+
+    pub(crate) fn store_away_at(&self) -> Option<Duration> {
+        let at_ms = self.store_away_at_ms.load(Ordering::Relaxed);
+        (at_ms > 0).then(|| Duration::from_millis(at_ms))
+    }
+
     // Returns whether the status changed.
     pub(crate) fn set_connected(&self, index: usize, connected: bool) -> bool {
         self.connected_tables[index].swap(connected, Ordering::Relaxed) != connected
--- a/crates/rw-fleet/src/request_times.rs
+++ b/crates/rw-fleet/src/request_times.rs
@@ -5,12 +5,14 @@
 use std::time::Duration;
 
 use rw_coord::uptime;
+use rw_observe::Event;
 use rw_platform::Revision;
 use rw_protocol::{Name, RequestedVersionTime, RowsReply, StoredRow, TableVersion};
 
-use crate::requested_weights::merge_time;
+use crate::requested_weights::{merge_time, push_requested};
 use crate::{
-    ClockReading, ClusterState, PlatformCodec, RequestedWeights, Snapshot, StoreClock, TimeSpan,
+    ClockReading, ClusterState, PlatformCodec, RequestedWeights, RowContent, Snapshot, StoreClock,
+    TimeSpan,
 };
 
 /// Requested weights by model, oldest request first.
@@ -27,12 +29,22 @@
                 earliest_ms: time.earliest_ms,
                 latest_ms: time.latest_ms,
             };
-            merge_time(versions, time.version, span);
+            let is_known = time.latest_ms > 0;
+            merge_time(versions, time.version, is_known.then_some(span));
         }
     }
 }
 
 impl Snapshot {
+    // Another daemon may have sent a row without knowing when it was made.
+    pub(crate) fn merge_time_made(&mut self, content: &RowContent, made: TimeSpan) {
+        if let RowContent::Weights { model, version } = content {
+            if let Some(versions) = self.requested_weights.get_mut(model) {
+                merge_time(versions, *version, Some(made));
+            }
+        }
+    }
+
     // Takes a reading of the store's clock from the response to a call at `called_at`.
     // Times on the clock of an earlier era are shifted to the new clock.
     fn observe_store_clock(&mut self, reading: ClockReading, called_at: Duration) {
@@ -46,7 +58,38 @@
 }
 
 impl<D: PlatformCodec> ClusterState<D> {
-    /// Known times of requests for weights.
+    // Adds a version that operators requested within `made`; returns false for one that is
+    // older than the known ones.
+    pub(crate) fn add_requested(
+        &self,
+        snapshot: &mut Snapshot,
+        row_version: u64,
+        model: Name,
+        version: u64,
+        made: Option<TimeSpan>,
+    ) -> bool {
+        let newest = snapshot.target_version(&model);
+        if newest < version {
+            let (earliest_ms, latest_ms) =
+                made.map_or((0, 0), |made| (made.earliest_ms, made.latest_ms));
+            let detail = format!(
+                "model={model} version={version} row_version={row_version} \
+                 earliest_ms={earliest_ms} latest_ms={latest_ms}"
+            );
+            self.recorder.emit(Event::WeightsNamed, &detail);
+            let requested = RequestedWeights {
+                version,
+                requested: made,
+                started_at: self.started_at,
+            };
+            let versions = snapshot.requested_weights.entry(model).or_default();
+            push_requested(versions, requested);
+        }
+        newest <= version
+    }
+
+    /// Times of requests for weights. A version whose time is not known is among them, since
+    /// another daemon may know only newer ones.
     pub fn request_times(&self) -> Vec<RequestedVersionTime> {
         let snapshot = self.snapshot();
         let Some(era) = snapshot.store_clock.era() else {
@@ -56,15 +99,12 @@
             .requested_weights
             .iter()
             .flat_map(|(model, versions)| versions.iter().map(move |requested| (model, requested)));
-        all.filter_map(|(model, requested)| {
-            let span = requested.requested?;
-            Some(RequestedVersionTime {
-                model: model.clone(),
-                version: requested.version,
-                era,
-                earliest_ms: span.earliest_ms,
-                latest_ms: span.latest_ms,
-            })
+        all.map(|(model, requested)| RequestedVersionTime {
+            model: model.clone(),
+            version: requested.version,
+            era,
+            earliest_ms: requested.requested.map_or(0, |span| span.earliest_ms),
+            latest_ms: requested.requested.map_or(0, |span| span.latest_ms),
         })
         .collect()
     }
@@ -80,13 +120,16 @@
     pub fn observe_store_clock(&self, version: u64, clock_ms: u64, called_at: Duration) {
         let reading = ClockReading {
             era: Revision::from(version).era,
-            time: TimeSpan::at(clock_ms),
+            time: TimeSpan {
+                earliest_ms: clock_ms,
+                latest_ms: clock_ms + 1,
+            },
         };
         let mut state = self.state();
         let mut snapshot = Snapshot::clone(&state.snapshot);
         snapshot.observe_store_clock(reading, called_at);
         if snapshot.store_clock != state.snapshot.store_clock {
-            snapshot.merge_recorded_times(uptime());
+            snapshot.merge_recorded_times();
             state.snapshot = Arc::new(snapshot);
         }
     }
--- a/crates/rw-fleet/src/requested_weights.rs
+++ b/crates/rw-fleet/src/requested_weights.rs
@@ -79,20 +79,27 @@
     }
 }
 
-/// Merges what another daemon or the record knows of when a version was requested. A
-/// version newer than the last one is ignored: it arrives with its own row.
-pub(crate) fn merge_time(versions: &mut Vec<RequestedWeights>, version: u64, time: TimeSpan) {
+/// Merges what another daemon or the record knows of when a version was requested, `None`
+/// if it knows only that. A version newer than the last one is ignored: it arrives with
+/// its own row.
+pub(crate) fn merge_time(
+    versions: &mut Vec<RequestedWeights>,
+    version: u64,
+    time: Option<TimeSpan>,
+) {
     let Some(at) = versions.iter().position(|known| known.version >= version) else {
         return;
     };
     let known = versions[at];
     if known.version == version {
-        let combined = known.requested.map(|known| known.combine(time));
-        versions[at].requested = Some(combined.unwrap_or(time));
+        versions[at].requested = match (known.requested, time) {
+            (Some(known), Some(time)) => Some(known.combine(time)),
+            (known, time) => known.or(time),
+        };
     } else if versions.len() < MAX_REQUESTED_VERSIONS {
         let requested = RequestedWeights {
             version,
-            requested: Some(time),
+            requested: time,
             ..known
         };
         versions.insert(at, requested);
--- a/crates/rw-fleet/src/store_clock.rs
+++ b/crates/rw-fleet/src/store_clock.rs
@@ -153,7 +153,7 @@
     ) -> Option<i64> {
         let new = Offsets {
             era: reading.era,
-            earliest_ms: reading.time.earliest_ms as i64 - millis(received_at),
+            earliest_ms: reading.time.earliest_ms as i64 - millis_up(received_at),
             latest_ms: reading.time.latest_ms as i64 - millis(called_at),
             known_at: received_at,
         };
@@ -187,12 +187,12 @@
     /// What the clock shows at an uptime; `None` before the first reading.
     pub fn read(&self, uptime: Duration) -> Option<ClockReading> {
         let last = self.last?.at(uptime);
-        let at = |offset_ms: i64| (millis(uptime) + offset_ms).max(0) as u64;
+        let at = |uptime_ms: i64, offset_ms: i64| (uptime_ms + offset_ms).max(0) as u64;
         Some(ClockReading {
             era: last.era,
             time: TimeSpan {
-                earliest_ms: at(last.earliest_ms),
-                latest_ms: at(last.latest_ms),
+                earliest_ms: at(millis(uptime), last.earliest_ms),
+                latest_ms: at(millis_up(uptime), last.latest_ms),
             },
         })
     }
@@ -212,3 +212,8 @@
 fn millis(time: Duration) -> i64 {
     time.as_millis() as i64
 }
+
+// Rounded up, so that the bounds stay bounds.
+fn millis_up(time: Duration) -> i64 {
+    time.as_micros().div_ceil(1000) as i64
+}
--- a/crates/rw-fleet/src/store_feed.rs
+++ b/crates/rw-fleet/src/store_feed.rs
@@ -109,9 +109,14 @@
             continue;
         }
         let called_at = uptime();
+        let wait = poll_wait(&cx, &name);
+        let limit = match initialized {
+            false => table_timeout(&cx.settings.bounds, failed_reads),
+            true => wait + LONG_POLL_SLACK,
+        };
         let result = match initialized {
-            false => sync_table(&cx, &store, &name, failed_reads, &gate, &mut times).await,
-            true => sync_changes(&cx, &store, &name, &mut times).await,
+            false => sync_table(&cx, &store, &name, limit, &gate, &mut times).await,
+            true => sync_changes(&cx, &store, &name, wait, &mut times).await,
         };
         if matches!(gate, StartupGate::Lists { .. }) {
             gate = StartupGate::Open;
@@ -134,12 +139,15 @@
                 initialized = false;
             }
             Err(FeedError::Failed(err)) => {
-                failed_reads += 1;
                 let call = CallTimes {
                     called_at,
                     ended_at: uptime(),
+                    limit,
                 };
-                times.on_failure(&err, call);
+                if times.on_failure(&err, call) {
+                    cx.sync.note_store_away(called_at);
+                }
+                failed_reads += 1;
                 set_table_connected(&cx, index, table, false, &err.to_string());
                 let pause = backoff.next_delay();
                 tokio::time::sleep(match is_fallback_reader(&cx) {
@@ -182,11 +190,10 @@
     cx: &Cx<D>,
     store: &S,
     table: &Name,
-    failed_reads: u32,
+    limit: Duration,
     gate: &StartupGate,
     times: &mut ChangeTimes,
 ) -> Result<(), FeedError> {
-    let limit = table_timeout(&cx.settings.bounds, failed_reads);
     let called_at = uptime();
     let read = timeout(limit, store.read_table(table)).await;
     let read = read
@@ -213,27 +220,34 @@
     first_alive.is_some_and(is_own) || !readers.iter().any(is_own)
 }
 
+// Time that the next long poll of a table may wait at the store.
+fn poll_wait<D: PlatformCodec>(cx: &Cx<D>, table: &Name) -> Duration {
+    if needs_clock(cx, table) {
+        return Duration::ZERO;
+    }
+    match **table != *cx.codec.tables().daemons && is_vigilant(cx) {
+        true => long_poll_timeout(&cx.settings.bounds),
+        false => MAX_STORE_LONG_POLL,
+    }
+}
+
 async fn sync_changes<S: TableFeed, D: PlatformCodec>(
     cx: &Cx<D>,
     store: &S,
     table: &Name,
+    wait: Duration,
     times: &mut ChangeTimes,
 ) -> Result<(), FeedError> {
     let after = cx.cluster.table_version(table);
-    let is_vigilant = **table != *cx.codec.tables().daemons && is_vigilant(cx);
-    let wait = match is_vigilant {
-        _ if needs_clock(cx, table) => Duration::ZERO,
-        true => long_poll_timeout(&cx.settings.bounds),
-        false => MAX_STORE_LONG_POLL,
-    };
+    let limit = wait + LONG_POLL_SLACK;
     let called_at = uptime();
     let mut feed = pin!(store.changes(table, after, wait));
     let mut was_waiting = false;
-    let changes = match timeout(ARRIVAL_TIME, &mut feed).await {
+    let changes = match timeout(limit.min(ARRIVAL_TIME), &mut feed).await {
         Ok(changes) => changes,
         Err(_) => {
             was_waiting = waits_at_store(called_at, uptime());
-            let rest = (wait + LONG_POLL_SLACK).saturating_sub(ARRIVAL_TIME);
+            let rest = limit.saturating_sub(ARRIVAL_TIME);
             timeout(rest, feed).await.map_err(|_| timeout_error())?
         }
     }?;
@@ -273,7 +287,7 @@
     was_waiting: bool,
 ) -> Option<TimeSpan> {
     let clock = cx.cluster.snapshot().store_clock;
-    let outage_end = times.outage_until().and_then(|at| clock.read(at));
+    let outage_end = cx.sync.store_away_at().and_then(|at| clock.read(at));
     let outage_end_ms = outage_end.map(|reading| reading.time.earliest_ms);
     times.of_changes(read.clock_ms?, was_waiting, outage_end_ms)
 }
@@ -289,8 +303,8 @@
     for table in [tables.operator, tables.servers, tables.daemons] {
         let name = Name::from(table);
         let mut times = ChangeTimes::default();
-        let doublings = MAX_TABLE_TIMEOUT_DOUBLINGS;
-        let read = sync_table(cx, store, &name, doublings, &gate, &mut times).await;
+        let limit = table_timeout(&cx.settings.bounds, MAX_TABLE_TIMEOUT_DOUBLINGS);
+        let read = sync_table(cx, store, &name, limit, &gate, &mut times).await;
         if let Err(err) = read {
             log::debug!("reading table {table} from the store failed: {err:?}");
             return;
--- a/crates/rw-fleet/src/weights_record.rs
+++ b/crates/rw-fleet/src/weights_record.rs
@@ -42,23 +42,30 @@
 }
 
 impl Snapshot {
-    /// Merges the recorded times into those of the requested weights. A time that the
-    /// clock has not reached belongs to another clock and is ignored.
-    pub(crate) fn merge_recorded_times(&mut self, uptime: Duration) {
-        let Some(now) = self.store_clock.read(uptime) else {
-            return;
-        };
+    /// Merges the recorded times into those of the requested weights.
+    pub(crate) fn merge_recorded_times(&mut self) {
         for record in self.weights_records.values() {
             let Some(versions) = self.requested_weights.get_mut(&record.model) else {
                 continue;
             };
-            let requests = record.requests.iter();
-            for request in requests.filter(|r| r.requested.earliest_ms <= now.time.latest_ms) {
-                merge_time(versions, request.version, request.requested);
+            for request in &record.requests {
+                merge_time(versions, request.version, Some(request.requested));
             }
         }
     }
 
+    /// Adds a record. A time that the clock has not reached belongs to the clock of an
+    /// earlier store and is dropped.
+    pub(crate) fn add_record(&mut self, key: Name, mut record: WeightsRecord, uptime: Duration) {
+        if let Some(now) = self.store_clock.read(uptime) {
+            let latest_ms = now.time.latest_ms;
+            record
+                .requests
+                .retain(|request| request.requested.earliest_ms <= latest_ms);
+        }
+        self.weights_records.insert(key, record);
+    }
+
     // Whether the record has the time of a request, with little difference.
     fn is_recorded(&self, model: &Name, request: &RecordedRequest) -> bool {
         let records = self.weights_records.values();
--- a/crates/rw-fleet/tests/request_times.rs
+++ b/crates/rw-fleet/tests/request_times.rs
@@ -21,9 +21,13 @@
 const CLOCK_OFFSET_MS: u64 = 5_000_000;
 /// Margin before the rollout deadline from which requests require new weights.
 const MARGIN_MS: u64 = 1300;
-/// Longest poll of a reader, and pause before the next one.
+/// Longest poll of a reader, the time after which it is given up, and the pause before the
+/// next one.
 const POLL_MS: u64 = 2000;
+const POLL_LIMIT_MS: u64 = 2700;
 const POLL_PAUSE_MS: u64 = 60;
+/// Number of calls in succession that are reset at most; more are an outage.
+const MAX_RESETS: u32 = 3;
 /// Longest way between a reader and the store.
 const MAX_DELAY_MS: u64 = 20;
 /// Time by which an undisturbed reader may require a version too early: a request made
@@ -41,6 +45,9 @@
     paused: std::ops::Range<u64>,
     // Share of the calls that are reset, in percent.
     reset_percent: u64,
+    resets: u32,
+    // Uptime at the last call that showed that the store was away.
+    away_at: Option<Duration>,
     clock: StoreClock,
     times: ChangeTimes,
 }
@@ -103,7 +110,7 @@
                 time: TimeSpan::at(clock_ms),
             };
             self.clock.observe(reading, ms(called_at), ms(received_at));
-            let outage_end = self.times.outage_until().and_then(|at| self.clock.read(at));
+            let outage_end = self.away_at.and_then(|at| self.clock.read(at));
             let outage_end_ms = outage_end.map(|reading| reading.time.earliest_ms);
             let span = self.times.of_changes(clock_ms, was_waiting, outage_end_ms);
             self.times.on_changes(Some(clock_ms));
@@ -127,19 +134,24 @@
         let (err, ended_at) = if away.contains(&arrived_at) {
             match self.rng.random_bool(0.5) {
                 true => (Error::Refused("away".into()), arrived_at + 1),
-                false => (Error::Unknown("hung".into()), arrived_at + POLL_MS),
+                false => (Error::Unknown("hung".into()), called_at + POLL_LIMIT_MS),
             }
-        } else if self.rng.random_range(0..100) < self.reset_percent {
+        } else if self.resets < MAX_RESETS && self.rng.random_range(0..100) < self.reset_percent {
+            self.resets += 1;
             (Error::Unknown("reset".into()), arrived_at + 1)
         } else {
+            self.resets = 0;
             return None;
         };
         let ended_at = self.runs_at(ended_at);
         let call = CallTimes {
             called_at: ms(called_at),
             ended_at: ms(ended_at),
+            limit: ms(POLL_LIMIT_MS),
         };
-        self.times.on_failure(&err, call);
+        if self.times.on_failure(&err, call) {
+            self.away_at = Some(ms(called_at));
+        }
         Some(ended_at)
     }
 }
@@ -190,6 +202,8 @@
         rng,
         paused,
         reset_percent: if resets { 40 } else { 0 },
+        resets: 0,
+        away_at: None,
         clock: StoreClock::default(),
         times: ChangeTimes::default(),
     }
--- a/crates/rw-platform/src/types.rs
+++ b/crates/rw-platform/src/types.rs
@@ -13,6 +13,10 @@
         Refused(msg: String) {
             display("platform refused the call: {msg}")
         }
+        /// The call did not take effect, because there are too many calls; others do.
+        Limited(msg: String) {
+            display("platform limits the rate of calls: {msg}")
+        }
         /// The call may or may not have taken effect.
         Unknown(msg: String) {
             display("no answer from the platform, the call may have taken effect: {msg}")
--- a/crates/rw-protocol/src/generated.rs
+++ b/crates/rw-protocol/src/generated.rs
@@ -901,7 +901,7 @@
     pub earliest_ms: u64,
     ///Era of the store whose clock this is.
     pub era: u32,
-    ///Latest possible time of the request in milliseconds.
+    ///Latest possible time of the request in milliseconds; 0 if the time is not known.
     pub latest_ms: u64,
     pub model: crate::Name,
     pub version: u64,
