Round times to come back up to whole milliseconds

Callers got a 503 with `Retry-After: 0.000`, though servers at their limits took the next request only some hundred microseconds later.

Cause: a duration was cut where it changed its unit. The header was written with three decimals, rounded to the nearest; the message between entries held whole milliseconds, rounded down. A refusal whose two times were cut to 0 is the one that means "the owner was not asked again", so that the entry that asked ignored it and told its caller "no backend server" instead of the limit.

Ruled out: the issuer itself. Its refusals are later than now whenever it gives a time; only the owner's own callers and the message were affected.

Change: both places round up, with one function.

Evidence: tests/refusal.rs failed in 3 of 5 cases before (`0.000` for 1 ns and 499 us, `0.001` for 1.001 ms), and entries_are_told_times_below_a_millisecond with (0, 0) for the time of the next permit and the time to come back. Both pass now, as do both cases of only_server_of_a_service (one run).

--- a/crates/rw-fleet/src/entry/refusal.rs
+++ b/crates/rw-fleet/src/entry/refusal.rs
@@ -2,6 +2,8 @@
 
 use http::StatusCode;
 
+use crate::whole_millis;
+
 /// Reason why an entry refuses a request or reports its failure.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Refusal {
@@ -49,6 +51,27 @@
         }
     }
 
+    /// Value of the header `Retry-After`, in seconds; `None` if the caller is not told to retry.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let refusal = rw_fleet::Refusal::NotRun {
+    ///     reason: "full",
+    ///     retry_after: Duration::from_millis(1500),
+    ///     known_load: String::new(),
+    /// };
+    /// assert_eq!(refusal.retry_after_s().as_deref(), Some("1.500"));
+    /// ```
+    pub fn retry_after_s(&self) -> Option<String> {
+        match self {
+            Refusal::NotRun { retry_after, .. } => {
+                let delay = Duration::from_millis(whole_millis(*retry_after));
+                Some(format!("{:.3}", delay.as_secs_f64()))
+            }
+            _ => None,
+        }
+    }
+
     /// Known load of the backend servers, for the log.
     pub fn known_load(&self) -> &str {
         match self {
--- a/crates/rw-fleet/src/entry/response.rs
+++ b/crates/rw-fleet/src/entry/response.rs
@@ -5,7 +5,6 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
@@ -162,8 +161,9 @@
     *res.status_mut() = refusal.status();
     let headers = res.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
-    if let Refusal::NotRun { retry_after, .. } = refusal {
-        headers.insert(RETRY_AFTER, retry_after_value(*retry_after));
+    if let Some(delay) = refusal.retry_after_s() {
+        let value = HeaderValue::from_str(&delay);
+        headers.insert(RETRY_AFTER, value.unwrap_or(HeaderValue::from_static("1")));
     }
     if let Some(id) = id {
         headers.insert(names.attempt.clone(), id.clone());
@@ -171,10 +171,5 @@
     res
 }
 
-fn retry_after_value(delay: Duration) -> HeaderValue {
-    let text = format!("{:.3}", delay.as_secs_f64());
-    HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static("1"))
-}
-
 /// Result of a request handler; infallible, since refusals become responses.
 pub type HandlerResult = std::result::Result<Response<ResponseBody>, Infallible>;
--- a/crates/rw-fleet/src/lib.rs
+++ b/crates/rw-fleet/src/lib.rs
@@ -37,6 +37,7 @@
 mod store_feed;
 mod weights_ages;
 mod weights_record;
+mod whole_millis;
 
 pub use cluster_state::ClusterState;
 pub use codec::{HeaderNames, PlatformCodec, RowContent, TableNames};
@@ -55,3 +56,4 @@
 pub use status_sequence::StatusSequence;
 pub use store_feed::long_poll_timeout;
 pub use weights_record::{RecordedRequest, WeightsRecord};
+pub use whole_millis::whole_millis;
--- a/crates/rw-fleet/src/limit_exchange.rs
+++ b/crates/rw-fleet/src/limit_exchange.rs
@@ -16,7 +16,7 @@
 
 use crate::entry::{Asked, TimedReply};
 use crate::peers::notify;
-use crate::{BackendServer, Cx, PlatformCodec};
+use crate::{whole_millis, BackendServer, Cx, PlatformCodec};
 
 /// Interval at which an entry finds out who is alive and sends what has changed.
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(100);
@@ -306,8 +306,8 @@
         is_granted: !matches!(reply, PermitReply::Refused(_)),
         is_unlimited: *reply == PermitReply::Unlimited,
         waited_ms: waited.as_millis() as u64,
-        next_permit_ms: refusal.next_permit.as_millis() as u64,
-        retry_after_ms: refusal.retry_after.as_millis() as u64,
+        next_permit_ms: whole_millis(refusal.next_permit),
+        retry_after_ms: whole_millis(refusal.retry_after),
     }
 }
 
