Give the head of a request its own time, not the idle timeout

Callers whose request head arrived within the time that the configuration gives a head (`headerTimeoutMs`) had their connection closed without an answer if the idle timeout in force was shorter: after 2.1 s for an idle timeout of 100 ms, though a head has 3 s and connections outlive timeouts by 2 s.

Cause: the setting was not read at all, and the idle timeout bounded heads too. The class is a limit that is applied to another state than the one it was set for.

Also, a connection whose time for the head was over was closed although the rest of the head lay unread in its socket, after the process had stood still; it is now read first, as on idle connections. That was found by reading.

Ruled out for these callers: the library's own timers (none is set), and the stop of the process.

--- a/crates/rw-fleet/src/configuration.rs
+++ b/crates/rw-fleet/src/configuration.rs
@@ -99,6 +99,8 @@
     pub head_bytes: usize,
     /// Maximum size of a request's body, in bytes.
     pub body_bytes: usize,
+    /// Time within which the head of a request has to arrive.
+    pub head_time: Duration,
     /// Time after which an idle connection is closed.
     pub idle: Duration,
 }
--- a/crates/rw-fleet/src/entry/listener.rs
+++ b/crates/rw-fleet/src/entry/listener.rs
@@ -23,17 +23,22 @@
 use super::response::{self, HandlerResult, ResponseBody};
 use super::{request, stream, unary, Call, Entry, Refusal, Shutdown};
 use crate::connect::enable_dead_peer_detection;
-use crate::{CallKind, PlatformCodec};
+use crate::{CallKind, CallerLimits, PlatformCodec};
 
-/// Largest request head, in bytes, if the configuration sets no limit.
-const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// Limits on callers while there is no configuration.
+const DEFAULT_LIMITS: CallerLimits = CallerLimits {
+    head_bytes: 16 * 1024,
+    body_bytes: usize::MAX,
+    head_time: Duration::from_secs(15),
+    idle: Duration::from_secs(15),
+};
 /// Smallest limit of a request head that the HTTP library accepts, in bytes.
 const MIN_HEAD_BYTES: usize = 8 * 1024;
-/// Idle timeout of a connection, if the configuration sets none.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-/// Time by which idle connections outlive the configured timeout. Without it,
-/// the entry could close a connection just as a caller sends a request.
-const IDLE_SLACK: Duration = Duration::from_secs(2);
+/// Time in which the head of a readiness check has to arrive.
+const PROBE_HEAD_TIMEOUT: Duration = Duration::from_secs(15);
+/// Time by which connections outlive the configured timeouts. Without it, the entry
+/// could close a connection just as a caller sends a request.
+const TIMEOUT_SLACK: Duration = Duration::from_secs(2);
 /// Time without a request after which a connection is closed once the caller port is
 /// closed; a caller that was not told that the connection ends may send one until then.
 const IDLE_LIMIT_AT_SHUTDOWN: Duration = Duration::from_secs(1);
@@ -104,8 +109,7 @@
         log::debug!("closing a caller connection, its socket options cannot be set: {err}");
         return;
     }
-    let cfg = entry.cx.cluster.snapshot().cfg.clone();
-    let head = cfg.map_or(MAX_HEAD_BYTES, |cfg| cfg.limits.head_bytes);
+    let head = caller_limits(entry).head_bytes;
     let socket = CallerSocket::new(conn, state.clone());
     let service = service_fn(|req: Request<Incoming>| {
         let (entry, state, shutdown) = (entry.clone(), state.clone(), shutdown.clone());
@@ -139,14 +143,11 @@
 ) {
     let mut is_port_open = true;
     loop {
-        let limit = match is_port_open || state.is_reading_head() {
-            true => idle_limit(entry),
-            false => IDLE_LIMIT_AT_SHUTDOWN,
-        };
+        let limit = quiet_limit(entry, state, is_port_open);
         let quiet_since = state.quiet_since();
         let until = quiet_since.unwrap_or_else(Instant::now) + limit;
         if until <= Instant::now() {
-            if state.is_reading_head() || !socket.has_unread() {
+            if !socket.has_unread() {
                 return;
             }
             sleep(READ_PAUSE).await;
@@ -159,11 +160,27 @@
     }
 }
 
-// Callers follow the current configuration, not the one under which they connected.
-fn idle_limit<D: PlatformCodec>(entry: &Entry<D>) -> Duration {
+// Time for which a connection may have no complete request. Callers follow the current
+// configuration, not the one under which they connected.
+fn quiet_limit<D: PlatformCodec>(
+    entry: &Entry<D>,
+    state: &ConnectionState,
+    is_port_open: bool,
+) -> Duration {
+    let limits = caller_limits(entry);
+    if state.is_reading_head() {
+        return limits.head_time + TIMEOUT_SLACK;
+    }
+    match is_port_open {
+        true => limits.idle + TIMEOUT_SLACK,
+        false => IDLE_LIMIT_AT_SHUTDOWN,
+    }
+}
+
+fn caller_limits<D: PlatformCodec>(entry: &Entry<D>) -> CallerLimits {
     let snapshot = entry.cx.cluster.snapshot();
-    let limits = snapshot.cfg.as_ref().map(|cfg| cfg.limits);
-    limits.map_or(IDLE_TIMEOUT, |limits| limits.idle) + IDLE_SLACK
+    let cfg = snapshot.cfg.as_ref();
+    cfg.map_or(DEFAULT_LIMITS, |cfg| cfg.limits)
 }
 
 fn request_id<D: PlatformCodec>(entry: &Entry<D>, req: &Request<Incoming>) -> Name {
@@ -277,7 +294,7 @@
             });
             let served = hyper::server::conn::http1::Builder::new()
                 .timer(TokioTimer::new())
-                .header_read_timeout(IDLE_TIMEOUT)
+                .header_read_timeout(PROBE_HEAD_TIMEOUT)
                 .serve_connection(TokioIo::new(conn), service);
             if let Err(err) = served.await {
                 log::debug!("probe connection failed: {err}");
--- a/crates/rw-fleet/tests/common/mod.rs
+++ b/crates/rw-fleet/tests/common/mod.rs
@@ -77,6 +77,7 @@
                 limits: CallerLimits {
                     head_bytes: 0,
                     body_bytes: 0,
+                    head_time: Duration::ZERO,
                     idle: Duration::ZERO,
                 },
             })),
