Keep idle connections for as long as callers were told

A caller that used a kept connection within four fifths of the idle timeout that was in force when its last answer came found it closed, if a configuration with a shorter timeout had come since. Its request, sent whole, got neither an answer nor a refusal unless the caller noticed the close and sent it again.

Cause: only the timeout in force at the moment of the check counted. The class is a promise that is judged by a rule made after it.

Change: a connection keeps the limits that were in force when its last request began, and the longer of these and the current ones counts, for heads as well.

Ruled out: the slack of 2 s covers requests that cross a close, not this.

--- a/crates/rw-fleet/src/entry/caller_connection.rs
+++ b/crates/rw-fleet/src/entry/caller_connection.rs
@@ -13,6 +13,7 @@
 use super::caller_socket::SocketObserver;
 use super::response::ResponseBody;
 use super::Call;
+use crate::CallerLimits;
 
 /// The open caller connections of an entry.
 #[derive(Default)]
@@ -54,8 +55,8 @@
 
 impl CallerConnections {
     /// Adds a connection, which counts as open until the returned value is dropped.
-    pub fn add(self: &Arc<Self>) -> OpenConnection {
-        let state = Arc::new(ConnectionState::new());
+    pub fn add(self: &Arc<Self>, limits: CallerLimits) -> OpenConnection {
+        let state = Arc::new(ConnectionState::new(limits));
         let mut table = self.lock();
         let id = table.next_id;
         table.next_id += 1;
@@ -112,6 +113,8 @@
 struct Progress {
     phase: Phase,
     since: Instant,
+    // In force when the last request began, or the connection was accepted.
+    limits: CallerLimits,
     // Bytes of an answer are buffered that the socket has not taken yet.
     is_sending: bool,
 }
@@ -131,16 +134,19 @@
 }
 
 impl ConnectionState {
-    fn new() -> Self {
+    fn new(limits: CallerLimits) -> Self {
         ConnectionState(Mutex::new(Progress {
             phase: Phase::Idle,
             since: Instant::now(),
+            limits,
             is_sending: false,
         }))
     }
 
-    /// Marks the start of a request, which is in progress until the guard is dropped.
-    pub fn begin_request(self: &Arc<Self>, id: Name) -> RequestGuard {
+    /// Marks the start of a request, which is in progress until the guard is dropped, with
+    /// the limits that are in force.
+    pub fn begin_request(self: &Arc<Self>, id: Name, limits: CallerLimits) -> RequestGuard {
+        self.lock().limits = limits;
         self.set(Phase::Request(Request {
             id,
             call: None,
@@ -160,6 +166,11 @@
         }
     }
 
+    /// Limits that were in force when the last request began, or the connection was accepted.
+    pub fn limits(&self) -> CallerLimits {
+        self.lock().limits
+    }
+
     /// Whether a part of a request's head has arrived.
     pub fn is_reading_head(&self) -> bool {
         matches!(self.lock().phase, Phase::ReadingHead)
--- a/crates/rw-fleet/src/entry/listener.rs
+++ b/crates/rw-fleet/src/entry/listener.rs
@@ -94,7 +94,7 @@
 
 fn spawn_connection<D: PlatformCodec>(entry: &Arc<Entry<D>>, conn: TcpStream, shutdown: &Shutdown) {
     // Counted before its task runs, or the process could end in between.
-    let open = entry.connections.add();
+    let open = entry.connections.add(caller_limits(entry));
     let (entry, shutdown) = (entry.clone(), shutdown.clone());
     tokio::spawn(async move { serve_connection(&entry, conn, &open.state, &shutdown).await });
 }
@@ -109,12 +109,12 @@
         log::debug!("closing a caller connection, its socket options cannot be set: {err}");
         return;
     }
-    let head = caller_limits(entry).head_bytes;
+    let head = state.limits().head_bytes;
     let socket = CallerSocket::new(conn, state.clone());
     let service = service_fn(|req: Request<Incoming>| {
         let (entry, state, shutdown) = (entry.clone(), state.clone(), shutdown.clone());
         async move {
-            let guard = state.begin_request(request_id(&entry, &req));
+            let guard = state.begin_request(request_id(&entry, &req), caller_limits(&entry));
             let res = handle(&entry, req, &guard, &shutdown).await?;
             Ok::<_, Infallible>(res.map(|body| GuardedBody::new(body, guard)))
         }
@@ -160,19 +160,19 @@
     }
 }
 
-// Time for which a connection may have no complete request. Callers follow the current
-// configuration, not the one under which they connected.
+// Time for which a connection may have no complete request. Callers may know the current
+// configuration, or only the one of their last request.
 fn quiet_limit<D: PlatformCodec>(
     entry: &Entry<D>,
     state: &ConnectionState,
     is_port_open: bool,
 ) -> Duration {
-    let limits = caller_limits(entry);
+    let (current, earlier) = (caller_limits(entry), state.limits());
     if state.is_reading_head() {
-        return limits.head_time + TIMEOUT_SLACK;
+        return current.head_time.max(earlier.head_time) + TIMEOUT_SLACK;
     }
     match is_port_open {
-        true => limits.idle + TIMEOUT_SLACK,
+        true => current.idle.max(earlier.idle) + TIMEOUT_SLACK,
         false => IDLE_LIMIT_AT_SHUTDOWN,
     }
 }
