Ask for the minimum weights version where a request is sent

Callers got answers from weights that were past the deadline of newer ones: a request that had waited for a permit of its server (up to half the time to its objective) or for the connection (up to 0.5 s) was sent whatever version had been required meanwhile, and calls that are answered in one piece asked for no version at all.

Cause: only the selection of an engine for a stream asked, and time passes between the selection and the send. Now `attempt::send`, which every path goes through, asks once more when the connection is open, and `admitted_servers` keeps servers with old, unverified or paused weights from calls of both kinds. What decided it is logged with the request's id (event 512, WeightsOutdated); the server's circuit breaker does not count it.

Ruled out: trials of the breaker, of quarantines and of limits, repeats, second attempts and resumed streams select their servers on the same path and asked already.

--- a/crates/rw-fleet/src/entry/attempt.rs
+++ b/crates/rw-fleet/src/entry/attempt.rs
@@ -10,7 +10,7 @@
 use rw_protocol::Name;
 use tokio::time::timeout;
 
-use super::{Call, Entry, NamedLimit, ServerNotice};
+use super::{Call, Entry, NamedLimit, OutdatedWeights, ServerNotice};
 use crate::connect::{self, Connection};
 use crate::limit_exchange::SendPermit;
 use crate::read_budget::BudgetedBody;
@@ -32,6 +32,8 @@
     NotRun(StatusCode),
     /// The request was not sent, because the permit for it expired.
     PermitExpired,
+    /// The request was not sent, because the server holds older weights than required.
+    WeightsOutdated(OutdatedWeights),
     /// The request was sent and may have been executed.
     Unknown(String),
     /// The request was sent, but no response arrived within a time limit.
@@ -86,6 +88,8 @@
     if permit.is_expired() {
         return Err(Failure::PermitExpired);
     }
+    // Weights may have come due while the call waited for a permit or the connection.
+    entry.check_weights(call, server)?;
     call.sent.store(true, Ordering::Relaxed);
     let sent_at = uptime();
     let res = timeout(limit, conn.send(req)).await;
--- a/crates/rw-fleet/src/entry/call.rs
+++ b/crates/rw-fleet/src/entry/call.rs
@@ -7,7 +7,7 @@
 use rw_protocol::Name;
 use tokio::time::Instant;
 
-use crate::{CallKind, Configuration, Route};
+use crate::{CallKind, Configuration, Engine, Route};
 
 /// Minimum share of a route's time limit that a caller states on its first
 /// attempt; a caller that states less has probably been refused before.
@@ -54,6 +54,11 @@
 }
 
 impl Call {
+    /// Engine of the service that handles it; `None` for services without a model.
+    pub fn engine(&self) -> Option<&Arc<Engine>> {
+        self.cfg.service(&self.service)?.engine.as_ref()
+    }
+
     /// Time until the deadline.
     pub fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/rw-fleet/src/entry/mod.rs
+++ b/crates/rw-fleet/src/entry/mod.rs
@@ -26,6 +26,7 @@
 mod stream_attempt;
 mod stream_opener;
 mod unary;
+mod weights_guard;
 
 pub use call::Call;
 pub use caller_connection::{CallerConnections, ConnectionCounts};
@@ -42,3 +43,4 @@
 pub use server_notice::ServerNotice;
 pub use shared::Entry;
 pub use shutdown::{Shutdown, Stages};
+pub use weights_guard::OutdatedWeights;
--- a/crates/rw-fleet/src/entry/shared.rs
+++ b/crates/rw-fleet/src/entry/shared.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 use super::attempt::{self, Failure};
-use super::{Call, CallerConnections, LoadTracker, PoisonGuard};
+use super::{Call, CallerConnections, LoadTracker, OutdatedWeights, PoisonGuard};
 use crate::{BackendServer, Cx, Engine, PlatformCodec, Snapshot};
 
 /// State shared by all requests at an entry.
@@ -132,10 +132,14 @@
         ready.cloned().collect()
     }
 
-    /// The ready servers of a service that want requests, by what they said about
-    /// themselves.
-    pub fn admitted_servers(&self, service: &str) -> Vec<Arc<BackendServer>> {
-        self.load_tracker.admitted(self.ready_servers(service))
+    /// The ready servers that may serve a call with their weights, and want requests by
+    /// what they said about themselves.
+    pub fn admitted_servers(&self, call: &Call) -> Vec<Arc<BackendServer>> {
+        let mut servers = self.ready_servers(&call.service);
+        if let Some(engine) = call.engine() {
+            self.retain_valid_weights(engine, &mut servers);
+        }
+        self.load_tracker.admitted(servers)
     }
 
     /// Whether the call is let through although a part of its prompt is quarantined.
@@ -167,7 +171,7 @@
                 self.load_tracker.on_refused(server);
                 false
             }
-            Err(Failure::PermitExpired) => false,
+            Err(Failure::PermitExpired | Failure::WeightsOutdated(_)) => false,
             Err(_) => self.load_tracker.on_failure(server),
         };
         if let Err(failure) = result {
@@ -192,6 +196,25 @@
 
     /// Emits an event about a failed attempt.
     pub fn log_failure(&self, call: &Call, server: &Name, failure: &Failure) {
+        match failure {
+            Failure::WeightsOutdated(weights) => self.log_outdated(call, server, weights),
+            failure => self.log_failed_attempt(call, server, failure),
+        }
+    }
+
+    fn log_outdated(&self, call: &Call, server: &Name, weights: &OutdatedWeights) {
+        let detail = format!(
+            "request={} server={server} held={} required={} sent=false age_ms={} left_ms={}",
+            call.id,
+            weights.held,
+            weights.required,
+            call.age().as_millis(),
+            call.time_left().as_millis()
+        );
+        self.cx.recorder.emit(Event::WeightsOutdated, &detail);
+    }
+
+    fn log_failed_attempt(&self, call: &Call, server: &Name, failure: &Failure) {
         let detail = format!(
             "request={} server={server} failure={failure:?} age_ms={} left_ms={} prompt_parts={}",
             call.id,
--- a/crates/rw-fleet/src/entry/stream_opener.rs
+++ b/crates/rw-fleet/src/entry/stream_opener.rs
@@ -14,7 +14,7 @@
 use super::stream_attempt::{start_stream, Opened};
 use super::{Call, Entry, Refusal, SlotPermit};
 use crate::limit_exchange::SendPermit;
-use crate::{BackendServer, Engine, PlatformCodec};
+use crate::{BackendServer, PlatformCodec};
 
 /// Attempts that may fail without being executed, because the server is
 /// unreachable or full, before the call is refused.
@@ -178,7 +178,10 @@
     // Returns what the caller is told if no other attempt succeeds.
     fn on_failure(&mut self, failure: Failure) -> Option<Refusal> {
         match failure {
-            Failure::NotSent(_) | Failure::NotRun(_) | Failure::PermitExpired => {
+            Failure::NotSent(_)
+            | Failure::NotRun(_)
+            | Failure::PermitExpired
+            | Failure::WeightsOutdated(_) => {
                 self.sent_attempts -= 1;
                 self.not_run_attempts += 1;
                 None
@@ -230,10 +233,8 @@
     }
 
     fn not_run_refusal(&self, reason: &'static str, retry_after: Duration) -> Refusal {
-        let service = self.call.cfg.service(&self.call.service);
-        let engine = service.and_then(|s| s.engine.as_ref());
-        let servers = match engine {
-            Some(engine) => self.eligible_servers(engine, false),
+        let servers = match self.call.engine() {
+            Some(_) => self.eligible_servers(false),
             None => self.entry.ready_servers(&self.call.service),
         };
         Refusal::NotRun {
@@ -281,10 +282,9 @@
     ) -> std::result::Result<(SlotPermit, SendPermit), Refusal> {
         let (entry, call) = (self.entry, self.call);
         let mut limits = LimitedSelection::new(entry, call);
-        let service = call.cfg.service(&call.service);
-        let Some(engine) = service.and_then(|s| s.engine.clone()) else {
+        let Some(engine) = call.engine() else {
             let servers = || {
-                let mut servers = entry.admitted_servers(&call.service);
+                let mut servers = entry.admitted_servers(call);
                 servers.retain(|s| !is_open || !self.tried_servers.contains(&s.id));
                 servers
             };
@@ -297,11 +297,11 @@
         };
         let load_changed = entry.load_tracker.subscribe();
         loop {
-            let servers = limits.admit(self.eligible_servers(&engine, is_open));
+            let servers = limits.admit(self.eligible_servers(is_open));
             let settings = &entry.cx.settings;
             let is_remote = |s: &BackendServer| settings.region_of(&s.zone) != settings.region;
             let selected = entry.load_tracker.select_engine(
-                &engine,
+                engine,
                 &servers,
                 &self.requirements(),
                 is_remote,
@@ -346,22 +346,13 @@
 
     // With `only_untried`, a server that the call was sent to is left out although no other
     // one is there, because it may still answer.
-    fn eligible_servers(&self, engine: &Engine, only_untried: bool) -> Vec<Arc<BackendServer>> {
-        let snapshot = self.entry.cx.cluster.snapshot();
-        let min_version = self.entry.min_weights_version(&snapshot, engine);
-        let mut servers = self.entry.ready_servers(&self.call.service);
-        servers.retain(|s| {
-            let loaded_version = snapshot.loaded_version(s);
-            // A stream goes on only on the weights on which it began.
-            let has_version = self
-                .weights_version
-                .is_none_or(|version| loaded_version == version);
-            has_version
-                && loaded_version >= min_version
-                && snapshot.has_trusted_weights(s)
-                && !snapshot.is_paused(&s.id, rw_coord::uptime())
-        });
-        servers = self.entry.load_tracker.admitted(servers);
+    fn eligible_servers(&self, only_untried: bool) -> Vec<Arc<BackendServer>> {
+        let mut servers = self.entry.admitted_servers(self.call);
+        // A stream goes on only on the weights on which it began.
+        if let Some(version) = self.weights_version {
+            let snapshot = self.entry.cx.cluster.snapshot();
+            servers.retain(|s| snapshot.loaded_version(s) == version);
+        }
         let is_untried = |s: &Arc<BackendServer>| !self.tried_servers.contains(&s.id);
         if only_untried || servers.iter().any(is_untried) {
             servers.retain(is_untried);
--- a/crates/rw-fleet/src/entry/unary.rs
+++ b/crates/rw-fleet/src/entry/unary.rs
@@ -160,7 +160,7 @@
 
     fn on_failure(&mut self, failure: Failure, fallback: &mut Refusal) {
         match failure {
-            Failure::NotSent(_) | Failure::PermitExpired => {
+            Failure::NotSent(_) | Failure::PermitExpired | Failure::WeightsOutdated(_) => {
                 self.sent_attempts -= 1;
                 self.unreachable_servers += 1;
             }
@@ -224,7 +224,7 @@
     }
 
     fn servers(&self) -> Vec<Arc<BackendServer>> {
-        let ready = self.entry.admitted_servers(&self.call.service);
+        let ready = self.entry.admitted_servers(self.call);
         let untried: Vec<_> = ready
             .iter()
             .filter(|s| !self.tried_servers.contains(&s.id))
