--- a/crates/rw-fleet/src/cluster_state.rs
+++ b/crates/rw-fleet/src/cluster_state.rs
@@ -14,11 +14,10 @@
 use crate::departures::Departures;
 use crate::eras::{era, has_earlier_rows};
 use crate::kept_content::keep_newer_content;
-use crate::requested_weights::push_requested;
+use crate::requested_weights::{merge_time, push_requested};
 use crate::row_compression::{compress, decompress};
 use crate::server_statuses::{remove_outdated_status, trust_first_weights};
-use crate::weights_record::StoreClock;
-use crate::{BackendServer, PlatformCodec, RequestedWeights, RowContent, Snapshot};
+use crate::{BackendServer, PlatformCodec, RequestedWeights, RowContent, Snapshot, TimeSpan};
 
 /// Tombstones of deleted rows kept so that other daemons learn of the deletion.
 const MAX_TOMBSTONES: usize = 2000;
@@ -32,7 +31,6 @@
     // Whether rows of an earlier era of the store may remain.
     has_earlier_eras: bool,
     pub(crate) contacts: Contacts,
-    pub(crate) store_clock: StoreClock,
 }
 
 /// Rows of the platform's store as this daemon knows them, and the state
@@ -89,15 +87,32 @@
         self.state().table_versions.get(table).copied().unwrap_or(0)
     }
 
-    /// Applies changed rows and advances the versions of their tables.
+    /// Applies changed rows, which were made at an unknown time, and advances the versions
+    /// of their tables.
     pub fn apply(&self, rows: Vec<StoredRow>, table_versions: &[TableVersion]) {
+        self.apply_and_merge(rows, table_versions, None, |_| {});
+    }
+
+    /// Applies changed rows, which were made within `made`, and then what else came with
+    /// them.
+    pub(crate) fn apply_and_merge(
+        &self,
+        rows: Vec<StoredRow>,
+        table_versions: &[TableVersion],
+        made: Option<TimeSpan>,
+        merge: impl FnOnce(&mut Snapshot),
+    ) {
         let mut state = self.state();
         let mut snapshot = Snapshot::clone(&state.snapshot);
         let mut changed = false;
         for row in rows {
             let first_read = !state.table_versions.contains_key(&row.table);
-            changed |= self.apply_row(&mut state, &mut snapshot, row, first_read);
+            let made = made.filter(|_| !first_read);
+            changed |= self.apply_row(&mut state, &mut snapshot, row, made);
         }
+        merge(&mut snapshot);
+        changed |= snapshot.store_clock != state.snapshot.store_clock
+            || snapshot.requested_weights != state.snapshot.requested_weights;
         for table in table_versions {
             let is_first = !state.table_versions.contains_key(&table.table);
             let has_earlier_rows = is_first && has_earlier_rows(state.rows.values(), table);
@@ -117,7 +132,7 @@
         }
         prune_tombstones(&mut state);
         if changed {
-            snapshot.merge_recorded_ages(&state.store_clock, uptime());
+            snapshot.merge_recorded_times(uptime());
             state.snapshot = Arc::new(snapshot);
             drop(state);
             self.changed.notify();
@@ -127,7 +142,19 @@
     /// Replaces a complete table: known rows that are missing from it are
     /// marked as deleted. Those of an earlier era of the store stay for now, see
     /// [`drop_earlier_eras`](Self::drop_earlier_eras).
-    pub fn replace_table(&self, table: &Name, mut rows: Vec<StoredRow>, version: u64) {
+    pub fn replace_table(&self, table: &Name, rows: Vec<StoredRow>, version: u64) {
+        self.replace_changed_table(table, rows, version, None);
+    }
+
+    /// Like [`replace_table`](Self::replace_table), with changes that were made within
+    /// `made`.
+    pub(crate) fn replace_changed_table(
+        &self,
+        table: &Name,
+        mut rows: Vec<StoredRow>,
+        version: u64,
+        made: Option<TimeSpan>,
+    ) {
         let found: BTreeSet<Name> = rows.iter().map(|row| row.key.clone()).collect();
         for ((row_table, key), old) in &self.state().rows {
             let is_missing = row_table == table && !found.contains(key) && !old.deleted;
@@ -146,7 +173,7 @@
             table: table.clone(),
             version,
         };
-        self.apply(rows, &[table_version]);
+        self.apply_and_merge(rows, &[table_version], made, |_| {});
     }
 
     /// Whether rows of an earlier era of the store may remain.
@@ -209,14 +236,15 @@
         state: &mut State,
         snapshot: &mut Snapshot,
         row: StoredRow,
-        first_read: bool,
+        made: Option<TimeSpan>,
     ) -> bool {
         let row_key = (row.table.clone(), row.key.clone());
-        if state
-            .rows
-            .get(&row_key)
-            .is_some_and(|old| old.version >= row.version)
-        {
+        let known = state.rows.get(&row_key).map(|old| old.version);
+        if known >= Some(row.version) {
+            // Another daemon may have sent the row without knowing when it was made.
+            if known == Some(row.version) {
+                self.merge_time_made(snapshot, &row, made);
+            }
             return false;
         }
         let mut row = compress(row);
@@ -231,7 +259,7 @@
         match content {
             Ok(content) => {
                 let departures = &mut state.departures;
-                if !self.apply_content(departures, snapshot, &row, content, first_read) {
+                if !self.apply_content(departures, snapshot, &row, content, made) {
                     keep_newer_content(&mut row, state.rows.get(&row_key));
                     row.deleted |= is_server && !snapshot.servers.contains_key(&row.key);
                 }
@@ -251,6 +279,17 @@
         true
     }
 
+    fn merge_time_made(&self, snapshot: &mut Snapshot, row: &StoredRow, made: Option<TimeSpan>) {
+        let (Some(made), false) = (made, row.deleted) else {
+            return;
+        };
+        if let Ok(RowContent::Weights { model, version }) = self.codec.decode(&decompress(row)) {
+            if let Some(versions) = snapshot.requested_weights.get_mut(&model) {
+                merge_time(versions, version, made);
+            }
+        }
+    }
+
     // Returns false for content that is older than what is in effect.
     fn apply_content(
         &self,
@@ -258,7 +297,7 @@
         snapshot: &mut Snapshot,
         row: &StoredRow,
         content: RowContent,
-        first_read: bool,
+        made: Option<TimeSpan>,
     ) -> bool {
         match content {
             RowContent::Configuration(cfg) => {
@@ -282,16 +321,18 @@
                     return false;
                 }
                 if snapshot.target_version(&model) < version {
-                    let detail = format!("model={model} version={version}");
+                    let (earliest_ms, latest_ms) =
+                        made.map_or((0, 0), |made| (made.earliest_ms, made.latest_ms));
+                    let detail = format!(
+                        "model={model} version={version} row_version={} \
+                         earliest_ms={earliest_ms} latest_ms={latest_ms}",
+                        row.version
+                    );
                     self.recorder.emit(Event::WeightsNamed, &detail);
-                    let (observed_at, observed_age) = match first_read {
-                        true => (self.started_at, None),
-                        false => (uptime(), Some(Duration::ZERO)),
-                    };
                     let requested = RequestedWeights {
                         version,
-                        observed_at,
-                        observed_age,
+                        requested: made,
+                        started_at: self.started_at,
                     };
                     let versions = snapshot.requested_weights.entry(model).or_default();
                     push_requested(versions, requested);
--- a/crates/rw-fleet/src/follow.rs
+++ b/crates/rw-fleet/src/follow.rs
@@ -12,7 +12,7 @@
 use crate::startup::{take_over_rows, wait_for_end, StartupGate};
 use crate::store_feed::{follow_store, should_follow_store, sync_all_tables};
 use crate::{Cx, FleetRole, PlatformCodec};
-use rw_coord::Backoff;
+use rw_coord::{uptime, Backoff};
 use rw_platform::TableFeed;
 use rw_protocol::{
     rendezvous_rank, LoadReport, Name, PeerReply, PeerRequest, RowsReply, RowsRequest, TableVersion,
@@ -43,6 +43,8 @@
 const MAX_LAG_MS: u64 = 300;
 /// Time after which an observed lag is ignored.
 const LAG_EXPIRY_MS: u64 = 1500;
+/// Minimum interval at which the store's clock is read by a call of its own.
+const CLOCK_READ_INTERVAL: Duration = Duration::from_secs(10);
 /// Time within which servers and daemons register again after the store came back
 /// from an older copy.
 const REREGISTRATION_TIME: Duration = Duration::from_millis(2500);
@@ -61,6 +63,8 @@
     // Time since the daemon's start at which another entry was found to be
     // ahead; 0 if none is.
     lag_since_ms: AtomicU64,
+    // Time since the daemon's start from which it may read the store's clock again.
+    clock_read_from_ms: AtomicU64,
 }
 
 impl SyncStatus {
@@ -76,6 +80,18 @@
             .all(|t| t.load(Ordering::Relaxed))
     }
 
+    // Whether the store's clock may be read now. Such a call is billed and may not help
+    // while the store is slow.
+    pub(crate) fn may_read_clock(&self, now: Duration) -> bool {
+        let now_ms = now.as_millis() as u64;
+        let next_ms = now_ms + CLOCK_READ_INTERVAL.as_millis() as u64;
+        let from_ms = self.clock_read_from_ms.load(Ordering::Relaxed);
+        if now_ms >= from_ms {
+            self.clock_read_from_ms.store(next_ms, Ordering::Relaxed);
+        }
+        now_ms >= from_ms
+    }
+
     // Returns whether the status changed.
     pub(crate) fn set_connected(&self, index: usize, connected: bool) -> bool {
         self.connected_tables[index].swap(connected, Ordering::Relaxed) != connected
@@ -272,9 +288,10 @@
         known: cx.cluster.table_versions(),
         wait_ms: wait.as_millis() as u64,
     });
+    let called_at = uptime();
     match cx.pool.request(addr, &req, wait + TABLE_TIMEOUT).await? {
         PeerReply::Rows(reply) => {
-            cx.cluster.apply(reply.rows.clone(), &reply.known);
+            cx.cluster.apply_reply(&reply, called_at);
             Ok(reply)
         }
         _ => Err(rw_peer::Error::Unexpected),
