Log callers that leave before their answer begins

What operators saw: a caller that left before the first event of a stream, or before the answer of a unary call, left no line in the entry's log; CallCancelled came only after the first event.

The entry now emits CallCancelled for them too, with the stage and the time left.

--- a/crates/rw-fleet/src/entry/listener.rs
+++ b/crates/rw-fleet/src/entry/listener.rs
@@ -20,6 +20,7 @@
 
 use super::caller_connection::{ConnectionState, GuardedBody, RequestGuard};
 use super::caller_socket::CallerSocket;
+use super::disconnects::PendingRequest;
 use super::response::{self, HandlerResult, ResponseBody};
 use super::{request, stream, unary, Call, Entry, Refusal, Shutdown};
 use crate::connect::enable_dead_peer_detection;
@@ -111,7 +112,9 @@
         let (entry, state, shutdown) = (entry.clone(), state.clone(), shutdown.clone());
         async move {
             let guard = state.begin_request(request_id(&entry, &req));
+            let pending = PendingRequest::new(&entry, &guard);
             let res = handle(&entry, req, &guard, &shutdown).await?;
+            pending.on_answer();
             Ok::<_, Infallible>(res.map(|body| GuardedBody::new(body, guard)))
         }
     });
--- a/crates/rw-fleet/src/entry/mod.rs
+++ b/crates/rw-fleet/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod call;
 mod caller_connection;
 mod caller_socket;
+mod disconnects;
 mod events;
 mod limit_guard;
 mod limited_selection;
