End a silent stream before its caller leaves

Traced: the streams were at servers on frozen machines. Their callers left after 3.2 s without an event (eight event gaps); the entry noticed that 2 ms later and closed the connections to the server, which learned of it only when its machine went on, and ran the request then.

Class: a wait that is bounded by the caller's deadline, although the caller leaves sooner.

Now a stream ends after nine tenths of the silence that callers bear (2 s, four objectives or eight event gaps, the longest), with 504 before its first event and broken off after one. The limit counts from the last event that the caller was sent, so one that reads slowly does not shorten it, and bounds attempts at other servers as well.

--- a/crates/rw-fleet/src/configuration.rs
+++ b/crates/rw-fleet/src/configuration.rs
@@ -19,6 +19,13 @@
     Streaming,
 }
 
+/// Shortest silence of a stream after which callers leave.
+const MIN_CALLER_PATIENCE: Duration = Duration::from_secs(2);
+/// Multiple of a route's objective that callers wait for at least.
+const OBJECTIVE_PATIENCE_FACTOR: u32 = 4;
+/// Multiple of a route's maximum event gap that callers wait for at least.
+const GAP_PATIENCE_FACTOR: u32 = 8;
+
 /// One route of the configuration.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
@@ -48,6 +55,16 @@
     pub priority: u32,
 }
 
+impl Route {
+    /// Silence of a stream, before its first event or after another one, after which callers
+    /// leave.
+    pub fn caller_patience(&self) -> Duration {
+        (self.objective * OBJECTIVE_PATIENCE_FACTOR)
+            .max(self.max_event_gap * GAP_PATIENCE_FACTOR)
+            .max(MIN_CALLER_PATIENCE)
+    }
+}
+
 /// A service and its backend servers.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
--- a/crates/rw-fleet/src/entry/attempt.rs
+++ b/crates/rw-fleet/src/entry/attempt.rs
@@ -43,6 +43,8 @@
 pub enum TimeLimit {
     /// Time that an attempt has if another one may follow.
     Attempt,
+    /// Silence of a stream that its caller bears.
+    Silence,
     /// Deadline of the call.
     Deadline,
 }
@@ -104,7 +106,7 @@
 pub fn timed_out(call: &Call) -> Failure {
     Failure::Timeout(match call.time_left().is_zero() {
         true => TimeLimit::Deadline,
-        false => TimeLimit::Attempt,
+        false => TimeLimit::Silence,
     })
 }
 
--- a/crates/rw-fleet/src/entry/call.rs
+++ b/crates/rw-fleet/src/entry/call.rs
@@ -13,6 +13,11 @@
 /// attempt; a caller that states less has probably been refused before.
 const FIRST_ATTEMPT_SHARE: f64 = 0.8;
 
+/// Share of the silence that a caller bears after which a stream ends. It would otherwise
+/// leave without knowing what became of its request, and the server would work on if the
+/// end of the connection reaches it late.
+const SILENCE_SHARE: f64 = 0.9;
+
 /// Rank of the most urgent requests that are no payments or the like.
 const REPEATABLE_RANK: u32 = 100;
 
@@ -59,6 +64,13 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Latest time for the next event of a stream whose caller has received nothing since
+    /// `since`.
+    pub fn next_event_limit(&self, since: Instant) -> Instant {
+        let silence = self.route.caller_patience().mul_f64(SILENCE_SHARE);
+        self.deadline.min(since + silence)
+    }
+
     /// Whether a backend server may have received the call.
     pub fn was_sent(&self) -> bool {
         self.sent.load(Ordering::Relaxed)
--- a/crates/rw-fleet/src/entry/stream.rs
+++ b/crates/rw-fleet/src/entry/stream.rs
@@ -10,7 +10,7 @@
 use rw_protocol::Name;
 use tokio::time::{timeout, timeout_at, Instant};
 
-use super::attempt::{self, Failure, TimeLimit};
+use super::attempt::{self, Failure};
 use super::poison_guard::RUN_TIME;
 use super::response::{caller_headers, event_body, EventSender, ResponseBody};
 use super::stream_attempt::{next_events, Opened, OpenedStream};
@@ -39,6 +39,7 @@
         is_trial,
         weights_version: None,
         stream_is_open: false,
+        until: call.next_event_limit(call.received_at),
     };
     let stream = match opener.open(call.last_event_id).await? {
         Opened::Complete(res) => return Ok(*res),
@@ -59,6 +60,7 @@
         first_event_latency: call.age(),
         longest_event_gap: Duration::ZERO,
         last_event_at: Instant::now(),
+        silent_since: Instant::now(),
         selection_detail: stream.selection_detail.clone(),
     };
     tokio::spawn(relay.run(stream));
@@ -82,6 +84,8 @@
     first_event_latency: Duration,
     longest_event_gap: Duration,
     last_event_at: Instant,
+    // When the caller was sent the last event.
+    silent_since: Instant,
     // Forecast and known load when the first server was selected, for the log.
     selection_detail: String,
 }
@@ -171,6 +175,7 @@
         if !first_events.is_empty() && !self.tx.send(first_events).await {
             return RelayEnd::Disconnected;
         }
+        self.silent_since = Instant::now();
         if current.is_complete {
             self.entry.poison_guard.on_run(&self.call);
             return RelayEnd::Complete;
@@ -204,7 +209,7 @@
             }
             let sent = timeout(self.call.time_left(), self.tx.send(events)).await;
             match sent {
-                Ok(true) => {}
+                Ok(true) => self.silent_since = Instant::now(),
                 Ok(false) => return RelayEnd::Disconnected,
                 Err(_) => return RelayEnd::Unread,
             }
@@ -215,19 +220,20 @@
     // go on, and the first of the two to send an event serves the stream.
     async fn next(&mut self, current: &mut OpenedStream) -> Next {
         let stall = (self.call.route.max_event_gap * STALL_GAP_FACTOR).max(MIN_STALL);
-        let deadline = self.call.deadline;
+        let until = self.until();
         let disconnected = self.tx.disconnected.clone();
         loop {
-            let limit = deadline.min(Instant::now() + stall);
+            let limit = until.min(Instant::now() + stall);
             let own = next_events(&mut current.body, &mut current.reader);
             let events = tokio::select! {
                 events = timeout_at(limit, own) => events,
                 _ = disconnected.recv_async() => return Next::Disconnected,
             };
-            let timed_out = Err(Failure::Timeout(TimeLimit::Deadline));
             match events {
                 Ok(events) => return Next::Events(events),
-                Err(_) if limit == deadline => return Next::Events(timed_out),
+                Err(_) if limit == until => {
+                    return Next::Events(Err(attempt::timed_out(&self.call)));
+                }
                 Err(_) if self.can_resume().is_err() => continue,
                 Err(_) => {}
             }
@@ -275,15 +281,21 @@
             is_trial: false,
             weights_version: self.weights_version,
             stream_is_open: false,
+            until: self.until(),
         }
     }
 
+    // Latest time for the next event.
+    fn until(&self) -> Instant {
+        self.call.next_event_limit(self.silent_since)
+    }
+
     fn can_resume(&self) -> ResumeResult<()> {
         let reason = if !self.call.is_retryable() {
             "route without resumption"
         } else if self.sent_attempts >= self.call.route.max_attempts {
             "no attempt left"
-        } else if self.call.time_left() <= MIN_ATTEMPT_TIME {
+        } else if self.until() <= Instant::now() + MIN_ATTEMPT_TIME {
             "no time left"
         } else if self.is_trial || !self.entry.poison_guard.may_repeat(&self.call) {
             "a part of the prompt crashes backend servers"
--- a/crates/rw-fleet/src/entry/stream_attempt.rs
+++ b/crates/rw-fleet/src/entry/stream_attempt.rs
@@ -4,7 +4,7 @@
 use http::header::CONTENT_TYPE;
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
-use tokio::time::timeout_at;
+use tokio::time::{timeout_at, Instant};
 
 use super::attempt::{self, AttemptOptions, Failure};
 use super::response::ResponseBody;
@@ -38,15 +38,16 @@
     Complete(Box<Response<ResponseBody>>),
 }
 
-/// Sends the call and waits for its first events until its deadline.
+/// Sends the call and waits for its first events.
 pub(super) async fn start_stream<D: PlatformCodec>(
     entry: &Entry<D>,
     call: &Call,
     mut permit: SlotPermit,
     send_permit: SendPermit,
     options: &AttemptOptions,
+    until: Instant,
 ) -> attempt::Result<Opened> {
-    let (names, until) = (entry.cx.codec.headers(), call.deadline);
+    let names = entry.cx.codec.headers();
     let selection_detail = format!(
         "placed_ms={} patience_ms={} forecast_ms={} running={} unread={} prompt={}",
         call.age().as_millis(),
@@ -62,7 +63,7 @@
         &permit.server,
         options,
         send_permit,
-        call.time_left(),
+        until.saturating_duration_since(Instant::now()),
     )
     .await?;
     if !is_event_stream(&res) {
--- a/crates/rw-fleet/src/entry/stream_opener.rs
+++ b/crates/rw-fleet/src/entry/stream_opener.rs
@@ -60,6 +60,8 @@
     pub(super) weights_version: Option<u64>,
     // Whether the stream is still open at a server that is silent.
     pub(super) stream_is_open: bool,
+    // Latest time for the first event.
+    pub(super) until: Instant,
 }
 
 /// What the opener does next.
@@ -82,7 +84,7 @@
         &mut self,
         last_event_id: u64,
     ) -> std::result::Result<Opened, Refusal> {
-        let (entry, call, is_trial) = (self.entry, self.call, self.is_trial);
+        let (entry, call, is_trial, until) = (self.entry, self.call, self.is_trial, self.until);
         let options = AttemptOptions {
             last_event_id,
             weights_version: self.weights_version,
@@ -116,7 +118,8 @@
                     (is_searching, silent_at) = (false, Instant::now() + FIRST_EVENT_TIMEOUT);
                     let options = &options;
                     attempts.push(async move {
-                        let result = start_stream(entry, call, permit, send_permit, options).await;
+                        let result =
+                            start_stream(entry, call, permit, send_permit, options, until).await;
                         EndedAttempt {
                             backend,
                             is_repeat,
@@ -195,7 +198,7 @@
         is_open: bool,
     ) -> std::result::Result<(SlotPermit, SendPermit), Refusal> {
         let is_open = is_open || self.stream_is_open;
-        if self.call.time_left().is_zero() {
+        if self.time_left().is_zero() {
             return Err(self.deadline_refusal());
         }
         if !is_open && !self.tried_servers.is_empty() {
@@ -222,6 +225,11 @@
         }
     }
 
+    // Time until the first event is due.
+    fn time_left(&self) -> Duration {
+        self.until.saturating_duration_since(Instant::now())
+    }
+
     fn deadline_refusal(&self) -> Refusal {
         match self.sent_attempts {
             0 => self.not_run_refusal("no time left", MIN_RETRY_AFTER),
@@ -268,7 +276,7 @@
         let has_attempt_left = self.sent_attempts < self.call.route.max_attempts;
         let may_run_again = self.sent_attempts == 0
             || (self.call.is_retryable()
-                && self.call.time_left() > MIN_ATTEMPT_TIME
+                && self.time_left() > MIN_ATTEMPT_TIME
                 && !self.is_trial
                 && self.entry.poison_guard.may_repeat(self.call));
         has_attempt_left && may_run_again && self.not_run_attempts < MAX_NOT_RUN_ATTEMPTS
@@ -293,7 +301,7 @@
         };
         let until = match self.tried_servers.is_empty() {
             true => call.received_at + call.route.objective.mul_f64(SLOT_WAIT_SHARE),
-            false => Instant::now() + RETRY_SLOT_WAIT.min(call.time_left() / 3),
+            false => Instant::now() + RETRY_SLOT_WAIT.min(self.time_left() / 3),
         };
         let load_changed = entry.load_tracker.subscribe();
         loop {
@@ -336,7 +344,7 @@
         RequestRequirements {
             prompt_tokens: call.prompt_tokens,
             first_event_budget: match is_retry {
-                true => call.time_left(),
+                true => self.time_left(),
                 false => call.route.objective.saturating_sub(call.age()),
             },
             max_event_gap: call.route.max_event_gap,
