Record a caller that leaves while its stream moves to another server as cancelled

What operators saw: StreamBrokenOff, an error, with not_resumed="the caller disconnected", for a caller that had left; every other caller that leaves has CallCancelled. Found by the test of callers that leave. The work at the server ended in time before, too.

Test: case resumed_stream of attempts_end_when_their_caller_leaves, three cases red before.

--- a/crates/rw-fleet/src/entry/response.rs
+++ b/crates/rw-fleet/src/entry/response.rs
@@ -58,6 +58,11 @@
         self.batches.send_async(events).await.is_ok()
     }
 
+    /// Whether the caller has disconnected.
+    pub fn is_disconnected(&self) -> bool {
+        self.disconnected.is_disconnected()
+    }
+
     /// Ends the response as complete.
     pub fn finish(self) {
         self.finished.store(true, Ordering::Release);
--- a/crates/rw-fleet/src/entry/stream.rs
+++ b/crates/rw-fleet/src/entry/stream.rs
@@ -157,6 +157,9 @@
                     self.record(Event::StreamResumed, &server, &format!("after={last_id}"));
                     current = next;
                 }
+                Err(_) if self.tx.is_disconnected() => {
+                    return self.record(Event::CallCancelled, &server, &format!("after={last_id}"));
+                }
                 Err(reason) => {
                     let detail = format!(
                         "failure={failure:?} left_ms={} silent_ms={silent_ms} after={last_id} \
