End the wait of requests at servers before the deadline of newer weights

Cause: the margin of 1.3 s before the deadline bounds only when a request is sent. Now a request that was sent to older weights is cancelled there if its first event (or the head of an answer in one piece) has not arrived 0.5 s before the deadline. It goes on at a server with the newer weights if it may be repeated, and else fails with 502, as it may have run. It is kept at a server that holds or loads the newer weights by then, and at services without an engine. Neither the circuit breaker nor the detection of prompts that crash servers counts it. Event 512 has the request's id, both versions and `sent=true`.

Red before: `weights_deadline`, requests that wait in a server: status 200 with an event sent 3 s after the version was named, deadline 2 s (server silent for 3 s). Removed by hand, each turns a test red: the bound before the head, the bound before the first event, the exception of the breaker, the exception of a server without weights, the server's current row, the notice to waiting requests.

Not done: a request at a server that has been ordered to load and still reports its old weights is cancelled too. A server that does not notice the closed connection may still begin the request.

--- a/crates/rw-fleet/src/entry/attempt.rs
+++ b/crates/rw-fleet/src/entry/attempt.rs
@@ -34,6 +34,9 @@
     PermitExpired,
     /// The request was not sent, because the server holds older weights than required.
     WeightsOutdated(OutdatedWeights),
+    /// The request was sent, and cancelled because it had not begun when it had to on the
+    /// weights of its server.
+    WeightsExpired(OutdatedWeights),
     /// The request was sent and may have been executed.
     Unknown(String),
     /// The request was sent, but no response arrived within a time limit.
@@ -92,8 +95,11 @@
     entry.check_weights(call, server)?;
     call.sent.store(true, Ordering::Relaxed);
     let sent_at = uptime();
-    let res = timeout(limit, conn.send(req)).await;
-    let res = res.map_err(|_| timed_out(call))??;
+    let head = async {
+        let res = timeout(limit, conn.send(req)).await;
+        Ok(res.map_err(|_| timed_out(call))??)
+    };
+    let res = entry.begin_in_time(call, server, head).await?;
     let notice = ServerNotice::parse(res.status(), res.headers(), names);
     entry.load_tracker.on_notice(server, &notice);
     if !is_to_other_request(call, names, &res) {
--- a/crates/rw-fleet/src/entry/mod.rs
+++ b/crates/rw-fleet/src/entry/mod.rs
@@ -43,4 +43,5 @@
 pub use server_notice::ServerNotice;
 pub use shared::Entry;
 pub use shutdown::{Shutdown, Stages};
+pub(crate) use weights_guard::watch_weights;
 pub use weights_guard::OutdatedWeights;
--- a/crates/rw-fleet/src/entry/shared.rs
+++ b/crates/rw-fleet/src/entry/shared.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use super::attempt::{self, Failure};
+use super::weights_guard::WeightsGuard;
 use super::{Call, CallerConnections, LoadTracker, OutdatedWeights, PoisonGuard};
 use crate::{BackendServer, Cx, Engine, PlatformCodec, Snapshot};
 
@@ -28,6 +29,7 @@
     extra_retries: ExtraRetries,
     // Version that requests required last, by model.
     required_weights: Mutex<BTreeMap<Name, u64>>,
+    pub(super) weights_guard: WeightsGuard,
 }
 
 impl<D: PlatformCodec> Entry<D> {
@@ -50,6 +52,7 @@
             requests_end: OnceLock::new(),
             extra_retries,
             required_weights: Mutex::default(),
+            weights_guard: WeightsGuard::default(),
         })
     }
 
@@ -171,7 +174,9 @@
                 self.load_tracker.on_refused(server);
                 false
             }
-            Err(Failure::PermitExpired | Failure::WeightsOutdated(_)) => false,
+            Err(
+                Failure::PermitExpired | Failure::WeightsOutdated(_) | Failure::WeightsExpired(_),
+            ) => false,
             Err(_) => self.load_tracker.on_failure(server),
         };
         if let Err(failure) = result {
@@ -197,14 +202,15 @@
     /// Emits an event about a failed attempt.
     pub fn log_failure(&self, call: &Call, server: &Name, failure: &Failure) {
         match failure {
-            Failure::WeightsOutdated(weights) => self.log_outdated(call, server, weights),
+            Failure::WeightsOutdated(weights) => self.log_outdated(call, server, weights, false),
+            Failure::WeightsExpired(weights) => self.log_outdated(call, server, weights, true),
             failure => self.log_failed_attempt(call, server, failure),
         }
     }
 
-    fn log_outdated(&self, call: &Call, server: &Name, weights: &OutdatedWeights) {
+    fn log_outdated(&self, call: &Call, server: &Name, weights: &OutdatedWeights, sent: bool) {
         let detail = format!(
-            "request={} server={server} held={} required={} sent=false age_ms={} left_ms={}",
+            "request={} server={server} held={} required={} sent={sent} age_ms={} left_ms={}",
             call.id,
             weights.held,
             weights.required,
--- a/crates/rw-fleet/src/entry/stream_attempt.rs
+++ b/crates/rw-fleet/src/entry/stream_attempt.rs
@@ -79,8 +79,13 @@
     let weights_version = head.headers.get(&names.weights);
     let weights_version = weights_version.and_then(|v| v.to_str().ok()?.parse().ok());
     let mut reader = EventReader::after(options.last_event_id);
-    let first_events = timeout_at(until, next_events(&mut body, &mut reader)).await;
-    let first_events = first_events.map_err(|_| attempt::timed_out(call))??;
+    let first_events = async {
+        let events = timeout_at(until, next_events(&mut body, &mut reader)).await;
+        events.map_err(|_| attempt::timed_out(call))?
+    };
+    let first_events = entry
+        .begin_in_time(call, &permit.server, first_events)
+        .await?;
     permit.on_first_event();
     let is_complete = first_events.is_none();
     Ok(Opened::Stream(Box::new(OpenedStream {
--- a/crates/rw-fleet/src/entry/stream_opener.rs
+++ b/crates/rw-fleet/src/entry/stream_opener.rs
@@ -12,6 +12,7 @@
 use super::limited_selection::{LimitedSelection, LIMIT_REASON};
 use super::open_attempts::OpenAttempts;
 use super::stream_attempt::{start_stream, Opened};
+use super::weights_guard::WEIGHTS_EXPIRED_REASON;
 use super::{Call, Entry, Refusal, SlotPermit};
 use crate::limit_exchange::SendPermit;
 use crate::{BackendServer, PlatformCodec};
@@ -187,6 +188,7 @@
                 None
             }
             Failure::Timeout(_) => Some(Refusal::Timeout),
+            Failure::WeightsExpired(_) => Some(Refusal::Failed(WEIGHTS_EXPIRED_REASON)),
             Failure::Unknown(_) => Some(Refusal::Failed("the backend server broke off")),
         }
     }
--- a/crates/rw-fleet/src/entry/unary.rs
+++ b/crates/rw-fleet/src/entry/unary.rs
@@ -10,6 +10,7 @@
 use super::attempt::{self, AttemptOptions, Failure};
 use super::limited_selection::{LimitedSelection, LIMIT_REASON};
 use super::open_attempts::OpenAttempts;
+use super::weights_guard::WEIGHTS_EXPIRED_REASON;
 use super::{Call, Entry, Refusal, SlotPermit};
 use crate::connect::{read_response, CompleteResponse};
 use crate::limit_exchange::SendPermit;
@@ -171,6 +172,7 @@
                 }
             }
             Failure::Timeout(_) => *fallback = Refusal::Timeout,
+            Failure::WeightsExpired(_) => *fallback = Refusal::Failed(WEIGHTS_EXPIRED_REASON),
             Failure::Unknown(_) => *fallback = Refusal::Failed("the backend server broke off"),
         }
     }
--- a/crates/rw-fleet/src/run.rs
+++ b/crates/rw-fleet/src/run.rs
@@ -13,7 +13,8 @@
 use tokio::time::{sleep_until, Instant};
 
 use crate::entry::{
-    grant_permits, serve_callers, serve_probe, Entry, LoadTracker, PoisonGuard, Shutdown, Stages,
+    grant_permits, serve_callers, serve_probe, watch_weights, Entry, LoadTracker, PoisonGuard,
+    Shutdown, Stages,
 };
 use crate::host::{reconcile_weights, BackendClient, ChunkStore, ObjectArchive, OriginClient};
 use crate::limit_exchange::exchange_limits;
@@ -141,6 +142,7 @@
     ));
     tokio::spawn(register(cx.clone(), store));
     let entry = Entry::new(cx.clone(), load_tracker, poison_guard);
+    tokio::spawn(watch_weights(entry.clone()));
     let probed_entry = entry.clone();
     let ready_path = cx.codec.ready_path();
     let answer = move |path: &str| match (path == ready_path, probed_entry.is_ready()) {
--- a/crates/rw-observe/src/catalogue.rs
+++ b/crates/rw-observe/src/catalogue.rs
@@ -82,7 +82,7 @@
     509 StreamResumed Warn "A stream was resumed at another backend server." "If it recurs, check the named server.";
     510 StreamBrokenOff Error "A stream ended before its last event." "See the failure for the cause.";
     511 ServerSilent Info "A backend server has sent nothing of an answer for some time; the request waits on and is sent to another server as well if there is one." "If it recurs, check the named server.";
-    512 WeightsOutdated Info "A request was not sent to the backend server that was selected for it, because the server holds older weights than are required by now." "If it recurs, check why the rollout of the required version is late.";
+    512 WeightsOutdated Info "A request was not sent to a backend server, or was cancelled there before it had begun, because the server holds older weights than are required by now." "If it recurs, check why the rollout of the required version is late.";
     600 IntentLate Error "An intent was not fulfilled by its deadline." "Run ragworttack status to list the missing hosts.";
     601 IntentFulfilled Info "Every host of an intent serves its model." "Nothing.";
     602 HostUnreachable Warn "A host that should serve does not respond." "Check the host.";
