Announce the end of a connection only if no other request has arrived

When an entry stopped, a request that a caller had sent on a connection while the one before was at a server was read in full and dropped with the connection, without an answer or a refusal.

Cause: the answer to the request before announced the end because the process was stopping, whatever else had been read. The state of the connection knew that bytes of the next request had come, but only the idle timeout asked it.

Change: the end is announced by the answer after which nothing else has arrived, by the connection's state and its socket.

Ruled out: a change of the configuration without a stop; such requests were answered (pipelined_requests_are_answered_across_a_change).

Open: of two requests in one packet, the second is not seen before the first is answered, as the HTTP library has read it together with the first.

Evidence: both cases of request_read_beside_the_one_before_is_answered_at_the_stop saw `Closed` for the second request before, and its answer now. The 16 other tests of stopping.rs and the 17 of configuration_changes.rs pass (one run each).

--- a/crates/rw-fleet/src/entry/caller_connection.rs
+++ b/crates/rw-fleet/src/entry/caller_connection.rs
@@ -264,6 +264,14 @@
         }
     }
 
+    /// Whether bytes of the next request have been read.
+    pub fn has_read_ahead(&self) -> bool {
+        match &self.0.lock().phase {
+            Phase::Request(req) => req.has_read_ahead,
+            _ => false,
+        }
+    }
+
     /// The answer has begun.
     pub fn on_answer(&self) {
         self.0.update_request(|req| req.is_answering = true);
@@ -272,11 +280,7 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        let has_read_ahead = match &self.0.lock().phase {
-            Phase::Request(req) => req.has_read_ahead,
-            _ => false,
-        };
-        self.0.set(match has_read_ahead {
+        self.0.set(match self.has_read_ahead() {
             true => Phase::ReadingHead,
             false => Phase::Idle,
         });
--- a/crates/rw-fleet/src/entry/listener.rs
+++ b/crates/rw-fleet/src/entry/listener.rs
@@ -113,9 +113,15 @@
     let socket = CallerSocket::new(conn, state.clone());
     let service = service_fn(|req: Request<Incoming>| {
         let (entry, state, shutdown) = (entry.clone(), state.clone(), shutdown.clone());
+        let socket = socket.clone();
         async move {
             let guard = state.begin_request(request_id(&entry, &req), caller_limits(&entry));
-            let res = handle(&entry, req, &guard, &shutdown).await?;
+            let mut res = handle(&entry, req, &guard, &shutdown).await?;
+            let is_last = || !guard.has_read_ahead() && !socket.has_unread();
+            if entry.cx.is_shutting_down() && is_last() {
+                let close = HeaderValue::from_static("close");
+                res.headers_mut().insert(CONNECTION, close);
+            }
             Ok::<_, Infallible>(res.map(|body| GuardedBody::new(body, guard)))
         }
     });
@@ -201,15 +207,10 @@
         result = answer(entry, req, guard) => result,
         _ = shutdown.requests_end.recv_async() => Err(end_refusal(guard.call())),
     };
-    let mut res = result.unwrap_or_else(|refusal| {
+    Ok(result.unwrap_or_else(|refusal| {
         record_refusal(entry, guard, &refusal);
         response::refusal(&refusal, id.as_ref(), names)
-    });
-    if entry.cx.is_shutting_down() {
-        let close = HeaderValue::from_static("close");
-        res.headers_mut().insert(CONNECTION, close);
-    }
-    Ok(res)
+    }))
 }
 
 async fn answer<D: PlatformCodec>(
