--- a/crates/rw-fleet/src/lib.rs
+++ b/crates/rw-fleet/src/lib.rs
@@ -38,6 +38,7 @@
 mod store_clock;
 mod store_feed;
 mod weights_record;
+mod whole_millis;
 
 pub use change_times::{waits_at_store, CallTimes, ChangeTimes, ARRIVAL_TIME};
 pub use cluster_state::ClusterState;
@@ -58,3 +59,4 @@
 pub use store_clock::{ClockReading, StoreClock, TimeSpan};
 pub use store_feed::long_poll_timeout;
 pub use weights_record::{RecordedRequest, WeightsRecord};
+pub use whole_millis::whole_millis;
--- a/crates/rw-fleet/tests/common/mod.rs
+++ b/crates/rw-fleet/tests/common/mod.rs
@@ -1,4 +1,5 @@
 //! Codec of text rows, and helpers to write them.
+#![allow(dead_code)]
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -77,6 +78,7 @@
                 limits: CallerLimits {
                     head_bytes: 0,
                     body_bytes: 0,
+                    head_time: Duration::ZERO,
                     idle: Duration::ZERO,
                 },
             })),
