Poll the store for a short time after a failure

After a silent outage callers were refused 2.8 s too early: a call that hangs shows only at its end that the store was away at its start, and the polls of a vigilant reader hang for 2.7 s.

--- a/crates/rw-fleet/src/change_times.rs
+++ b/crates/rw-fleet/src/change_times.rs
@@ -101,6 +101,11 @@
         self.failures = 0;
     }
 
+    /// Whether the last call failed.
+    pub fn has_failed(&self) -> bool {
+        self.failures > 0
+    }
+
     /// A call failed. Returns whether it shows that the store was away, and acknowledged
     /// nothing: the store refused it, or one more call in succession hung or ended with
     /// its connection. One alone may hang on a silent connection.
--- a/crates/rw-fleet/src/store_feed.rs
+++ b/crates/rw-fleet/src/store_feed.rs
@@ -109,7 +109,7 @@
             continue;
         }
         let called_at = uptime();
-        let wait = poll_wait(&cx, &name);
+        let wait = poll_wait(&cx, &name, &times);
         let limit = match initialized {
             false => table_timeout(&cx.settings.bounds, failed_reads),
             true => wait + LONG_POLL_SLACK,
@@ -220,8 +220,12 @@
     first_alive.is_some_and(is_own) || !readers.iter().any(is_own)
 }
 
-// Time that the next long poll of a table may wait at the store.
-fn poll_wait<D: PlatformCodec>(cx: &Cx<D>, table: &Name) -> Duration {
+// Time that the next long poll of a table may wait at the store. After a failure it is
+// short: a call that hangs in an outage tells only at its end that the store was away.
+fn poll_wait<D: PlatformCodec>(cx: &Cx<D>, table: &Name, times: &ChangeTimes) -> Duration {
+    if times.has_failed() {
+        return MIN_STORE_LONG_POLL;
+    }
     if needs_clock(cx, table) {
         return Duration::ZERO;
     }
