--- a/crates/rw-fleet/src/entry/stream_attempt.rs
+++ b/crates/rw-fleet/src/entry/stream_attempt.rs
@@ -4,7 +4,7 @@
 use http::header::CONTENT_TYPE;
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
-use tokio::time::timeout_at;
+use tokio::time::{timeout_at, Instant};
 
 use super::attempt::{self, AttemptOptions, Failure};
 use super::response::ResponseBody;
@@ -38,15 +38,16 @@
     Complete(Box<Response<ResponseBody>>),
 }
 
-/// Sends the call and waits for its first events until its deadline.
+/// Sends the call and waits for its first events.
 pub(super) async fn start_stream<D: PlatformCodec>(
     entry: &Entry<D>,
     call: &Call,
     mut permit: SlotPermit,
     send_permit: SendPermit,
     options: &AttemptOptions,
+    until: Instant,
 ) -> attempt::Result<Opened> {
-    let (names, until) = (entry.cx.codec.headers(), call.deadline);
+    let names = entry.cx.codec.headers();
     let selection_detail = format!(
         "placed_ms={} patience_ms={} forecast_ms={} running={} unread={} prompt={}",
         call.age().as_millis(),
@@ -62,7 +63,7 @@
         &permit.server,
         options,
         send_permit,
-        call.time_left(),
+        until.saturating_duration_since(Instant::now()),
     )
     .await?;
     if !is_event_stream(&res) {
@@ -79,8 +80,13 @@
     let weights_version = head.headers.get(&names.weights);
     let weights_version = weights_version.and_then(|v| v.to_str().ok()?.parse().ok());
     let mut reader = EventReader::after(options.last_event_id);
-    let first_events = timeout_at(until, next_events(&mut body, &mut reader)).await;
-    let first_events = first_events.map_err(|_| attempt::timed_out(call))??;
+    let first_events = async {
+        let events = timeout_at(until, next_events(&mut body, &mut reader)).await;
+        events.map_err(|_| attempt::timed_out(call))?
+    };
+    let first_events = entry
+        .begin_in_time(call, &permit.server, first_events)
+        .await?;
     permit.on_first_event();
     let is_complete = first_events.is_none();
     Ok(Opened::Stream(Box::new(OpenedStream {
