review: show the known trust in a first row with a runner in trouble

A runner is dark for 4 s while an order waits, a staged piece turns bad, the next order waits for 4 s, and two entries are stopped and started in turn. The host's daemon runs all the time and says that the runner accepts nothing; the entry that starts sends requests there until that is said again.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -37,7 +37,12 @@
     let outcome = std::fs::create_dir_all(&scratch)
         .map_err(|err| err.to_string())
         .and_then(|()| match case.as_str() {
-            "whole" => whole::run(&record, &scratch, with_trouble),
+            "whole-killed-host" => {
+                whole::run(&record, &scratch, with_trouble, whole::Variant::KilledHost)
+            }
+            "whole-grey-runner" => {
+                whole::run(&record, &scratch, with_trouble, whole::Variant::GreyRunner)
+            }
             other => Err(format!("no such case: {other}")),
         });
     if std::env::var_os("KEEP_LOGS").is_none() {
--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -1,5 +1,6 @@
 //! A model server with its staging area, and the origin of weights.
 
+use std::collections::VecDeque;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -19,6 +20,8 @@
 pub const SLOTS: usize = 16;
 pub const MODEL: &str = "dense";
 pub const HEARTBEAT: Duration = Duration::from_millis(1200);
+/// Time by which the order that waited longest is ahead of other calls.
+const WAKE_GAP: Duration = Duration::from_millis(20);
 const WARMUP: Duration = Duration::from_millis(300);
 /// Events of each stream, and the time between them.
 const EVENTS: u64 = 6;
@@ -59,8 +62,11 @@
     staged: Vec<Staged>,
     sequence: u64,
     active: usize,
-    // How long the next order waits before it is accepted.
-    order_delay: Duration,
+    // How long each of the next orders waits before it is accepted.
+    order_delays: VecDeque<Duration>,
+    // Whether the runner answers nothing while the next order waits, and until when.
+    hangs_with_order: bool,
+    silent_until: Option<Instant>,
     // Whether a token was made with a layer that was taken in a bad state.
     pub bad_tokens: u32,
     tokens: u32,
@@ -112,7 +118,9 @@
                 staged: (0..CHUNKS).map(staged).collect(),
                 sequence: 0,
                 active: 0,
-                order_delay: Duration::ZERO,
+                order_delays: VecDeque::new(),
+                hangs_with_order: false,
+                silent_until: None,
                 bad_tokens: 0,
                 tokens: 0,
             }),
@@ -134,8 +142,13 @@
         Ok(runner)
     }
 
-    pub fn delay_next_order(&self, delay: Duration) {
-        self.state.lock().unwrap().order_delay = delay;
+    pub fn delay_next_orders(&self, delays: &[Duration]) {
+        self.state.lock().unwrap().order_delays.extend(delays);
+    }
+
+    /// Answers no call at all while the next order waits.
+    pub fn hang_with_next_order(&self) {
+        self.state.lock().unwrap().hangs_with_order = true;
     }
 
     /// A staged piece turns bad.
@@ -168,8 +181,13 @@
         let state = self.state.lock().unwrap();
         format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{SLOTS},\
-             \"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":{beat},\"born\":{},\"layers\":{}}}",
-            self.service, self.addr, self.zone, self.born, layers(state.held)
+             \"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":{beat},\"born\":{},\"stage\":\"combined\",\"models\":{},\"layers\":{}}}",
+            self.service,
+            self.addr,
+            self.zone,
+            self.born,
+            models(state.held),
+            layers(state.held)
         )
     }
 
@@ -212,6 +230,10 @@
     fn handle(&self, req: &Message, conn: &mut TcpStream) -> bool {
         let id = req.header("attempt-id").to_string();
         let echo = format!("Attempt-Id: {id}\r\n");
+        let silent_until = self.state.lock().unwrap().silent_until;
+        if let Some(until) = silent_until {
+            thread::sleep(until.saturating_duration_since(Instant::now()));
+        }
         let mut parts = req.path().split('/').skip(1);
         let answer = match (parts.next(), parts.next()) {
             (Some("v1"), Some("report")) => (200, self.report().into_bytes()),
@@ -241,8 +263,9 @@
     fn report(&self) -> String {
         let state = self.state.lock().unwrap();
         format!(
-            "{{\"stage\":\"combined\",\"models\":[],\"layers\":{},\"busy\":{},\"sequence\":{},\"born\":{},\
+            "{{\"stage\":\"combined\",\"models\":{},\"layers\":{},\"busy\":{},\"sequence\":{},\"born\":{},\
              \"queuedRequests\":0,\"activeRequests\":{},\"kvCacheUsed\":0,\"kvCacheTotal\":1180000,\"pace\":1}}",
+            models(state.held),
             layers(state.held),
             state.ordered.is_some(),
             state.sequence,
@@ -254,7 +277,15 @@
     // Staged pieces are taken as they are when the order is accepted.
     fn order(&self, body: &[u8]) -> u16 {
         let order = json::parse(&String::from_utf8_lossy(body));
-        let delay = std::mem::take(&mut self.state.lock().unwrap().order_delay);
+        let delay = {
+            let mut state = self.state.lock().unwrap();
+            let delay = state.order_delays.pop_front().unwrap_or_default();
+            if std::mem::take(&mut state.hangs_with_order) {
+                // What has waited longest goes first.
+                state.silent_until = Some(Instant::now() + delay + WAKE_GAP);
+            }
+            delay
+        };
         self.record.note(&format!(
             "order arrives at {}: {}",
             self.id,
@@ -370,6 +401,16 @@
     }
 }
 
+fn models(held: Layers) -> String {
+    match held.from == held.to {
+        true => "[]".into(),
+        false => format!(
+            "[{{\"name\":\"{MODEL}\",\"version\":{},\"adapters\":[]}}]",
+            held.version
+        ),
+    }
+}
+
 fn layers(held: Layers) -> String {
     match held.from == held.to {
         true => "null".into(),
--- a/review/standin/whole.rs
+++ b/review/standin/whole.rs
@@ -90,7 +90,16 @@
     false
 }
 
-pub fn run(record: &Arc<Record>, dir: &Path, with_trouble: bool) -> Outcome {
+/// What keeps the host from having the damaged weights replaced at once.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Variant {
+    /// Its daemon is killed while its order waits, and starts again later.
+    KilledHost,
+    /// The runner hangs with the order, and the next order waits as well.
+    GreyRunner,
+}
+
+pub fn run(record: &Arc<Record>, dir: &Path, with_trouble: bool, variant: Variant) -> Outcome {
     let io = |err: std::io::Error| err.to_string();
     let net = Network::find().ok_or("no free loopback addresses")?;
     let store = Store::start(net.addr(1, 8007)).map_err(io)?;
@@ -135,7 +144,7 @@
         Arc::new(AtomicBool::new(false)),
         Arc::new(AtomicU64::new(0)),
     );
-    for n in 0..2 * usize::from(ENTRIES) {
+    for n in 0..4 * usize::from(ENTRIES) {
         let addr = net.addr(11 + (n % usize::from(ENTRIES)) as u8, FRONTEND);
         spawn_client(addr, n, stop.clone(), served.clone(), record.clone());
     }
@@ -143,7 +152,11 @@
     let chosen = 4;
     let runner = runners[chosen].clone();
     if with_trouble {
-        runner.delay_next_order(ORDER_DELAY);
+        runner.delay_next_orders(&[ORDER_DELAY]);
+        if variant == Variant::GreyRunner {
+            runner.delay_next_orders(&[ORDER_DELAY]);
+            runner.hang_with_next_order();
+        }
     }
     store.put(
         "op",
@@ -163,26 +176,37 @@
     if with_trouble {
         thread::sleep(Duration::from_millis(100));
         runner.spoil(50);
-        thread::sleep(KILL_AFTER);
-        let host = &mut machines[usize::from(ENTRIES) + chosen];
-        host.signal("KILL");
-        host.wait_for_end(Duration::from_secs(1));
-        record.note(&format!("{} is killed", host.name));
-        thread::sleep(DOWN);
-        host.start().map_err(io)?;
-        record.note(&format!("{} is started again", host.name));
     }
-    let all_loaded = wait_until(Duration::from_secs(20), || {
-        runners.iter().all(|r| r.version() == 2)
-    });
-    record.note(&format!("all runners hold version 2: {all_loaded}"));
-    thread::sleep(Duration::from_secs(5));
+    match variant {
+        Variant::KilledHost => {
+            if with_trouble {
+                thread::sleep(KILL_AFTER);
+                let host = &mut machines[usize::from(ENTRIES) + chosen];
+                host.signal("KILL");
+                host.wait_for_end(Duration::from_secs(1));
+                record.note(&format!("{} is killed", host.name));
+                thread::sleep(DOWN);
+                host.start().map_err(io)?;
+                record.note(&format!("{} is started again", host.name));
+            }
+            let all_loaded = wait_until(Duration::from_secs(20), || {
+                runners.iter().all(|r| r.version() == 2)
+            });
+            record.note(&format!("all runners hold version 2: {all_loaded}"));
+            thread::sleep(Duration::from_secs(5));
+        }
+        Variant::GreyRunner => thread::sleep(Duration::from_millis(1000)),
+    }
     let before = runner.tokens();
     record.note(&format!(
         "tokens at {} before the planned restart: {before:?} (all, bad)",
         runner.id
     ));
     // Planned work: entries are stopped and started in turn.
+    let pause = match variant {
+        Variant::KilledHost => Duration::from_millis(1000),
+        Variant::GreyRunner => Duration::from_millis(200),
+    };
     for machine in machines.iter_mut().take(2) {
         machine.signal("TERM");
         record.note(&format!("{} gets SIGTERM", machine.name));
@@ -192,7 +216,7 @@
             "{} is started again, ended by itself: {is_orderly}",
             machine.name
         ));
-        thread::sleep(Duration::from_millis(1000));
+        thread::sleep(pause);
     }
     thread::sleep(Duration::from_secs(8));
     stop.store(true, Ordering::Relaxed);
