review: show that a host vouches for weights that were taken with a bad piece

A runner lets an order hang for 3.3 s and one in 60 calls for staged pieces for 2 s; a staged piece turns bad; the host repairs it after the runner has taken it, and is stopped and started. The next process finds all pieces sound and vouches for the weights, and all entries send requests there.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -37,6 +37,7 @@
     let outcome = std::fs::create_dir_all(&scratch)
         .map_err(|err| err.to_string())
         .and_then(|()| match case.as_str() {
+            "whole-vouched" => whole::run(&record, &scratch, with_trouble, whole::Variant::Vouched),
             "whole-killed-host" => {
                 whole::run(&record, &scratch, with_trouble, whole::Variant::KilledHost)
             }
--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -1,6 +1,5 @@
 //! A model server with its staging area, and the origin of weights.
 
-use std::collections::VecDeque;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -20,8 +19,6 @@
 pub const SLOTS: usize = 16;
 pub const MODEL: &str = "dense";
 pub const HEARTBEAT: Duration = Duration::from_millis(1200);
-/// Time by which the order that waited longest is ahead of other calls.
-const WAKE_GAP: Duration = Duration::from_millis(20);
 const WARMUP: Duration = Duration::from_millis(300);
 /// Events of each stream, and the time between them.
 const EVENTS: u64 = 6;
@@ -42,6 +39,17 @@
     out
 }
 
+/// A runner that is well but lets some calls for staged pieces hang.
+#[derive(Clone, Copy)]
+pub struct Grey {
+    /// Time for which it does so.
+    pub time: Duration,
+    /// Calls of which one hangs.
+    pub hangs_one_in: u32,
+    /// Longest time for which a call hangs.
+    pub hang: Duration,
+}
+
 struct Staged {
     body: Vec<u8>,
     spoilt_at: Option<Instant>,
@@ -62,11 +70,13 @@
     staged: Vec<Staged>,
     sequence: u64,
     active: usize,
-    // How long each of the next orders waits before it is accepted.
-    order_delays: VecDeque<Duration>,
-    // Whether the runner answers nothing while the next order waits, and until when.
-    hangs_with_order: bool,
-    silent_until: Option<Instant>,
+    // How long the next order waits before it is accepted.
+    order_delay: Duration,
+    // How the runner is grey from its next order on, and until when it is.
+    grey: Option<Grey>,
+    grey_until: Option<Instant>,
+    // Calls for staged pieces since then.
+    staged_calls: u32,
     // Whether a token was made with a layer that was taken in a bad state.
     pub bad_tokens: u32,
     tokens: u32,
@@ -118,9 +128,10 @@
                 staged: (0..CHUNKS).map(staged).collect(),
                 sequence: 0,
                 active: 0,
-                order_delays: VecDeque::new(),
-                hangs_with_order: false,
-                silent_until: None,
+                order_delay: Duration::ZERO,
+                grey: None,
+                grey_until: None,
+                staged_calls: 0,
                 bad_tokens: 0,
                 tokens: 0,
             }),
@@ -142,13 +153,13 @@
         Ok(runner)
     }
 
-    pub fn delay_next_orders(&self, delays: &[Duration]) {
-        self.state.lock().unwrap().order_delays.extend(delays);
+    pub fn delay_next_order(&self, delay: Duration) {
+        self.state.lock().unwrap().order_delay = delay;
     }
 
-    /// Answers no call at all while the next order waits.
-    pub fn hang_with_next_order(&self) {
-        self.state.lock().unwrap().hangs_with_order = true;
+    /// From its next order on, lets some calls hang.
+    pub fn turn_grey_with_next_order(&self, grey: Grey) {
+        self.state.lock().unwrap().grey = Some(grey);
     }
 
     /// A staged piece turns bad.
@@ -230,9 +241,8 @@
     fn handle(&self, req: &Message, conn: &mut TcpStream) -> bool {
         let id = req.header("attempt-id").to_string();
         let echo = format!("Attempt-Id: {id}\r\n");
-        let silent_until = self.state.lock().unwrap().silent_until;
-        if let Some(until) = silent_until {
-            thread::sleep(until.saturating_duration_since(Instant::now()));
+        if req.path().starts_with("/v1/stage-") {
+            self.hang_if_grey();
         }
         let mut parts = req.path().split('/').skip(1);
         let answer = match (parts.next(), parts.next()) {
@@ -260,6 +270,31 @@
             .is_ok()
     }
 
+    fn hang_if_grey(&self) {
+        let hang = {
+            let mut state = self.state.lock().unwrap();
+            let now = Instant::now();
+            let left = state
+                .grey_until
+                .map(|until| until.saturating_duration_since(now));
+            match (left, state.grey) {
+                (Some(left), Some(grey)) if !left.is_zero() => {
+                    state.staged_calls += 1;
+                    let hangs = state.staged_calls % grey.hangs_one_in == 0;
+                    hangs.then(|| left.min(grey.hang))
+                }
+                _ => None,
+            }
+        };
+        if let Some(hang) = hang {
+            self.record.note(&format!(
+                "a call for a piece hangs at {} for {hang:?}",
+                self.id
+            ));
+            thread::sleep(hang);
+        }
+    }
+
     fn report(&self) -> String {
         let state = self.state.lock().unwrap();
         format!(
@@ -279,10 +314,11 @@
         let order = json::parse(&String::from_utf8_lossy(body));
         let delay = {
             let mut state = self.state.lock().unwrap();
-            let delay = state.order_delays.pop_front().unwrap_or_default();
-            if std::mem::take(&mut state.hangs_with_order) {
-                // What has waited longest goes first.
-                state.silent_until = Some(Instant::now() + delay + WAKE_GAP);
+            let delay = std::mem::take(&mut state.order_delay);
+            if let Some(Grey { time, .. }) = state.grey {
+                state.grey_until = Some(Instant::now() + time);
+                self.record
+                    .note(&format!("{} is grey for {time:?}", self.id));
             }
             delay
         };
--- a/review/standin/whole.rs
+++ b/review/standin/whole.rs
@@ -10,7 +10,7 @@
 use crate::daemon::{Machine, Network, Role, CONTROL, FRONTEND, READY, ZONES};
 use crate::http::call;
 use crate::record::Record;
-use crate::runner::{start_origin, Runner, CHUNKS, CHUNK_BYTES, LAYERS, MODEL, SLOTS};
+use crate::runner::{start_origin, Grey, Runner, CHUNKS, CHUNK_BYTES, LAYERS, MODEL, SLOTS};
 use crate::store::Store;
 use crate::Outcome;
 
@@ -20,6 +20,21 @@
 /// Time for which the order waits at the runner, and the pause until a killed process is
 /// started again.
 const ORDER_DELAY: Duration = Duration::from_millis(4000);
+/// The same for a grey runner, and how it is grey.
+const GREY_ORDER_DELAY: Duration = Duration::from_millis(3300);
+const GREY_FOR_VERIFICATION: Grey = Grey {
+    time: Duration::from_millis(6500),
+    hangs_one_in: 60,
+    hang: Duration::from_millis(2000),
+};
+const GREY_FOR_STATUS: Grey = Grey {
+    time: Duration::from_millis(6500),
+    hangs_one_in: 3,
+    hang: Duration::from_millis(6500),
+};
+/// Time from the order until the host's daemon is stopped, and until it starts again.
+const STOP_AFTER: Duration = Duration::from_millis(4900);
+const RESTART_PAUSE: Duration = Duration::from_millis(300);
 const KILL_AFTER: Duration = Duration::from_millis(1500);
 const DOWN: Duration = Duration::from_millis(3500);
 const GRACE: Duration = Duration::from_secs(8);
@@ -90,12 +105,16 @@
     false
 }
 
-/// What keeps the host from having the damaged weights replaced at once.
+/// How damaged weights get into service.
 #[derive(Clone, Copy, PartialEq)]
 pub enum Variant {
-    /// Its daemon is killed while its order waits, and starts again later.
+    /// The host's daemon repairs the staged piece, not knowing that its order was accepted,
+    /// and is stopped; its successor vouches for the weights.
+    Vouched,
+    /// The host's daemon is killed while its order waits; its successor says nothing, and
+    /// entries that start trust the runner's row.
     KilledHost,
-    /// The runner hangs with the order, and the next order waits as well.
+    /// The host's daemon waits for a grey runner; an entry that starts trusts its row.
     GreyRunner,
 }
 
@@ -152,10 +171,16 @@
     let chosen = 4;
     let runner = runners[chosen].clone();
     if with_trouble {
-        runner.delay_next_orders(&[ORDER_DELAY]);
-        if variant == Variant::GreyRunner {
-            runner.delay_next_orders(&[ORDER_DELAY]);
-            runner.hang_with_next_order();
+        match variant {
+            Variant::KilledHost => runner.delay_next_order(ORDER_DELAY),
+            Variant::GreyRunner => {
+                runner.delay_next_order(GREY_ORDER_DELAY);
+                runner.turn_grey_with_next_order(GREY_FOR_STATUS);
+            }
+            Variant::Vouched => {
+                runner.delay_next_order(GREY_ORDER_DELAY);
+                runner.turn_grey_with_next_order(GREY_FOR_VERIFICATION);
+            }
         }
     }
     store.put(
@@ -178,10 +203,22 @@
         runner.spoil(50);
     }
     match variant {
-        Variant::KilledHost => {
-            if with_trouble {
+        Variant::Vouched | Variant::KilledHost => {
+            let host = &mut machines[usize::from(ENTRIES) + chosen];
+            if variant == Variant::Vouched {
+                // Planned work: the machine is stopped and started.
+                thread::sleep(STOP_AFTER);
+                host.signal("TERM");
+                record.note(&format!("{} gets SIGTERM", host.name));
+                let is_orderly = host.wait_for_end(GRACE);
+                thread::sleep(RESTART_PAUSE);
+                host.start().map_err(io)?;
+                record.note(&format!(
+                    "{} is started again, ended by itself: {is_orderly}",
+                    host.name
+                ));
+            } else if with_trouble {
                 thread::sleep(KILL_AFTER);
-                let host = &mut machines[usize::from(ENTRIES) + chosen];
                 host.signal("KILL");
                 host.wait_for_end(Duration::from_secs(1));
                 record.note(&format!("{} is killed", host.name));
@@ -195,7 +232,7 @@
             record.note(&format!("all runners hold version 2: {all_loaded}"));
             thread::sleep(Duration::from_secs(5));
         }
-        Variant::GreyRunner => thread::sleep(Duration::from_millis(1000)),
+        Variant::GreyRunner => thread::sleep(Duration::from_millis(2100)),
     }
     let before = runner.tokens();
     record.note(&format!(
@@ -204,10 +241,15 @@
     ));
     // Planned work: entries are stopped and started in turn.
     let pause = match variant {
-        Variant::KilledHost => Duration::from_millis(1000),
         Variant::GreyRunner => Duration::from_millis(200),
+        _ => Duration::from_millis(1000),
+    };
+    let restarted: &[usize] = match variant {
+        Variant::Vouched => &[],
+        _ => &[1, 0],
     };
-    for machine in machines.iter_mut().take(2) {
+    for n in restarted.iter().copied() {
+        let machine = &mut machines[n];
         machine.signal("TERM");
         record.note(&format!("{} gets SIGTERM", machine.name));
         let is_orderly = machine.wait_for_end(GRACE);
