Parse residency, evacuation, cold starts and machine limits

Cause: nothing read allowedRegions, op/evacuate/ZONE, coldStartS, coldPerS, coldRemainingMs, the limits of a machine's memory and descriptors, or the bounds that belong to them. Nothing decides by them yet.

--- a/crates/rw-fleet/src/cluster_state.rs
+++ b/crates/rw-fleet/src/cluster_state.rs
@@ -16,7 +16,7 @@
 use crate::kept_content::keep_newer_content;
 use crate::row_compression::{compress, decompress};
 use crate::server_statuses::{remove_outdated_status, trust_first_weights};
-use crate::{BackendServer, PlatformCodec, RowContent, Snapshot, TimeSpan};
+use crate::{BackendServer, Evacuation, PlatformCodec, RowContent, Snapshot, TimeSpan};
 
 /// Tombstones of deleted rows kept so that other daemons learn of the deletion.
 const MAX_TOMBSTONES: usize = 2000;
@@ -340,6 +340,14 @@
             RowContent::WeightsRecord(record) => {
                 snapshot.add_record(row.key.clone(), record, uptime());
             }
+            RowContent::Evacuation(zone) => {
+                let evacuation = Evacuation {
+                    zone,
+                    applied_at: uptime(),
+                    made,
+                };
+                snapshot.evacuations.insert(row.key.clone(), evacuation);
+            }
             RowContent::Quarantine(parts) => {
                 snapshot.quarantines.insert(row.key.clone(), parts);
             }
@@ -379,6 +387,8 @@
             snapshot.daemons.remove(&row.key);
             snapshot.weights_records.remove(&row.key);
             snapshot.quarantines.remove(&row.key);
+        } else {
+            snapshot.evacuations.remove(&row.key);
         }
     }
 }
--- a/crates/rw-fleet/src/codec.rs
+++ b/crates/rw-fleet/src/codec.rs
@@ -23,6 +23,8 @@
     Daemon(Daemon),
     /// Record of when weights were requested, written by daemons.
     WeightsRecord(WeightsRecord),
+    /// Request of an operator that servers of this availability zone get no more requests.
+    Evacuation(Name),
     /// Parts of a prompt whose combination is quarantined; none if it no longer is.
     Quarantine(Vec<Name>),
     /// Other content, which daemons ignore.
@@ -65,8 +67,11 @@
     pub leaving: HeaderName,
     /// Requests per second that the backend server takes from all entries together.
     pub limit: HeaderName,
-    /// Running, queued and maximum requests of a backend server.
+    /// Running, queued and maximum requests of a backend server, and optionally the time that
+    /// work takes at its machine at this moment, in percent of the usual.
     pub load: HeaderName,
+    /// Milliseconds for which a backend server stays cold.
+    pub cold_start: HeaderName,
     /// Version of the weights that produced a response.
     pub weights: HeaderName,
     /// Prompt tokens and maximum completion tokens.
--- a/crates/rw-fleet/src/configuration.rs
+++ b/crates/rw-fleet/src/configuration.rs
@@ -53,6 +53,8 @@
     pub resumable: bool,
     /// Priority of its requests; 0 goes first.
     pub priority: u32,
+    /// Regions in which its requests may be served; empty allows all.
+    pub allowed_regions: Vec<Name>,
 }
 
 impl Route {
@@ -74,6 +76,17 @@
     pub engine: Option<Arc<Engine>>,
     /// Origin of the models' weights, if this service is their origin.
     pub origin: Option<Origin>,
+    /// Behaviour of its servers after a start; `None` if they are never cold.
+    pub cold_start: Option<ColdStart>,
+}
+
+/// What a server tolerates while it is cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdStart {
+    /// Time for which a server is cold after it starts during traffic.
+    pub duration: Duration,
+    /// Requests per second, from all entries together, that a cold server tolerates.
+    pub requests_per_s: f64,
 }
 
 /// Inference engine of a service.
@@ -107,6 +120,8 @@
     pub keys: Vec<Name>,
     /// Priority of its requests, which goes before that of the route; 0 goes first.
     pub priority: Option<u32>,
+    /// Regions in which its requests may be served; empty allows all.
+    pub allowed_regions: Vec<Name>,
 }
 
 /// Limits on what callers may send.
@@ -193,6 +208,8 @@
     /// Number of the heartbeat with which the server last wrote its row. Increases
     /// during a run of the server.
     pub heartbeat: u64,
+    /// Time for which the server stays cold after it wrote its row.
+    pub cold: Duration,
 }
 
 /// Registration of a daemon that others can reach.
--- a/crates/rw-fleet/src/lib.rs
+++ b/crates/rw-fleet/src/lib.rs
@@ -44,8 +44,8 @@
 pub use cluster_state::ClusterState;
 pub use codec::{HeaderNames, PlatformCodec, RowContent, TableNames};
 pub use configuration::{
-    BackendServer, CallKind, CallerLimits, Configuration, Daemon, Engine, Origin, Route, Service,
-    Team,
+    BackendServer, CallKind, CallerLimits, ColdStart, Configuration, Daemon, Engine, Origin, Route,
+    Service, Team,
 };
 pub use context::Cx;
 pub use entry::{CallerSocket, EventReader, Refusal, SocketObserver, Stages};
@@ -54,7 +54,7 @@
 pub use requested_weights::RequestedWeights;
 pub use run::{run, ExternalClients};
 pub use settings::{Bounds, DaemonSettings, FleetRole};
-pub use snapshot::{ReceivedStatus, Snapshot};
+pub use snapshot::{Evacuation, ReceivedStatus, Snapshot};
 pub use status_sequence::StatusSequence;
 pub use store_clock::{ClockReading, StoreClock, TimeSpan};
 pub use store_feed::long_poll_timeout;
--- a/crates/rw-fleet/src/settings.rs
+++ b/crates/rw-fleet/src/settings.rs
@@ -50,6 +50,10 @@
     /// Bandwidth of the host's link in each direction, in bytes per second; 0
     /// is unlimited.
     pub link_bytes_per_s: u64,
+    /// Memory that the process may use, in bytes; 0 is unlimited.
+    pub memory_bytes: u64,
+    /// File descriptors that the process may open; 0 is unlimited.
+    pub descriptors: u32,
 }
 
 impl DaemonSettings {
@@ -79,4 +83,13 @@
     /// Time within which every backend server has to run newly requested
     /// weights.
     pub rollout_deadline: Duration,
+    /// Time after which servers of an evacuated availability zone must get no more
+    /// requests; `None` where operators evacuate none.
+    pub evacuation: Option<Duration>,
+    /// Time by which an unstable store extends that limit at most.
+    pub partition_extension: Duration,
+    /// Factor by which cold servers may be sent more requests than they tolerate.
+    pub cold_overrun: f64,
+    /// Requests that a cold server may be sent in one second beyond that.
+    pub cold_tolerance: f64,
 }
--- a/crates/rw-fleet/tests/cluster_state.rs
+++ b/crates/rw-fleet/tests/cluster_state.rs
@@ -169,6 +169,7 @@
         retry_window: Duration::from_secs(10),
         settling: Duration::from_secs(3),
         rollout_deadline: Duration::from_secs(8),
+        ..Bounds::default()
     }
 }
 
--- a/crates/rw-fleet/tests/common/mod.rs
+++ b/crates/rw-fleet/tests/common/mod.rs
@@ -31,6 +31,7 @@
         leaving: name.clone(),
         limit: name.clone(),
         load: name.clone(),
+        cold_start: name.clone(),
         weights: name.clone(),
         tokens: name.clone(),
         last_event: name,
@@ -143,6 +144,7 @@
         written_at: row.version,
         started_ms: number(2).map_err(error)?,
         heartbeat: number(3).map_err(error)?,
+        cold: Duration::ZERO,
     })
 }
 
--- a/crates/rw-fleet/tests/request_times.rs
+++ b/crates/rw-fleet/tests/request_times.rs
@@ -233,6 +233,7 @@
         retry_window: ms(10_000),
         settling: ms(settling_s * 1000),
         rollout_deadline: ms(deadline_s * 1000),
+        ..Bounds::default()
     };
     let required_after = (deadline_s * 1000).saturating_sub(MARGIN_MS);
     for seed in 0..300 {
