Serve requests only in the regions that route and team allow

Ruled out: bodies sent to other entries, which this product never does. Change: selection keeps only servers whose region every list allows, of the call's configuration and of the newest one, and checks again right before the request is sent. Without such a server the call is refused at once.

--- a/crates/rw-fleet/src/configuration.rs
+++ b/crates/rw-fleet/src/configuration.rs
@@ -155,12 +155,16 @@
 impl Configuration {
     /// Returns the route of a host with the longest matching prefix.
     pub fn route(&self, host: &str, path: &str) -> Option<Arc<Route>> {
+        self.find_route(host, path).cloned()
+    }
+
+    pub(crate) fn find_route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let of_host = self
             .routes
             .iter()
             .filter(|r| r.host.eq_ignore_ascii_case(host));
         let found = of_host.filter(|r| path.starts_with(&*r.prefix));
-        found.max_by_key(|r| r.prefix.len()).cloned()
+        found.max_by_key(|r| r.prefix.len())
     }
 
     /// Returns the team that a key belongs to.
--- a/crates/rw-fleet/src/entry/mod.rs
+++ b/crates/rw-fleet/src/entry/mod.rs
@@ -19,6 +19,7 @@
 mod poison_guard;
 mod refusal;
 mod request;
+mod residency;
 mod response;
 mod server_notice;
 mod shared;
--- a/crates/rw-fleet/src/entry/request.rs
+++ b/crates/rw-fleet/src/entry/request.rs
@@ -131,7 +131,7 @@
         .unwrap_or_default()
 }
 
-fn header_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+pub(super) fn header_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
 
@@ -153,6 +153,6 @@
         .then_some(api_key.trim())
 }
 
-fn without_port(host: &str) -> &str {
+pub(super) fn without_port(host: &str) -> &str {
     host.split_once(':').map_or(host, |(name, _)| name)
 }
--- a/crates/rw-fleet/src/entry/shared.rs
+++ b/crates/rw-fleet/src/entry/shared.rs
@@ -139,6 +139,7 @@
     /// what they said about themselves.
     pub fn admitted_servers(&self, call: &Call) -> Vec<Arc<BackendServer>> {
         let mut servers = self.ready_servers(&call.service);
+        self.retain_allowed_regions(call, &mut servers);
         if let Some(engine) = call.engine() {
             self.retain_valid_weights(engine, &mut servers);
         }
@@ -175,7 +176,10 @@
                 false
             }
             Err(
-                Failure::PermitExpired | Failure::WeightsOutdated(_) | Failure::WeightsExpired(_),
+                Failure::PermitExpired
+                | Failure::RegionNotAllowed
+                | Failure::WeightsOutdated(_)
+                | Failure::WeightsExpired(_),
             ) => false,
             Err(_) => self.load_tracker.on_failure(server),
         };
--- a/crates/rw-fleet/src/entry/stream_opener.rs
+++ b/crates/rw-fleet/src/entry/stream_opener.rs
@@ -11,6 +11,7 @@
 use super::attempt::{self, AttemptOptions, Failure, TimeLimit};
 use super::limited_selection::{LimitedSelection, LIMIT_REASON};
 use super::open_attempts::OpenAttempts;
+use super::residency::REGION_REASON;
 use super::stream_attempt::{start_stream, Opened};
 use super::weights_guard::WEIGHTS_EXPIRED_REASON;
 use super::{Call, Entry, Refusal, SlotPermit};
@@ -185,6 +186,7 @@
             Failure::NotSent(_)
             | Failure::NotRun(_)
             | Failure::PermitExpired
+            | Failure::RegionNotAllowed
             | Failure::WeightsOutdated(_) => {
                 self.sent_attempts -= 1;
                 self.not_run_attempts += 1;
@@ -269,6 +271,9 @@
         if let Some(retry_after) = limits.retry_after() {
             return self.not_run_refusal(LIMIT_REASON, retry_after);
         }
+        if self.entry.is_region_missing(self.call) {
+            return self.not_run_refusal(REGION_REASON, NO_SERVER_RETRY_AFTER);
+        }
         match self.entry.pause_of_all(&self.call.service) {
             Some(pause) => self.not_run_refusal("every backend server asked for a pause", pause),
             None => self.not_run_refusal("no backend server", NO_SERVER_RETRY_AFTER),
--- a/crates/rw-fleet/src/entry/unary.rs
+++ b/crates/rw-fleet/src/entry/unary.rs
@@ -10,6 +10,7 @@
 use super::attempt::{self, AttemptOptions, Failure};
 use super::limited_selection::{LimitedSelection, LIMIT_REASON};
 use super::open_attempts::OpenAttempts;
+use super::residency::REGION_REASON;
 use super::weights_guard::WEIGHTS_EXPIRED_REASON;
 use super::{Call, Entry, Refusal, SlotPermit};
 use crate::connect::{read_response, CompleteResponse};
@@ -74,8 +75,12 @@
     // call is sent to another one as well, and the first response counts.
     async fn run(&mut self) -> std::result::Result<CompleteResponse, Refusal> {
         let (entry, call) = (self.entry, self.call);
+        let reason = match entry.is_region_missing(call) {
+            true => REGION_REASON,
+            false => "no backend server",
+        };
         let mut fallback = Refusal::NotRun {
-            reason: "no backend server",
+            reason,
             retry_after: self.retry_after(),
             known_load: entry.load_tracker.summary(&self.servers()),
         };
@@ -161,7 +166,10 @@
 
     fn on_failure(&mut self, failure: Failure, fallback: &mut Refusal) {
         match failure {
-            Failure::NotSent(_) | Failure::PermitExpired | Failure::WeightsOutdated(_) => {
+            Failure::NotSent(_)
+            | Failure::PermitExpired
+            | Failure::RegionNotAllowed
+            | Failure::WeightsOutdated(_) => {
                 self.sent_attempts -= 1;
                 self.unreachable_servers += 1;
             }
--- a/crates/rw-routing/src/lib.rs
+++ b/crates/rw-routing/src/lib.rs
@@ -7,6 +7,7 @@
 mod poison;
 mod policy;
 mod queue;
+mod residency;
 mod retry;
 mod router;
 mod server_limits;
@@ -23,6 +24,7 @@
     Affinity, AnyPolicy, HostCandidate, LeastLoaded, LoadBalancingPolicy, Random, RoundRobin,
 };
 pub use queue::{FairQueue, QueuedRequest, Refusal};
+pub use residency::allows_region;
 pub use retry::RetryBudget;
 pub use router::{HostQuery, HostSelection, Router};
 pub use server_limits::{
