Weigh prompt prefixes that an engine still holds against its wait

Cause: every engine was forecast to read the whole prompt, also where it still holds the beginning of it from an earlier request. Change: HeldPrompts estimates, from the requests that an engine was sent, which beginnings it holds; select_engine subtracts the expected tokens from the prefill and compares up to two engines that hold much besides the random ones. No caller passes held tokens yet, so selection is unchanged.

--- a/crates/rw-fleet/src/entry/load_tracker.rs
+++ b/crates/rw-fleet/src/entry/load_tracker.rs
@@ -112,6 +112,7 @@
                 slowdown: slowdown(*ratio, median),
                 remote: is_remote(server),
                 max_running: *limit,
+                held_tokens: 0,
             })
             .collect();
         candidates.shuffle(&mut *self.rng.lock());
--- a/crates/rw-routing/src/engine_selection.rs
+++ b/crates/rw-routing/src/engine_selection.rs
@@ -51,6 +51,15 @@
     pub remote: bool,
     /// Limit of requests in flight from its circuit breaker and slot rotation.
     pub max_running: u32,
+    /// Prompt tokens of the request that it is expected to hold and not to read again.
+    pub held_tokens: u32,
+}
+
+impl EngineCandidate<'_> {
+    // Prompt tokens that the engine has to read.
+    fn unread_tokens(&self, requirements: &RequestRequirements) -> u32 {
+        requirements.prompt_tokens.saturating_sub(self.held_tokens)
+    }
 }
 
 /// Result of [`select_engine`].
@@ -93,7 +102,10 @@
             true => (f64::from(e.profile.slots) * LATE_SLOT_SHARE) as u32,
             false => e.profile.slots + queue_depth,
         };
-        let event_gap_ms = e.profile.event_gap_ms(e.load, requirements.prompt_tokens) * e.slowdown;
+        let event_gap_ms = e
+            .profile
+            .event_gap_ms(e.load, e.unread_tokens(requirements))
+            * e.slowdown;
         let gap_limit_ms = requirements.max_event_gap.as_secs_f64() * 1e3 * EVENT_GAP_SHARE;
         let no_prefill_queued = e.load.unread_tokens == 0;
         e.load.running < slots.min(e.max_running)
@@ -101,7 +113,10 @@
     };
     let forecast_ms = |e: &EngineCandidate<'_>| {
         let penalty_ms = if e.remote { REMOTE_PENALTY_MS } else { 0.0 };
-        e.profile.first_event_ms(e.load, requirements.prompt_tokens) * e.slowdown + penalty_ms
+        e.profile
+            .first_event_ms(e.load, e.unread_tokens(requirements))
+            * e.slowdown
+            + penalty_ms
     };
     let budget_ms = requirements.first_event_budget.as_secs_f64() * 1e3;
     let eligible = engines
@@ -110,10 +125,10 @@
         .map(|e| (forecast_ms(e), e))
         .filter(|(ms, _)| requirements.late || *ms <= budget_ms);
     let (local, remote): (Vec<_>, Vec<_>) = eligible.partition(|(_, e)| !e.remote);
-    let sample = local
-        .into_iter()
-        .take(SAMPLE_SIZE)
-        .chain(remote.into_iter().take(SAMPLE_SIZE));
+    let (local, remote) = (local.iter(), remote.iter());
+    let sample = local.clone().take(SAMPLE_SIZE);
+    let sample = sample.chain(remote.clone().take(SAMPLE_SIZE));
+    let sample = sample.chain(holders(local.chain(remote)));
     match sample.min_by(|a, b| a.0.total_cmp(&b.0)) {
         Some((ms, engine)) => {
             EngineSelection::Selected(engine.server.clone(), Duration::from_secs_f64(ms / 1e3))
@@ -122,6 +137,21 @@
     }
 }
 
+// Engines that hold much of the prompt. They are compared besides the random ones, so that
+// the saved prefill is weighed against the wait. Entries that believe the same do not all
+// choose the engine that holds most, because the order of the engines is random.
+fn holders<'a, 'e>(
+    eligible: impl Iterator<Item = &'a (f64, &'a EngineCandidate<'e>)> + Clone,
+) -> impl Iterator<Item = &'a (f64, &'a EngineCandidate<'e>)>
+where
+    'e: 'a,
+{
+    let held = |(_, e): &(f64, &EngineCandidate<'_>)| e.held_tokens;
+    let most = eligible.clone().map(held).max().unwrap_or(0);
+    let holds_much = move |c: &&(f64, &EngineCandidate<'_>)| most > 0 && held(c) >= most / 2;
+    eligible.filter(holds_much).take(SAMPLE_SIZE)
+}
+
 // Estimates the time to the next free slot from the combined release rate of all
 // engines.
 fn full_or_unavailable(engines: &[EngineCandidate<'_>]) -> EngineSelection {
--- a/crates/rw-routing/src/lib.rs
+++ b/crates/rw-routing/src/lib.rs
@@ -6,6 +6,7 @@
 mod engine_selection;
 mod poison;
 mod policy;
+mod prompt_reuse;
 mod queue;
 mod residency;
 mod retry;
@@ -23,6 +24,7 @@
 pub use policy::{
     Affinity, AnyPolicy, HostCandidate, LeastLoaded, LoadBalancingPolicy, Random, RoundRobin,
 };
+pub use prompt_reuse::{HeldPrompts, PromptChain, PromptRetention, Reuse};
 pub use queue::{FairQueue, QueuedRequest, Refusal};
 pub use residency::allows_region;
 pub use retry::RetryBudget;
--- a/crates/rw-routing/tests/overload.rs
+++ b/crates/rw-routing/tests/overload.rs
@@ -56,6 +56,7 @@
         slowdown: 1.0,
         remote: false,
         max_running: profile.slots,
+        held_tokens: 0,
     }
 }
 
--- a/crates/rw-routing/tests/slow_server.rs
+++ b/crates/rw-routing/tests/slow_server.rs
@@ -60,6 +60,7 @@
             },
             remote: false,
             max_running: 12,
+            held_tokens: 0,
         };
         let mut engines: Vec<EngineCandidate<'_>> = (0..SERVERS).map(candidate).collect();
         engines.shuffle(&mut rng);
