Move requests away from evacuated availability zones

Cause: rows op/evacuate/ZONE were parsed, but nothing acted on them. Change: a zone keeps a share of its usual requests that falls from 1 to 0 in the first half of the bound, counted from when its row was made, and at once if that is not known. Which requests still go there follows from their id. After the row is gone the requests come back over the length of the bound. The zone is checked again right before a request is sent. A request that no other zone may serve goes there while the share is above 0, and is refused at once afterwards. Refusals for lack of a permitted region or zone are counted (placement_refusals). A row that is written again does not start the evacuation anew. Without the bound in the settings nothing changes.

--- a/crates/rw-fleet/src/cluster_state.rs
+++ b/crates/rw-fleet/src/cluster_state.rs
@@ -16,7 +16,7 @@
 use crate::kept_content::keep_newer_content;
 use crate::row_compression::{compress, decompress};
 use crate::server_statuses::{remove_outdated_status, trust_first_weights};
-use crate::{BackendServer, Evacuation, PlatformCodec, RowContent, Snapshot, TimeSpan};
+use crate::{BackendServer, PlatformCodec, RowContent, Snapshot, TimeSpan};
 
 /// Tombstones of deleted rows kept so that other daemons learn of the deletion.
 const MAX_TOMBSTONES: usize = 2000;
@@ -111,7 +111,8 @@
         }
         merge(&mut snapshot);
         changed |= snapshot.store_clock != state.snapshot.store_clock
-            || snapshot.requested_weights != state.snapshot.requested_weights;
+            || snapshot.requested_weights != state.snapshot.requested_weights
+            || snapshot.evacuations != state.snapshot.evacuations;
         for table in table_versions {
             let is_first = !state.table_versions.contains_key(&table.table);
             let has_earlier_rows = is_first && has_earlier_rows(state.rows.values(), table);
@@ -341,12 +342,7 @@
                 snapshot.add_record(row.key.clone(), record, uptime());
             }
             RowContent::Evacuation(zone) => {
-                let evacuation = Evacuation {
-                    zone,
-                    applied_at: uptime(),
-                    made,
-                };
-                snapshot.evacuations.insert(row.key.clone(), evacuation);
+                self.add_evacuation(snapshot, &row.key, zone, made);
             }
             RowContent::Quarantine(parts) => {
                 snapshot.quarantines.insert(row.key.clone(), parts);
@@ -388,7 +384,7 @@
             snapshot.weights_records.remove(&row.key);
             snapshot.quarantines.remove(&row.key);
         } else {
-            snapshot.evacuations.remove(&row.key);
+            self.end_evacuation(snapshot, &row.key);
         }
     }
 }
--- a/crates/rw-fleet/src/entry/attempt.rs
+++ b/crates/rw-fleet/src/entry/attempt.rs
@@ -34,6 +34,8 @@
     PermitExpired,
     /// The request was not sent, because it may no longer be served in the server's region.
     RegionNotAllowed,
+    /// The request was not sent, because the server's availability zone is evacuated.
+    ZoneEvacuated,
     /// The request was not sent, because the server holds older weights than required.
     WeightsOutdated(OutdatedWeights),
     /// The request was sent, and cancelled because it had not begun when it had to on the
@@ -96,6 +98,7 @@
         return Err(Failure::PermitExpired);
     }
     entry.check_region(call, server)?;
+    entry.check_zone(server)?;
     // Weights may have come due while the call waited for a permit or the connection.
     entry.check_weights(call, server)?;
     call.sent.store(true, Ordering::Relaxed);
--- a/crates/rw-fleet/src/entry/mod.rs
+++ b/crates/rw-fleet/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod caller_connection;
 mod caller_socket;
 mod disconnects;
+mod evacuation;
 mod events;
 mod limit_guard;
 mod limited_selection;
--- a/crates/rw-fleet/src/entry/residency.rs
+++ b/crates/rw-fleet/src/entry/residency.rs
@@ -36,15 +36,6 @@
         }
     }
 
-    /// Whether servers of the call's service are ready, but none of them in an allowed
-    /// region.
-    pub(super) fn is_region_missing(&self, call: &Call) -> bool {
-        let mut servers = self.ready_servers(&call.service);
-        let has_servers = !servers.is_empty();
-        self.retain_allowed_regions(call, &mut servers);
-        has_servers && servers.is_empty()
-    }
-
     fn is_region_allowed(
         &self,
         call: &Call,
--- a/crates/rw-fleet/src/entry/shared.rs
+++ b/crates/rw-fleet/src/entry/shared.rs
@@ -143,7 +143,9 @@
         if let Some(engine) = call.engine() {
             self.retain_valid_weights(engine, &mut servers);
         }
-        self.load_tracker.admitted(servers)
+        let mut servers = self.load_tracker.admitted(servers);
+        self.retain_open_zones(call, &mut servers);
+        servers
     }
 
     /// Whether the call is let through although a part of its prompt is quarantined.
@@ -178,6 +180,7 @@
             Err(
                 Failure::PermitExpired
                 | Failure::RegionNotAllowed
+                | Failure::ZoneEvacuated
                 | Failure::WeightsOutdated(_)
                 | Failure::WeightsExpired(_),
             ) => false,
--- a/crates/rw-fleet/src/entry/stream_opener.rs
+++ b/crates/rw-fleet/src/entry/stream_opener.rs
@@ -11,7 +11,6 @@
 use super::attempt::{self, AttemptOptions, Failure, TimeLimit};
 use super::limited_selection::{LimitedSelection, LIMIT_REASON};
 use super::open_attempts::OpenAttempts;
-use super::residency::REGION_REASON;
 use super::stream_attempt::{start_stream, Opened};
 use super::weights_guard::WEIGHTS_EXPIRED_REASON;
 use super::{Call, Entry, Refusal, SlotPermit};
@@ -187,6 +186,7 @@
             | Failure::NotRun(_)
             | Failure::PermitExpired
             | Failure::RegionNotAllowed
+            | Failure::ZoneEvacuated
             | Failure::WeightsOutdated(_) => {
                 self.sent_attempts -= 1;
                 self.not_run_attempts += 1;
@@ -271,8 +271,8 @@
         if let Some(retry_after) = limits.retry_after() {
             return self.not_run_refusal(LIMIT_REASON, retry_after);
         }
-        if self.entry.is_region_missing(self.call) {
-            return self.not_run_refusal(REGION_REASON, NO_SERVER_RETRY_AFTER);
+        if let Some(reason) = self.entry.placement_refusal(self.call) {
+            return self.not_run_refusal(reason, NO_SERVER_RETRY_AFTER);
         }
         match self.entry.pause_of_all(&self.call.service) {
             Some(pause) => self.not_run_refusal("every backend server asked for a pause", pause),
--- a/crates/rw-fleet/src/entry/unary.rs
+++ b/crates/rw-fleet/src/entry/unary.rs
@@ -10,7 +10,6 @@
 use super::attempt::{self, AttemptOptions, Failure};
 use super::limited_selection::{LimitedSelection, LIMIT_REASON};
 use super::open_attempts::OpenAttempts;
-use super::residency::REGION_REASON;
 use super::weights_guard::WEIGHTS_EXPIRED_REASON;
 use super::{Call, Entry, Refusal, SlotPermit};
 use crate::connect::{read_response, CompleteResponse};
@@ -75,12 +74,8 @@
     // call is sent to another one as well, and the first response counts.
     async fn run(&mut self) -> std::result::Result<CompleteResponse, Refusal> {
         let (entry, call) = (self.entry, self.call);
-        let reason = match entry.is_region_missing(call) {
-            true => REGION_REASON,
-            false => "no backend server",
-        };
         let mut fallback = Refusal::NotRun {
-            reason,
+            reason: "no backend server",
             retry_after: self.retry_after(),
             known_load: entry.load_tracker.summary(&self.servers()),
         };
@@ -119,6 +114,11 @@
                         Missing::Server(Some(retry_after)) if self.sent_attempts == 0 => {
                             return Err(self.limit_refusal(retry_after));
                         }
+                        Missing::Server(None) => {
+                            if let Refusal::NotRun { reason, .. } = &mut fallback {
+                                *reason = entry.placement_refusal(call).unwrap_or(*reason);
+                            }
+                        }
                         Missing::Time | Missing::Server(_) => {}
                         Missing::Retry => {
                             if let Refusal::NotRun { reason, .. } = &mut fallback {
@@ -169,6 +169,7 @@
             Failure::NotSent(_)
             | Failure::PermitExpired
             | Failure::RegionNotAllowed
+            | Failure::ZoneEvacuated
             | Failure::WeightsOutdated(_) => {
                 self.sent_attempts -= 1;
                 self.unreachable_servers += 1;
--- a/crates/rw-fleet/src/request_times.rs
+++ b/crates/rw-fleet/src/request_times.rs
@@ -43,6 +43,9 @@
                 merge_time(versions, *version, Some(made));
             }
         }
+        if let RowContent::Evacuation(zone) = content {
+            self.merge_evacuation_time(zone, made);
+        }
     }
 
     // Takes a reading of the store's clock from the response to a call at `called_at`.
@@ -54,6 +57,7 @@
             // A time before the start of the new clock cannot be expressed on it.
             requested.requested = requested.requested.and_then(|span| span.shift(shift_ms));
         }
+        self.shift_evacuations(shift_ms);
     }
 }
 
--- a/crates/rw-fleet/src/snapshot.rs
+++ b/crates/rw-fleet/src/snapshot.rs
@@ -8,7 +8,10 @@
 
 use crate::request_times::RequestsByModel;
 use crate::requested_weights::enforced_after;
-use crate::{BackendServer, Bounds, Configuration, Daemon, StoreClock, TimeSpan, WeightsRecord};
+use crate::{
+    BackendServer, Bounds, Configuration, Daemon, EndedEvacuation, Evacuation, StoreClock,
+    WeightsRecord,
+};
 
 /// Share of the rollout deadline; a version that is followed by a newer one
 /// within it is not loaded. Loading the newer one needs the rest of the time.
@@ -36,17 +39,6 @@
     pub version: u64,
 }
 
-/// Request of an operator that the servers of an availability zone get no more requests.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Evacuation {
-    /// The availability zone.
-    pub zone: Name,
-    /// Uptime of this machine when its row was applied.
-    pub applied_at: Duration,
-    /// Uptimes between which the row was made; `None` if not known.
-    pub made: Option<TimeSpan>,
-}
-
 /// State of the platform at one moment.
 #[derive(Clone, Debug, Default)]
 pub struct Snapshot {
@@ -64,6 +56,8 @@
     pub quarantines: BTreeMap<Name, Vec<Name>>,
     /// Evacuations in force, by the key of their row.
     pub evacuations: BTreeMap<Name, Evacuation>,
+    /// The last evacuation of each availability zone that has ended, by zone.
+    pub ended_evacuations: BTreeMap<Name, EndedEvacuation>,
     /// Daemons by name.
     pub daemons: BTreeMap<Name, Daemon>,
     /// Latest status of each backend server, by its identity.
--- a/crates/rw-observe/src/catalogue.rs
+++ b/crates/rw-observe/src/catalogue.rs
@@ -110,6 +110,8 @@
     721 WeightsVerified Info "The staged chunks were intact when the backend server took its weights from them." "Nothing.";
     722 WeightsDamaged Error "A staged chunk may have been corrupt when the backend server took its weights; it gets no requests until it has loaded again." "Nothing if an order follows that is answered with 'started'; otherwise restart the backend server or request other weights.";
     723 WeightsUnknown Warn "A host that started again cannot tell whether the weights of its backend server were intact when they were taken; entries go on as before." "Nothing, unless the server gets no requests: then restart it or request other weights.";
+    750 ZoneEvacuated Info "An operator asked that the servers of an availability zone get no more requests; they move to other zones within half of the bound." "Delete the row when the zone may serve again.";
+    751 ZoneReturned Info "The evacuation of an availability zone ended; its requests come back over some seconds." "Nothing.";
 }
 
 /// Renders the event catalogue as a Markdown page.
--- a/crates/rw-observe/src/metrics.rs
+++ b/crates/rw-observe/src/metrics.rs
@@ -22,6 +22,8 @@
     /// Permits to send requests to servers with a limit, by outcome: `granted`, `refused`
     /// or `failed`.
     permits: Family<LabelSet, Counter>,
+    /// Requests refused because of where they may be served, by reason: `region` or `zone`.
+    placement_refusals: Family<LabelSet, Counter>,
     /// Seconds until the first frame of an answer.
     pub first_token_seconds: Histogram,
     /// Requests in progress.
@@ -40,6 +42,8 @@
     pub prompt_parts_quarantined: Gauge,
     /// Backend servers that name a limit on their requests.
     pub servers_limited: Gauge,
+    /// Availability zones that operators evacuate.
+    pub zones_evacuated: Gauge,
 }
 
 impl Default for Metrics {
@@ -74,6 +78,12 @@
             "Permits for servers with a limit, by outcome",
             permits.clone(),
         );
+        let placement_refusals = Family::default();
+        reg.register(
+            "placement_refusals",
+            "Calls refused for lack of a server that may serve them, by reason",
+            placement_refusals.clone(),
+        );
         let first_token_seconds = Histogram::new(exponential_buckets(0.001, 2.0, 16));
         reg.register(
             "first_token_seconds",
@@ -94,12 +104,14 @@
         let prompt_parts_quarantined =
             gauge("prompt_parts_quarantined", "Quarantined parts of prompts");
         let servers_limited = gauge("servers_limited", "Backend servers that name a limit");
+        let zones_evacuated = gauge("zones_evacuated", "Evacuated availability zones");
         Metrics {
             registry: Arc::new(reg),
             events,
             calls,
             weight_bytes,
             permits,
+            placement_refusals,
             first_token_seconds,
             in_flight,
             queued,
@@ -109,6 +121,7 @@
             claims_unresolved,
             prompt_parts_quarantined,
             servers_limited,
+            zones_evacuated,
         }
     }
 
@@ -127,6 +140,14 @@
         self.permits.get_or_create(&[("outcome", outcome)]).inc();
     }
 
+    /// Counts a request that no server may serve where it may be served; `reason` is
+    /// `region` or `zone`.
+    pub fn count_placement_refusal(&self, reason: &'static str) {
+        self.placement_refusals
+            .get_or_create(&[("reason", reason)])
+            .inc();
+    }
+
     /// Counts transferred weight bytes; `flow` is `sent`, `from_zone`, `from_region`,
     /// `from_other_region` or `from_origin`.
     pub fn count_weight_bytes(&self, flow: &'static str, bytes: u64) {
--- a/crates/rw-routing/src/lib.rs
+++ b/crates/rw-routing/src/lib.rs
@@ -4,6 +4,7 @@
 mod circuit_breaker;
 mod engine;
 mod engine_selection;
+mod evacuation;
 mod poison;
 mod policy;
 mod queue;
@@ -19,6 +20,7 @@
 pub use circuit_breaker::CircuitBreaker;
 pub use engine::{EngineLoad, EngineProfile};
 pub use engine_selection::{select_engine, EngineCandidate, EngineSelection, RequestRequirements};
+pub use evacuation::{evacuation_share, is_within_share, return_share};
 pub use poison::{CrashedServer, PoisonDetector, PoisonReport, Quarantine, SuspectedCrash};
 pub use policy::{
     Affinity, AnyPolicy, HostCandidate, LeastLoaded, LoadBalancingPolicy, Random, RoundRobin,
