Bound the chunks in flight to a host by the delay of its link

Cause: a host that serves fetched up to 8 chunks at once.

Change: LinkWindow, a decision without I/O, bounds the chunks in flight by the delay of the last ones, without the time for which the source held the request (new field held_ms of Chunk). It falls to one when chunks of two sources in succession take long, and grows with each that does not. It applies only while the server serves.

Measured: tests with a link as a queue. Before, a request waits more than six chunk times on a link narrowed to an eighth; now one at most, with more than 0.8 of the chunks. A sound link carries exactly as many chunks as without.

--- a/crates/rw-daemon/src/host/weights.rs
+++ b/crates/rw-daemon/src/host/weights.rs
@@ -1,5 +1,5 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rw_coord::TokenBucket;
 use rw_protocol::{Blob, Chunk, ChunkRequest, Manifest, ManifestRequest, Missing, Name, PeerReply};
@@ -91,6 +91,7 @@
                 .get(&req.manifest)
                 .and_then(|model| model.chunk(req.chunk))
         };
+        let requested_at = Instant::now();
         let timeout = Duration::from_millis(req.wait_ms).min(MAX_CHUNK_WAIT);
         let Some(body) = self.wait_for(find, timeout).await else {
             return missing();
@@ -102,6 +103,7 @@
         PeerReply::Chunk(Chunk {
             chunk: req.chunk,
             body,
+            held_ms: requested_at.elapsed().as_millis() as u64,
         })
     }
 
--- a/crates/rw-fleet/src/host/chunk_store.rs
+++ b/crates/rw-fleet/src/host/chunk_store.rs
@@ -4,9 +4,11 @@
 
 use rw_coord::{ChangeNotifier, TokenBucket};
 use rw_protocol::{Blob, Chunk, ChunkRequest, Manifest, ManifestRequest, Missing, Name, PeerReply};
-use rw_weights::{MemoryChunkStore, Result};
+use rw_weights::{long_delay, Delivery, LinkWindow, MemoryChunkStore, Result};
 use tokio::time::Instant;
 
+use super::download::MAX_CONCURRENT_FETCHES;
+
 /// Share of the host's link that chunks may use in each direction while the
 /// backend server serves requests, whose events would queue behind chunks.
 /// Packet headers take another twentieth.
@@ -45,6 +47,9 @@
     arrived: ChangeNotifier,
     uplink: Mutex<TokenBucket>,
     downlink: Mutex<TokenBucket>,
+    link_bytes_per_s: u64,
+    // Chunks that may be in flight to this host while its server serves requests.
+    window: Mutex<LinkWindow>,
     serving: AtomicBool,
     read_requests: flume::Sender<StagedChunkRequest>,
     started: Instant,
@@ -76,6 +81,8 @@
             arrived: ChangeNotifier::default(),
             uplink: bucket(),
             downlink: bucket(),
+            link_bytes_per_s,
+            window: Mutex::new(LinkWindow::new(MAX_CONCURRENT_FETCHES)),
             serving: AtomicBool::new(false),
             read_requests,
             started: Instant::now(),
@@ -149,6 +156,27 @@
         self.serving.load(Ordering::Relaxed)
     }
 
+    /// Number of chunks that may be in flight to this host; not bounded here while its
+    /// server serves no requests that chunks could delay.
+    pub fn download_window(&self) -> usize {
+        match self.is_serving() {
+            true => lock(&self.window).chunks(),
+            false => usize::MAX,
+        }
+    }
+
+    /// Records how long a chunk took from another host to this one. Returns whether fewer
+    /// chunks may be in flight from now on.
+    pub fn on_delivery(&self, source: &Name, delay: Duration, bytes: u64) -> bool {
+        let delivery = Delivery {
+            source: source.clone(),
+            delay,
+            at: self.started.elapsed(),
+        };
+        let limit = long_delay(bytes, self.link_bytes_per_s);
+        lock(&self.window).on_delivery(delivery, limit)
+    }
+
     // Bytes to take from a link's token bucket for a chunk. The bucket's rate is
     // the idle share, so a chunk costs more while the backend server serves
     // requests.
@@ -175,7 +203,8 @@
     /// as long as the request allows.
     pub async fn serve_chunk(&self, req: &ChunkRequest) -> PeerReply {
         let arrived = self.arrived.subscribe();
-        let deadline = Instant::now() + Duration::from_millis(req.wait_ms).min(MAX_CHUNK_WAIT);
+        let requested_at = Instant::now();
+        let deadline = requested_at + Duration::from_millis(req.wait_ms).min(MAX_CHUNK_WAIT);
         if !self.is_available_soon(&req.manifest) {
             match self.read_back(req, deadline).await {
                 ReadBack::Held => {}
@@ -198,6 +227,7 @@
         PeerReply::Chunk(Chunk {
             chunk: req.chunk,
             body,
+            held_ms: requested_at.elapsed().as_millis() as u64,
         })
     }
 
--- a/crates/rw-fleet/src/host/download.rs
+++ b/crates/rw-fleet/src/host/download.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use rw_observe::Event;
-use rw_protocol::{Blob, ChunkRequest, Manifest, Name, PeerReply, PeerRequest};
+use rw_protocol::{Manifest, Name};
 use rw_weights::{ChunkFetch, DistributionPolicy, Layout, Peer, Source, Transfer, TransferLimits};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -14,22 +14,26 @@
 use super::archive::{
     archived_chunks, object_name, write_fetched_chunks, FetchedChunk, ObjectArchive,
 };
-use super::chunk_store::{version_name, NOT_HELD};
-use super::{ChunkStore, ClientError, OriginClient};
+use super::chunk_sources::{
+    fetch_from_archive, fetch_from_origin, fetch_from_peer, FetchResult, CHUNK_TIMEOUT,
+};
+use super::chunk_store::version_name;
+use super::{ChunkStore, OriginClient};
 use crate::{Cx, Engine, Origin, PlatformCodec};
 
 const SCHEDULE_INTERVAL: Duration = Duration::from_millis(50);
 /// Chunks that are fetched concurrently. Most fetches wait at a source that is
 /// still downloading the chunk itself, so fewer would leave links of the
 /// distribution tree idle.
-const MAX_CONCURRENT_FETCHES: usize = 8;
+pub(super) const MAX_CONCURRENT_FETCHES: usize = 8;
 /// The same while the backend server serves no requests that chunks could delay.
 const MAX_CONCURRENT_FETCHES_NOT_SERVING: usize = 12;
-/// Time after which a chunk is requested from another source.
-const CHUNK_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Time for which a request waits for a chunk at a host that should hold it, but
 /// may have been restarted.
 const HOLDER_CHUNK_WAIT: Duration = Duration::from_millis(150);
+/// The same on a narrow link, where few chunks may be in flight: a chunk that is not there
+/// yet leaves its place to another one.
+const NARROW_CHUNK_WAIT: Duration = Duration::from_millis(250);
 /// How long a host that lacked a chunk does not count as a holder.
 const NON_HOLDER_TTL: Duration = Duration::from_secs(5);
 /// Delay before the next request after a host lacked a chunk.
@@ -44,8 +48,6 @@
 /// Hosts that start together know only themselves at first, and each would import every
 /// chunk over its region's link.
 const MAX_ALONE_TIME: Duration = Duration::from_secs(1);
-/// Timeout of one request to the origin, whose link all hosts share.
-pub(super) const ORIGIN_TIMEOUT: Duration = Duration::from_secs(4);
 /// Chunks from the origin with a wrong digest after which the manifest is
 /// fetched again, since the digests themselves may be corrupt.
 const CORRUPT_CHUNK_THRESHOLD: u32 = 3;
@@ -63,15 +65,6 @@
     pub origin: Origin,
 }
 
-enum FetchResult {
-    Chunk(Blob),
-    // The source does not have the chunk yet, or cannot send it now.
-    Missing,
-    // The source holds nothing of the version.
-    NotHeld,
-    Failed,
-}
-
 /// Downloads all chunks of a version; returns the manifest and its id once all
 /// are stored.
 pub async fn download_version<D: PlatformCodec, O: OriginClient, A: ObjectArchive>(
@@ -206,6 +199,7 @@
                     transfer.hold_origin(self.cx.now() + SCHEDULE_INTERVAL);
                 }
             }
+            transfer.set_window(self.store.download_window());
             for fetch in transfer.next_fetches(&layout, self.cx.now()) {
                 let wait = self.chunk_wait(&layout, &fetch);
                 self.spawn_fetch(&mut fetches, id, fetch, wait, tx.clone());
@@ -247,6 +241,9 @@
         let Source::Peer(name) = &fetch.source else {
             return CHUNK_TIMEOUT;
         };
+        if self.store.download_window() < MAX_CONCURRENT_FETCHES {
+            return NARROW_CHUNK_WAIT;
+        }
         let fallback_importer = layout.fallback_importer(fetch.chunk, &self.own_peer);
         match layout.is_holder(name) || fallback_importer.as_ref() == Some(name) {
             true => HOLDER_CHUNK_WAIT,
@@ -310,7 +307,9 @@
                     let name = object_name(&target, &id, fetch.chunk);
                     fetch_from_archive(&archive, &name).await
                 }
-                Source::Peer(addr) => fetch_from_peer(&cx, addr, &id, fetch.chunk, wait).await,
+                Source::Peer(addr) => {
+                    fetch_from_peer(&cx, &store, addr, &id, fetch.chunk, wait).await
+                }
             };
             // An immediate retry would only load the source. No delay is needed
             // for a host that was assumed to hold the chunk: it is not queried
@@ -330,55 +329,3 @@
         });
     }
 }
-
-async fn fetch_from_origin<O: OriginClient>(
-    origin: &O,
-    target: &TargetVersion,
-    chunk: u32,
-) -> FetchResult {
-    let read = origin.chunk(&target.origin, &target.model, target.version, chunk);
-    match tokio::time::timeout(ORIGIN_TIMEOUT, read).await {
-        Ok(Ok(body)) => FetchResult::Chunk(Blob::from(body)),
-        Ok(Err(err)) => {
-            log::debug!("fetching chunk {chunk} from the origin failed: {err}");
-            FetchResult::Failed
-        }
-        Err(_) => FetchResult::Failed,
-    }
-}
-
-async fn fetch_from_archive<A: ObjectArchive>(archive: &A, name: &str) -> FetchResult {
-    match tokio::time::timeout(ORIGIN_TIMEOUT, archive.read(name)).await {
-        Ok(Ok(body)) => FetchResult::Chunk(Blob::from(body)),
-        Ok(Err(ClientError::Missing)) => FetchResult::Missing,
-        Ok(Err(err)) => {
-            log::debug!("reading {name} from the archive failed: {err}");
-            FetchResult::Failed
-        }
-        Err(_) => FetchResult::Failed,
-    }
-}
-
-async fn fetch_from_peer<D: PlatformCodec>(
-    cx: &Cx<D>,
-    addr: &Name,
-    id: &Name,
-    chunk: u32,
-    wait: Duration,
-) -> FetchResult {
-    let req = PeerRequest::Chunk(ChunkRequest {
-        manifest: id.clone(),
-        chunk,
-        wait_ms: wait.as_millis() as u64,
-    });
-    match cx.pool.request(addr, &req, CHUNK_TIMEOUT * 3).await {
-        Ok(PeerReply::Chunk(reply)) if reply.chunk == chunk => FetchResult::Chunk(reply.body),
-        Ok(PeerReply::Missing(reply)) if reply.retry_after_ms == NOT_HELD => FetchResult::NotHeld,
-        Ok(PeerReply::Missing(_)) => FetchResult::Missing,
-        Ok(_) => FetchResult::Failed,
-        Err(err) => {
-            log::debug!("fetching chunk {chunk} from {addr} failed: {err}");
-            FetchResult::Failed
-        }
-    }
-}
--- a/crates/rw-fleet/src/host/fetch_manifest.rs
+++ b/crates/rw-fleet/src/host/fetch_manifest.rs
@@ -10,8 +10,9 @@
 use rw_weights::Source;
 use tokio::time::Instant;
 
+use super::chunk_sources::ORIGIN_TIMEOUT;
 use super::chunk_store::version_name;
-use super::download::{Downloader, ORIGIN_TIMEOUT};
+use super::download::Downloader;
 use super::{ClientError, ObjectArchive, OriginClient};
 use crate::PlatformCodec;
 
--- a/crates/rw-fleet/src/host/mod.rs
+++ b/crates/rw-fleet/src/host/mod.rs
@@ -2,6 +2,7 @@
 //! beside it, and distributes them to other hosts.
 
 mod archive;
+mod chunk_sources;
 mod chunk_store;
 mod clients;
 mod download;
--- a/crates/rw-observe/src/catalogue.rs
+++ b/crates/rw-observe/src/catalogue.rs
@@ -64,6 +64,7 @@
     304 TransferCancelled Info "A transfer was cancelled because its manifest is no longer needed." "Nothing.";
     305 ManifestMismatch Error "The origin serves different bytes under a confirmed manifest." "Restore the version at the origin; versions are immutable.";
     306 OriginUnreachable Warn "The origin does not respond." "Check the origin; hosts continue to fetch from each other.";
+    307 ChunksBounded Info "Chunks take long over the link of a host, which fetches one at a time so that requests do not wait behind them." "Nothing, unless it recurs on one host: then check its link.";
     400 OrderSent Info "An order to load a model was sent to an engine." "Nothing.";
     401 OrderFailed Warn "An order to an engine failed." "If it recurs, check the engine.";
     402 OrderLapsed Warn "A lease expired before its order could be sent." "Nothing; the order is retried under a new lease.";
--- a/crates/rw-protocol/src/generated.rs
+++ b/crates/rw-protocol/src/generated.rs
@@ -148,6 +148,8 @@
 pub struct Chunk {
     pub body: crate::Blob,
     pub chunk: u32,
+    ///Time for which the peer held the request before it sent the chunk, in milliseconds.
+    pub held_ms: u64,
 }
 ///Requests one chunk.
 ///
--- a/crates/rw-protocol/tests/frames.rs
+++ b/crates/rw-protocol/tests/frames.rs
@@ -232,6 +232,7 @@
     out.push(PeerReply::Chunk(Chunk {
         chunk: 1,
         body: vec![9; 70_000].into(),
+        held_ms: 3,
     }));
     out.push(PeerReply::Missing(Missing { retry_after_ms: 1 }));
     out.push(PeerReply::Manifest(manifest()));
--- a/crates/rw-weights/src/lib.rs
+++ b/crates/rw-weights/src/lib.rs
@@ -2,11 +2,13 @@
 //! store of verified chunks. Performs no I/O.
 
 mod layout;
+mod link_window;
 mod load_schedule;
 mod store;
 mod transfer;
 
 pub use layout::{DistributionPolicy, Layout, Peer, Source};
+pub use link_window::{long_delay, Delivery, LinkWindow};
 pub use load_schedule::load_delay;
 pub use store::{MemoryChunkStore, StoredModel};
 pub use transfer::{ChunkFetch, Transfer, TransferLimits};
--- a/crates/rw-weights/src/transfer.rs
+++ b/crates/rw-weights/src/transfer.rs
@@ -64,6 +64,8 @@
 pub struct Transfer {
     local: Peer,
     limits: TransferLimits,
+    // Chunks in flight at which no further fetches start.
+    window: usize,
     chunk_count: usize,
     missing_chunks: BTreeSet<u32>,
     highest_received: u32,
@@ -100,6 +102,7 @@
         Transfer {
             local,
             limits,
+            window: limits.max_pending_chunks,
             chunk_count: chunk_count as usize,
             missing_chunks: (0..chunk_count).collect(),
             highest_received: 0,
@@ -114,6 +117,12 @@
         }
     }
 
+    /// Sets the chunks in flight at which no further fetches start, at most as many as
+    /// the limits allow. A smaller number also applies to imports.
+    pub fn set_window(&mut self, chunks: usize) {
+        self.window = chunks.min(self.limits.max_pending_chunks);
+    }
+
     /// Whether every chunk has arrived.
     pub fn is_complete(&self) -> bool {
         self.missing_chunks.is_empty()
@@ -144,7 +153,7 @@
         let is_import = |chunk: &&u32| layout.is_importer(**chunk, &self.local);
         let mut pending_imports = self.pending.keys().filter(is_import).count();
         for chunk in importable {
-            if pending_imports >= MAX_CONCURRENT_IMPORTS {
+            if pending_imports >= MAX_CONCURRENT_IMPORTS || self.is_narrow_and_full() {
                 break;
             }
             let source = self.select_source(layout, chunk, now);
@@ -154,7 +163,7 @@
             }
         }
         for chunk in others {
-            if self.pending.len() >= self.limits.max_pending_chunks {
+            if self.pending.len() >= self.window {
                 break;
             }
             let source = self.select_source(layout, chunk, now);
@@ -165,6 +174,11 @@
         out
     }
 
+    // On a narrow link, imports keep to the window as well.
+    fn is_narrow_and_full(&self) -> bool {
+        self.window < self.limits.max_pending_chunks && self.pending.len() >= self.window
+    }
+
     fn start_fetch(&mut self, chunk: u32, source: Source, now: Duration) -> ChunkFetch {
         let attempt = FetchAttempt {
             source: source.clone(),
