Begin rollouts of weights sooner and record their times

Cause: before the first server loads a new version, its host waits for polling intervals, asks level by level for the manifest each 50 ms, lists an archive that cannot hold the version yet (up to 0.4 s), and writes the chunks to the staging area one after another.

Change: a host downloads a version as soon as it learns of it; answers a request for a manifest once it has it, within 150 ms; lists no archive for a version requested under 1 s ago; writes staged chunks on four connections. Gauges weights_whole_ms and weights_loaded_ms; TransferComplete says how long the download took.

Measured: tests of rw-weights and rw-fleet, and weights, taken_weights and archive of rw-adapter pass. In reloaded_weights only the known red entry_that_starts_beside failed.

--- a/crates/rw-fleet/src/host/chunk_store.rs
+++ b/crates/rw-fleet/src/host/chunk_store.rs
@@ -20,6 +20,9 @@
 const BURST_TIME: Duration = Duration::from_millis(30);
 /// Maximum time for which a request waits until a chunk is available.
 const MAX_CHUNK_WAIT: Duration = Duration::from_secs(3);
+/// The same for a manifest, well within the time for which the other host waits. Hosts
+/// learn of a version together, so the first ones fetch its manifest just then.
+const MAX_MANIFEST_WAIT: Duration = Duration::from_millis(150);
 /// Delay after which a host may request a missing chunk again.
 const RETRY_AFTER_MS: u64 = 100;
 /// Retry delay in the reply of a host that neither holds nor downloads a version.
@@ -268,11 +271,19 @@
         DownloadGuard(self.clone())
     }
 
-    /// Replies to another host's request for the manifest of a version.
-    pub fn serve_manifest(&self, req: &ManifestRequest) -> PeerReply {
-        match self.manifest(&req.manifest) {
-            Some(manifest) => PeerReply::Manifest(manifest),
-            None => missing(RETRY_AFTER_MS),
+    /// Replies to another host's request for the manifest of a version, after waiting for
+    /// it for a short time.
+    pub async fn serve_manifest(&self, req: &ManifestRequest) -> PeerReply {
+        let arrived = self.arrived.subscribe();
+        let deadline = Instant::now() + MAX_MANIFEST_WAIT;
+        loop {
+            if let Some(manifest) = self.manifest(&req.manifest) {
+                return PeerReply::Manifest(manifest);
+            }
+            let is_over = tokio::time::timeout_at(deadline, arrived.recv_async());
+            if is_over.await.is_err() {
+                return missing(RETRY_AFTER_MS);
+            }
         }
     }
 }
--- a/crates/rw-fleet/src/host/download.rs
+++ b/crates/rw-fleet/src/host/download.rs
@@ -1,6 +1,6 @@
 //! Downloads the chunks of one version from other hosts and the origin.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -48,6 +48,9 @@
 /// Hosts that start together know only themselves at first, and each would import every
 /// chunk over its region's link.
 const MAX_ALONE_TIME: Duration = Duration::from_secs(1);
+/// Age of a requested version below which the archive holds none of its chunks: hosts write
+/// them once their downloads are complete, and a download takes longer.
+const MIN_ARCHIVED_AGE: Duration = Duration::from_secs(1);
 /// Chunks from the origin with a wrong digest after which the manifest is
 /// fetched again, since the digests themselves may be corrupt.
 const CORRUPT_CHUNK_THRESHOLD: u32 = 3;
@@ -148,6 +151,17 @@
         Layout::new(&key, &home, peers, DistributionPolicy::Tree).with_holders(holders)
     }
 
+    // Whether the version was requested too short a time ago for the archive to hold it.
+    fn is_just_requested(&self) -> bool {
+        self.requested_age()
+            .is_some_and(|age| age < MIN_ARCHIVED_AGE)
+    }
+
+    fn requested_age(&self) -> Option<Duration> {
+        let (target, snapshot) = (self.target, self.cx.cluster.snapshot());
+        snapshot.requested_age(&target.model, target.version, rw_coord::uptime())
+    }
+
     // Returns false when the manifest seems to be corrupt.
     async fn download_chunks(&self, id: &Name, manifest: &Manifest) -> bool {
         let chunks = manifest.chunks.len() as u32;
@@ -192,7 +206,10 @@
             }
             if archived.is_none() && layout.is_any_importer(&self.own_peer) {
                 if layout.peers().len() > 1 || started_at.elapsed() >= MAX_ALONE_TIME {
-                    let chunks = archived_chunks(self.archive, self.target, id).await;
+                    let chunks = match self.is_just_requested() {
+                        true => BTreeSet::new(),
+                        false => archived_chunks(self.archive, self.target, id).await,
+                    };
                     layout = layout.with_archived(chunks.clone());
                     archived = Some(chunks);
                 } else {
@@ -228,9 +245,17 @@
                 return false;
             }
         }
-        self.cx
-            .recorder
-            .emit(Event::TransferComplete, &format!("manifest={id}"));
+        let age = self.requested_age();
+        if let Some(age) = age {
+            let metrics = self.cx.recorder.metrics();
+            metrics.weights_whole_ms.set(age.as_millis() as i64);
+        }
+        let detail = format!(
+            "manifest={id} took_ms={} requested_ms_ago={}",
+            started_at.elapsed().as_millis(),
+            age.map_or("unknown".to_string(), |age| age.as_millis().to_string())
+        );
+        self.cx.recorder.emit(Event::TransferComplete, &detail);
         write_fetched_chunks(self.archive, self.store, from_origin);
         true
     }
--- a/crates/rw-fleet/src/host/staging.rs
+++ b/crates/rw-fleet/src/host/staging.rs
@@ -1,5 +1,6 @@
 //! Writes chunks to the backend server's staging area and reads them back.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,6 +8,7 @@
 use rw_observe::{Event, Recorder};
 use rw_protocol::{verify_chunk, Manifest, Name};
 use tokio::task::JoinSet;
+use tokio::time::error::Elapsed;
 use tokio::time::timeout;
 
 use super::weights_reconciler::BACKEND_TIMEOUT;
@@ -15,7 +17,7 @@
 /// Age of the oldest read at which a load order is sent: half the time for which a chunk
 /// may have been corrupt when the server takes it. The rest is for the order.
 pub(super) const MAX_READ_AGE: Duration = Duration::from_millis(1500);
-/// Staged chunks that are read concurrently; each read has a connection of its own.
+/// Staged chunks that are read or written concurrently, each on a connection of its own.
 pub const CONCURRENT_READS: usize = 4;
 /// Timeout of one read. A server that answers one after the other makes concurrent reads
 /// wait for each other.
@@ -54,6 +56,9 @@
     }
 }
 
+// Chunk, whether an earlier write of it may still be performed, and the result.
+type ChunkWrite = (u32, bool, Result<super::Result<()>, Elapsed>);
+
 /// Area from which the backend server beside a host loads weights.
 pub(super) struct StagingArea<B> {
     store: Arc<ChunkStore>,
@@ -117,11 +122,8 @@
         let Some(missing) = self.read(model, manifest, &new).await else {
             return;
         };
-        for chunk in missing {
-            if self.write(model, chunk).await.is_none() {
-                return;
-            }
-        }
+        // What failed is written again with the next chunks, or before the order.
+        self.write(model, &missing).await;
     }
 
     /// Stages all chunks of a version and verifies them; `None` if one of them is not
@@ -149,18 +151,13 @@
             if damaged.is_empty() && uptime() - pass_began_at > MAX_READ_AGE {
                 break;
             }
-            let mut failed_writes = 0;
-            for chunk in damaged {
-                if self.is_written(chunk) {
-                    let detail = format!("manifest={} chunk={chunk}", self.id);
-                    recorder.emit(Event::StageRepaired, &detail);
-                    repaired += 1;
-                }
-                let is_written = self.write(model, chunk).await.is_some();
-                failed_writes += u32::from(!is_written);
-                if failed_writes > MAX_FAILED_WRITES {
-                    return None;
-                }
+            for chunk in damaged.iter().filter(|chunk| self.is_written(**chunk)) {
+                let detail = format!("manifest={} chunk={chunk}", self.id);
+                recorder.emit(Event::StageRepaired, &detail);
+                repaired += 1;
+            }
+            if self.write(model, &damaged).await > MAX_FAILED_WRITES {
+                return None;
             }
         }
         let reads = self.chunks.iter().map(|chunk| chunk.intact_at);
@@ -248,27 +245,71 @@
         all_read.then_some(damaged)
     }
 
-    async fn write(&mut self, model: &Name, chunk: u32) -> Option<()> {
-        let body = self.store.chunk(&self.id, chunk)?;
-        let staged = &mut self.chunks[chunk as usize];
-        staged.intact_at = None;
-        let is_pending = staged.written_at == Some(Duration::MAX);
-        staged.written_at = Some(Duration::MAX);
-        let result = timeout(BACKEND_TIMEOUT, self.backend.stage(model, chunk, body.0)).await;
-        match result {
-            Ok(Ok(())) if !is_pending => {
-                staged.written_at = Some(uptime());
-                Some(())
-            }
-            Ok(Ok(())) => Some(()),
-            Ok(Err(err)) => {
-                log::debug!("staging chunk {chunk} failed: {err}");
-                None
+    // Writes chunks on as many connections as are read on, each of which carries one chunk at
+    // a time. Returns the number of failed writes; after more than [`MAX_FAILED_WRITES`], the
+    // others are not begun.
+    async fn write(&mut self, model: &Name, chunks: &[u32]) -> u32 {
+        let mut lanes = vec![VecDeque::new(); CONCURRENT_READS];
+        for chunk in chunks {
+            lanes[*chunk as usize % CONCURRENT_READS].push_back(*chunk);
+        }
+        let (mut writes, mut failed) = (JoinSet::new(), 0);
+        for lane in &mut lanes {
+            failed += self.begin_write(&mut writes, model, lane);
+        }
+        while let Some(write) = writes.join_next().await {
+            let (chunk, was_pending, result) = match write {
+                Ok(write) => write,
+                Err(err) => {
+                    log::warn!("staging a chunk failed: {err}");
+                    failed += 1;
+                    continue;
+                }
+            };
+            match result {
+                Ok(Ok(())) if was_pending => {}
+                Ok(Ok(())) => self.chunks[chunk as usize].written_at = Some(uptime()),
+                Ok(Err(err)) => {
+                    log::debug!("staging chunk {chunk} failed: {err}");
+                    failed += 1;
+                }
+                Err(_) => {
+                    log::debug!("staging chunk {chunk} timed out");
+                    failed += 1;
+                }
             }
-            Err(_) => {
-                log::debug!("staging chunk {chunk} timed out");
-                None
+            if failed <= MAX_FAILED_WRITES {
+                let lane = &mut lanes[chunk as usize % CONCURRENT_READS];
+                failed += self.begin_write(&mut writes, model, lane);
             }
         }
+        failed
+    }
+
+    // Begins to write the next chunk; returns the number of chunks that are no longer stored.
+    fn begin_write(
+        &mut self,
+        writes: &mut JoinSet<ChunkWrite>,
+        model: &Name,
+        lane: &mut VecDeque<u32>,
+    ) -> u32 {
+        let mut missing = 0;
+        while let Some(chunk) = lane.pop_front() {
+            let Some(body) = self.store.chunk(&self.id, chunk) else {
+                missing += 1;
+                continue;
+            };
+            let staged = &mut self.chunks[chunk as usize];
+            staged.intact_at = None;
+            let was_pending = staged.written_at == Some(Duration::MAX);
+            staged.written_at = Some(Duration::MAX);
+            let (backend, model) = (self.backend.clone(), model.clone());
+            writes.spawn(async move {
+                let write = backend.stage(&model, chunk, body.0);
+                (chunk, was_pending, timeout(BACKEND_TIMEOUT, write).await)
+            });
+            break;
+        }
+        missing
     }
 }
--- a/crates/rw-fleet/src/host/version_downloads.rs
+++ b/crates/rw-fleet/src/host/version_downloads.rs
@@ -31,7 +31,16 @@
     progress: Arc<Progress>,
 ) {
     let ticks = cx.timer.subscribe(POLL_INTERVAL);
-    while ticks.recv_async().await.is_ok() {
+    let changed = cx.cluster.subscribe();
+    loop {
+        // A newly requested version is downloaded at once.
+        let is_closed = tokio::select! {
+            tick = ticks.recv_async() => tick.is_err(),
+            change = changed.recv_async() => change.is_err(),
+        };
+        if is_closed {
+            return;
+        }
         let loaded = progress.loaded.load(Ordering::Relaxed);
         let downloaded = progress.downloaded.load(Ordering::Relaxed);
         if loaded == UNKNOWN_VERSION {
--- a/crates/rw-fleet/src/host/weights_reconciler.rs
+++ b/crates/rw-fleet/src/host/weights_reconciler.rs
@@ -146,7 +146,11 @@
             TakenWeights::Damaged => 0,
             _ => report.weights_version,
         };
-        self.progress.loaded.store(loaded, Ordering::Relaxed);
+        let before = self.progress.loaded.swap(loaded, Ordering::Relaxed);
+        let had_weights = before != UNKNOWN_VERSION && before > 0;
+        if had_weights && before < loaded {
+            self.record_loaded(&engine.model, loaded);
+        }
         let Some(target) = next_target(&self.cx, loaded) else {
             return self.verify_found(&report).await;
         };
@@ -198,6 +202,15 @@
         }
     }
 
+    // Records how long after its request a version was loaded.
+    fn record_loaded(&self, model: &Name, version: u64) {
+        let snapshot = self.cx.cluster.snapshot();
+        if let Some(age) = snapshot.requested_age(model, version, uptime()) {
+            let metrics = self.cx.recorder.metrics();
+            metrics.weights_loaded_ms.set(age.as_millis() as i64);
+        }
+    }
+
     // Remembers the server: its row is gone at times although it runs.
     pub(super) fn own_server(&mut self) -> Option<Name> {
         let snapshot = self.cx.cluster.snapshot();
--- a/crates/rw-fleet/src/peers.rs
+++ b/crates/rw-fleet/src/peers.rs
@@ -78,7 +78,7 @@
                 None => PeerReply::Missing(Missing { retry_after_ms: 0 }),
             },
             PeerRequest::Manifest(req) => match &self.chunk_store {
-                Some(chunk_store) => chunk_store.serve_manifest(&req),
+                Some(chunk_store) => chunk_store.serve_manifest(&req).await,
                 None => PeerReply::Missing(Missing { retry_after_ms: 0 }),
             },
             _ => PeerReply::Missing(Missing { retry_after_ms: 0 }),
--- a/crates/rw-fleet/tests/chunk_store.rs
+++ b/crates/rw-fleet/tests/chunk_store.rs
@@ -1,7 +1,7 @@
 //! Chunks that a host serves to other hosts.
 
 use rw_fleet::host::ChunkStore;
-use rw_protocol::{chunk_hash, ChunkRequest, Manifest, PeerReply};
+use rw_protocol::{chunk_hash, ChunkRequest, Manifest, ManifestRequest, PeerReply};
 
 fn manifest() -> Manifest {
     Manifest {
@@ -102,6 +102,46 @@
     reader.await.expect("no panic");
 }
 
+/// Guards against a level of the tree that asks for a manifest just before the one above
+/// has it, and asks again only after a delay.
+#[tokio::test]
+async fn a_request_for_a_manifest_is_answered_once_it_arrives() {
+    let (read_requests, _pending_reads) = flume::bounded(4);
+    let store = ChunkStore::new(0, read_requests);
+    let asked = store.clone();
+    let waiting = tokio::spawn(async move {
+        let manifest = "m@2".into();
+        asked.serve_manifest(&ManifestRequest { manifest }).await
+    });
+    tokio::task::yield_now().await;
+    store.add_version(&"m@2".into(), manifest());
+    let reply = waiting.await.expect("no panic");
+    assert!(matches!(reply, PeerReply::Manifest(got) if got == manifest()));
+}
+
+/// Guards against a request that waits longer than its host does.
+#[tokio::test]
+async fn a_request_for_an_unknown_manifest_gets_a_retry_delay() {
+    let (read_requests, _pending_reads) = flume::bounded(4);
+    let store = ChunkStore::new(0, read_requests);
+    let manifest = "m@2".into();
+    let reply = store.serve_manifest(&ManifestRequest { manifest }).await;
+    assert!(retry_after_ms(reply) > NOT_HELD);
+}
+
+/// Guards against a bound on chunks while no server serves, which would only delay the
+/// return of the weights.
+#[tokio::test]
+async fn chunks_are_bounded_only_while_the_server_serves() {
+    let (read_requests, _pending_reads) = flume::bounded(4);
+    let store = ChunkStore::new(1_000_000, read_requests);
+    let long = std::time::Duration::from_secs(2);
+    assert!(store.on_delivery(&"a".into(), long, 25_000), "narrow link");
+    assert_eq!(store.download_window(), usize::MAX);
+    store.set_serving(true);
+    assert_eq!(store.download_window(), 1);
+}
+
 #[test]
 fn versions_that_are_not_retained_are_removed() {
     let (read_requests, _pending_reads) = flume::bounded(4);
--- a/crates/rw-observe/src/metrics.rs
+++ b/crates/rw-observe/src/metrics.rs
@@ -40,6 +40,11 @@
     pub prompt_parts_quarantined: Gauge,
     /// Backend servers that name a limit on their requests.
     pub servers_limited: Gauge,
+    /// Milliseconds from the request for the newest downloaded weights until this host held
+    /// them all.
+    pub weights_whole_ms: Gauge,
+    /// The same until its server had loaded them.
+    pub weights_loaded_ms: Gauge,
 }
 
 impl Default for Metrics {
@@ -94,6 +99,14 @@
         let prompt_parts_quarantined =
             gauge("prompt_parts_quarantined", "Quarantined parts of prompts");
         let servers_limited = gauge("servers_limited", "Backend servers that name a limit");
+        let weights_whole_ms = gauge(
+            "weights_whole_ms",
+            "Time from the request for weights until the host held them",
+        );
+        let weights_loaded_ms = gauge(
+            "weights_loaded_ms",
+            "Time from the request for weights until the server had loaded them",
+        );
         Metrics {
             registry: Arc::new(reg),
             events,
@@ -109,6 +122,8 @@
             claims_unresolved,
             prompt_parts_quarantined,
             servers_limited,
+            weights_whole_ms,
+            weights_loaded_ms,
         }
     }
 
--- a/crates/rw-weights/src/link_window.rs
+++ b/crates/rw-weights/src/link_window.rs
@@ -43,7 +43,8 @@
 /// narrow link.
 ///
 /// It falls to one when chunks of two sources in succession take long, as then the own link
-/// delays them, and grows by one with each chunk that does not.
+/// delays them, or those of the only source of the last second. It grows by one with each
+/// chunk that does not take long.
 ///
 /// ```
 /// use rw_weights::{Delivery, LinkWindow};
