--- a/crates/rw-observe/src/metrics.rs
+++ b/crates/rw-observe/src/metrics.rs
@@ -44,6 +44,11 @@
     pub servers_limited: Gauge,
     /// Availability zones that operators evacuate.
     pub zones_evacuated: Gauge,
+    /// Milliseconds from the request for the newest downloaded weights until this host held
+    /// them all.
+    pub weights_whole_ms: Gauge,
+    /// The same until its server had loaded them.
+    pub weights_loaded_ms: Gauge,
 }
 
 impl Default for Metrics {
@@ -105,6 +110,14 @@
             gauge("prompt_parts_quarantined", "Quarantined parts of prompts");
         let servers_limited = gauge("servers_limited", "Backend servers that name a limit");
         let zones_evacuated = gauge("zones_evacuated", "Evacuated availability zones");
+        let weights_whole_ms = gauge(
+            "weights_whole_ms",
+            "Time from the request for weights until the host held them",
+        );
+        let weights_loaded_ms = gauge(
+            "weights_loaded_ms",
+            "Time from the request for weights until the server had loaded them",
+        );
         Metrics {
             registry: Arc::new(reg),
             events,
@@ -122,6 +135,8 @@
             prompt_parts_quarantined,
             servers_limited,
             zones_evacuated,
+            weights_whole_ms,
+            weights_loaded_ms,
         }
     }
 
