Send cold servers no more than they tolerate

Cause: coldPerS, coldRemainingMs and Cold-Start-Ms were parsed at most, and nothing kept to them; 24 servers that start cold at once are what all entries like best. Change: each entry has a fixed share of coldPerS x coldOverrun at each cold server, in any 1.25 s, that needs no message and so also holds between entries that cannot hear each other. It is part of the selection by named limits: a cold server whose share is used up is left out, and a stream waits for it as it does for a slot. Requests to a server that is not cold yet count too. An entry that is not listed, or started less than 1.25 s ago, sends one request in that time. A server is cold by its row or by a response. Not bounded: what is sent before the row or a response that says "cold" arrives, and a burst that the network holds back for more than 250 ms.

--- a/crates/rw-fleet/src/cluster_state.rs
+++ b/crates/rw-fleet/src/cluster_state.rs
@@ -330,6 +330,7 @@
                 self.log_server_change(snapshot, &server);
                 remove_outdated_status(snapshot, &server);
                 trust_first_weights(snapshot, &server);
+                self.record_cold(snapshot, &server);
                 if !server.ready {
                     departures.record(&server);
                 }
--- a/crates/rw-fleet/src/entry/limited_selection.rs
+++ b/crates/rw-fleet/src/entry/limited_selection.rs
@@ -29,6 +29,8 @@
     only_limited: bool,
     patience: Duration,
     asks: u32,
+    // Whether a cold server was left out of the last selection.
+    awaits_cold_server: bool,
     // The earliest time to come back that a server gave.
     refusal: Option<PermitRefusal>,
 }
@@ -41,6 +43,7 @@
             only_limited: false,
             patience: Duration::ZERO,
             asks: 0,
+            awaits_cold_server: false,
             refusal: None,
         }
     }
@@ -51,6 +54,11 @@
         &mut self,
         mut servers: Vec<Arc<BackendServer>>,
     ) -> Vec<Arc<BackendServer>> {
+        let wait = self.entry.retain_within_cold_share(&mut servers);
+        self.awaits_cold_server = wait.is_some();
+        if let Some(wait) = wait {
+            self.record(PermitRefusal::after(wait));
+        }
         let guard = &self.entry.cx.limit_guard;
         if !guard.is_active() {
             return servers;
@@ -119,11 +127,22 @@
         is_new
     }
 
+    /// Whether a cold server takes the call as soon as this entry may send it more.
+    pub(super) fn awaits_cold_server(&self) -> bool {
+        self.awaits_cold_server
+    }
+
     /// Gets permission to send the call to a selected server.
     pub(super) async fn acquire(&mut self, server: &BackendServer) -> Option<SendPermit> {
         let (rank, cx) = (self.call.rank(), &self.entry.cx);
         match acquire_permit(cx, server, rank, self.patience).await {
-            Ok(permit) => Some(permit),
+            Ok(permit) => match self.entry.take_cold_share(server, permit) {
+                Ok(permit) => Some(permit),
+                Err(wait) => {
+                    self.record(PermitRefusal::after(wait));
+                    None
+                }
+            },
             Err(refusal) => {
                 self.asks += 1;
                 self.record(refusal);
--- a/crates/rw-fleet/src/entry/mod.rs
+++ b/crates/rw-fleet/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod call;
 mod caller_connection;
 mod caller_socket;
+mod cold_guard;
 mod disconnects;
 mod evacuation;
 mod events;
--- a/crates/rw-fleet/src/entry/server_notice.rs
+++ b/crates/rw-fleet/src/entry/server_notice.rs
@@ -14,6 +14,27 @@
     pub retry_after: Option<Duration>,
 }
 
+/// Time for which the head of a response says that its server stays cold.
+pub(super) fn parse_cold(
+    status: StatusCode,
+    headers: &HeaderMap,
+    names: &HeaderNames,
+) -> Option<Duration> {
+    let value = headers.get(&names.cold_start)?;
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return None;
+    }
+    let millis = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse().ok());
+    let cold = millis.and_then(|ms: f64| Duration::try_from_secs_f64(ms / 1e3).ok());
+    if cold.is_none() {
+        log::debug!("ignoring an unreadable time for which a server stays cold: {value:?}");
+    }
+    cold
+}
+
 impl ServerNotice {
     /// Reads the notice from a response head. A response that another server sent
     /// says nothing about the one that was addressed.
--- a/crates/rw-fleet/src/entry/shared.rs
+++ b/crates/rw-fleet/src/entry/shared.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use super::attempt::{self, Failure};
+use super::cold_guard::ColdGuard;
 use super::weights_guard::WeightsGuard;
 use super::{Call, CallerConnections, LoadTracker, OutdatedWeights, PoisonGuard};
 use crate::{BackendServer, Cx, Engine, PlatformCodec, Snapshot};
@@ -30,6 +31,7 @@
     // Version that requests required last, by model.
     required_weights: Mutex<BTreeMap<Name, u64>>,
     pub(super) weights_guard: WeightsGuard,
+    pub(super) cold_guard: ColdGuard,
 }
 
 impl<D: PlatformCodec> Entry<D> {
@@ -53,6 +55,7 @@
             extra_retries,
             required_weights: Mutex::default(),
             weights_guard: WeightsGuard::default(),
+            cold_guard: ColdGuard::default(),
         })
     }
 
--- a/crates/rw-fleet/src/entry/stream_opener.rs
+++ b/crates/rw-fleet/src/entry/stream_opener.rs
@@ -327,7 +327,8 @@
                     Some(send_permit) => return Ok((permit, send_permit)),
                     None => continue,
                 },
-                Err(selection) => matches!(selection, EngineSelection::Full(_)),
+                Err(EngineSelection::Full(_)) => true,
+                Err(_) => limits.awaits_cold_server(),
             };
             if is_full && timeout_at(until, load_changed.recv_async()).await.is_ok() {
                 continue;
--- a/crates/rw-fleet/src/lib.rs
+++ b/crates/rw-fleet/src/lib.rs
@@ -7,6 +7,7 @@
 mod change_times;
 mod cluster_state;
 mod codec;
+mod cold_servers;
 mod configuration;
 pub mod connect;
 mod contacts;
--- a/crates/rw-fleet/src/limit_exchange.rs
+++ b/crates/rw-fleet/src/limit_exchange.rs
@@ -44,6 +44,14 @@
     /// Permission to send a request to a server without a limit.
     pub(crate) const UNLIMITED: SendPermit = SendPermit { expires_at: None };
 
+    /// The permission, restricted to requests that are sent within `time`.
+    pub(crate) fn valid_for(self, time: Duration) -> Self {
+        let until = uptime() + time;
+        SendPermit {
+            expires_at: Some(self.expires_at.map_or(until, |at| at.min(until))),
+        }
+    }
+
     /// Whether the request must not be sent any more.
     pub fn is_expired(&self) -> bool {
         self.expires_at.is_some_and(|at| uptime() >= at)
--- a/crates/rw-fleet/src/snapshot.rs
+++ b/crates/rw-fleet/src/snapshot.rs
@@ -58,6 +58,8 @@
     pub evacuations: BTreeMap<Name, Evacuation>,
     /// The last evacuation of each availability zone that has ended, by zone.
     pub ended_evacuations: BTreeMap<Name, EndedEvacuation>,
+    /// Uptimes until which backend servers are cold by their rows, by identity.
+    pub cold_servers: BTreeMap<Name, Duration>,
     /// Daemons by name.
     pub daemons: BTreeMap<Name, Daemon>,
     /// Latest status of each backend server, by its identity.
--- a/crates/rw-observe/src/catalogue.rs
+++ b/crates/rw-observe/src/catalogue.rs
@@ -112,6 +112,7 @@
     723 WeightsUnknown Warn "A host that started again cannot tell whether the weights of its backend server were intact when they were taken; entries go on as before." "Nothing, unless the server gets no requests: then restart it or request other weights.";
     750 ZoneEvacuated Info "An operator asked that the servers of an availability zone get no more requests; they move to other zones within half of the bound." "Delete the row when the zone may serve again.";
     751 ZoneReturned Info "The evacuation of an availability zone ended; its requests come back over some seconds." "Nothing.";
+    752 ServerCold Info "A backend server is cold by its row or a response: it gets no more requests than it tolerates until it has warmed up." "Nothing, unless it recurs: then find out why the server starts again.";
 }
 
 /// Renders the event catalogue as a Markdown page.
--- a/crates/rw-observe/src/metrics.rs
+++ b/crates/rw-observe/src/metrics.rs
@@ -19,8 +19,8 @@
     /// Requests by outcome: `answered`, `not_run`, `unknown` or `refused`.
     calls: Family<LabelSet, Counter>,
     weight_bytes: Family<LabelSet, Counter>,
-    /// Permits to send requests to servers with a limit, by outcome: `granted`, `refused`
-    /// or `failed`.
+    /// Permits to send requests to servers with a limit, by outcome: `granted`, `refused`,
+    /// `failed`, or `cold` if this entry's share of a cold server was used up.
     permits: Family<LabelSet, Counter>,
     /// Requests refused because of where they may be served, by reason: `region` or `zone`.
     placement_refusals: Family<LabelSet, Counter>,
@@ -135,7 +135,7 @@
         self.calls.get_or_create(&[("outcome", outcome)]).inc();
     }
 
-    /// Counts a permit by its outcome: `granted`, `refused` or `failed`.
+    /// Counts a permit by its outcome: `granted`, `refused`, `failed` or `cold`.
     pub fn count_permit(&self, outcome: &'static str) {
         self.permits.get_or_create(&[("outcome", outcome)]).inc();
     }
--- a/crates/rw-routing/src/lib.rs
+++ b/crates/rw-routing/src/lib.rs
@@ -30,8 +30,8 @@
 pub use retry::RetryBudget;
 pub use router::{HostQuery, HostSelection, Router};
 pub use server_limits::{
-    AskOutcome, EntryMembership, LimitChange, LimitCoordinator, LimitIssuer, LimitNews,
-    LimitObservation, LimitUsage, PermitAsk, PermitDecision, PermitRefusal, PermitReply,
+    cold_quota, AskOutcome, ColdShare, EntryMembership, LimitChange, LimitCoordinator, LimitIssuer,
+    LimitNews, LimitObservation, LimitUsage, PermitAsk, PermitDecision, PermitRefusal, PermitReply,
     PermitRequest, PermitTarget, ServerLifetime,
 };
 pub use server_notices::{ServerAdmission, ServerNotices};
--- a/crates/rw-routing/src/server_limits/mod.rs
+++ b/crates/rw-routing/src/server_limits/mod.rs
@@ -5,6 +5,7 @@
 //! limit; every request to the server needs one. Entries agree on the owner by rendezvous
 //! hashing among those that are alive. What an entry knows of a limit it tells the others.
 
+mod cold_share;
 mod coordinator;
 mod exchange;
 mod issuer;
@@ -12,6 +13,7 @@
 mod membership;
 mod observation;
 
+pub use cold_share::{cold_quota, ColdShare};
 pub use coordinator::LimitCoordinator;
 pub use exchange::{
     AskOutcome, LimitChange, LimitNews, LimitUsage, PermitAsk, PermitReply, PermitTarget,
