Weigh the load that servers report when selecting one

Cause: Server-Load in responses was not read, so requests queued behind those that no entry had told of, and behind slow moments of a shared machine. Change: the last report of each server is kept with its time.

--- a/crates/rw-fleet/src/entry/attempt.rs
+++ b/crates/rw-fleet/src/entry/attempt.rs
@@ -10,6 +10,7 @@
 use rw_protocol::Name;
 use tokio::time::timeout;
 
+use super::load_notice::parse_load;
 use super::server_notice::parse_cold;
 use super::{Call, Entry, NamedLimit, OutdatedWeights, ServerNotice};
 use crate::connect::{self, Connection};
@@ -113,6 +114,9 @@
     entry.load_tracker.on_notice(server, &notice);
     entry.on_cold_notice(server, parse_cold(res.status(), res.headers(), names));
     if !is_to_other_request(call, names, &res) {
+        if let Some(load) = parse_load(res.status(), res.headers(), names) {
+            entry.load_tracker.on_load_notice(server, load);
+        }
         let named = NamedLimit::parse(res.status(), res.headers(), names);
         entry.cx.limit_guard.on_response(server, named, sent_at);
     }
--- a/crates/rw-fleet/src/entry/load_state.rs
+++ b/crates/rw-fleet/src/entry/load_state.rs
@@ -6,7 +6,8 @@
 
 use rw_protocol::Name;
 use rw_routing::{
-    CircuitBreaker, EngineLoad, EntryPosition, FirstEventTracker, SlotRotation, WindowedRetryBudget,
+    CircuitBreaker, EngineLoad, EntryPosition, FirstEventTracker, LoadNotice, ServerOutlook,
+    SlotRotation, WindowedRetryBudget,
 };
 
 use crate::{BackendServer, Bounds};
@@ -29,6 +30,8 @@
     // Time of the last event, or of the first request to an idle server.
     pub(super) last_event_at: Option<Duration>,
     pub(super) backoff_until: Duration,
+    // Load that the server reported last, when, and the requests that were known there.
+    pub(super) notice: Option<(LoadNotice, Duration, u32)>,
 }
 
 impl ServerState {
@@ -122,6 +125,19 @@
         others.fold(own, |sum, reported| sum.plus(reported.load))
     }
 
+    pub(super) fn on_load_notice(&mut self, server: &Name, notice: LoadNotice, now: Duration) {
+        let known = self.load(server, now).running;
+        let server_state = self.servers.entry(server.clone()).or_default();
+        server_state.notice = Some((notice, now, known));
+    }
+
+    // Forecast from the last report of a server; `None` without one.
+    pub(super) fn outlook(&self, server: &Name, now: Duration) -> Option<ServerOutlook> {
+        let (notice, at, known) = self.servers.get(server)?.notice.as_ref()?;
+        let age = now.saturating_sub(*at);
+        Some(ServerOutlook::new(notice, *known, age))
+    }
+
     // Load at a server from recent reports of other entries.
     pub(super) fn reported_loads<'a>(
         &'a self,
--- a/crates/rw-fleet/src/entry/load_tracker.rs
+++ b/crates/rw-fleet/src/entry/load_tracker.rs
@@ -10,11 +10,12 @@
 use rw_observe::{Event, Recorder};
 use rw_protocol::{LoadReport, Name, ServerLoad};
 use rw_routing::{
-    median, select_engine, slowdown, EngineCandidate, EngineLoad, EngineSelection,
+    median, select_engine, slowdown, EngineCandidate, EngineLoad, EngineSelection, LoadNotice,
     RequestRequirements,
 };
 use tokio::time::Instant;
 
+use super::least_loaded::{least_loaded, LoadCandidate};
 use super::load_state::{
     unix_time, LoadState, ReportedLoad, ServerState, MAX_QUEUED_PER_ENGINE, REPORT_TTL,
 };
@@ -110,6 +111,7 @@
                 profile: &engine.profile,
                 load: *load,
                 slowdown: slowdown(*ratio, median),
+                outlook: state.outlook(&server.id, now).unwrap_or_default(),
                 remote: is_remote(server),
                 max_running: *limit,
             })
@@ -132,8 +134,8 @@
         }
     }
 
-    /// Takes a slot of the server with the fewest running requests per slot; for
-    /// servers without an engine profile.
+    /// Takes a slot of the server with the fewest running requests per slot, or of the
+    /// better of two if they report their load; for servers without an engine profile.
     pub fn select_least_loaded(
         self: &Arc<Self>,
         servers: &[Arc<BackendServer>],
@@ -141,17 +143,21 @@
         let now = self.now();
         let mut state = self.state();
         let mut rng = self.rng.lock();
-        let best = servers
+        let mut candidates: Vec<LoadCandidate<'_>> = servers
             .iter()
             .filter_map(|s| {
                 let limit = s.slots.max(1) * (1 + MAX_QUEUED_PER_SLOT);
                 let running = state.load(&s.id, now).running;
                 let accepts = running < state.effective_limit(&s.id, limit, now);
-                let utilization = f64::from(running) / f64::from(s.slots.max(1));
-                accepts.then(|| (utilization, rng.random::<u32>(), s))
+                accepts.then(|| LoadCandidate {
+                    server: s,
+                    running,
+                    outlook: state.outlook(&s.id, now),
+                    order: rng.random(),
+                })
             })
-            .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        let (_, _, server) = best?;
+            .collect();
+        let server = least_loaded(&mut candidates)?;
         Some(self.acquire_slot(&mut state, server, 0))
     }
 
@@ -252,6 +258,12 @@
         budget.take(now)
     }
 
+    /// Records the load that a server reported in a response.
+    pub(super) fn on_load_notice(&self, server: &BackendServer, notice: LoadNotice) {
+        let now = self.now();
+        self.state().on_load_notice(&server.id, notice, now);
+    }
+
     /// Records a successful response.
     pub fn on_success(&self, server: &Name) {
         let now = self.now();
--- a/crates/rw-routing/src/engine_selection.rs
+++ b/crates/rw-routing/src/engine_selection.rs
@@ -4,7 +4,7 @@
 
 use rw_protocol::Name;
 
-use crate::{EngineLoad, EngineProfile};
+use crate::{EngineLoad, EngineProfile, ServerOutlook};
 
 /// Share of the maximum event gap that a forecast may use. The rest is headroom
 /// for requests that other entries send between two load reports.
@@ -47,6 +47,9 @@
     pub load: EngineLoad,
     /// Factor by which it is slower than declared; 1 for normal speed.
     pub slowdown: f64,
+    /// Forecast from its last report. It orders the engines that are compared, and rules
+    /// none out.
+    pub outlook: ServerOutlook,
     /// Whether it is in another region, behind a shared link.
     pub remote: bool,
     /// Limit of requests in flight from its circuit breaker and slot rotation.
@@ -103,6 +106,11 @@
         let penalty_ms = if e.remote { REMOTE_PENALTY_MS } else { 0.0 };
         e.profile.first_event_ms(e.load, requirements.prompt_tokens) * e.slowdown + penalty_ms
     };
+    // What a server reports of itself is old by the time that it decides.
+    let expected_ms = |ms: f64, e: &EngineCandidate<'_>| {
+        let unknown_ms = e.outlook.unknown_requests * e.profile.slot_release_ms();
+        ms * e.outlook.pace + unknown_ms
+    };
     let budget_ms = requirements.first_event_budget.as_secs_f64() * 1e3;
     let eligible = engines
         .iter()
@@ -114,7 +122,8 @@
         .into_iter()
         .take(SAMPLE_SIZE)
         .chain(remote.into_iter().take(SAMPLE_SIZE));
-    match sample.min_by(|a, b| a.0.total_cmp(&b.0)) {
+    let best = sample.min_by(|a, b| expected_ms(a.0, a.1).total_cmp(&expected_ms(b.0, b.1)));
+    match best {
         Some((ms, engine)) => {
             EngineSelection::Selected(engine.server.clone(), Duration::from_secs_f64(ms / 1e3))
         }
--- a/crates/rw-routing/src/lib.rs
+++ b/crates/rw-routing/src/lib.rs
@@ -13,6 +13,7 @@
 mod router;
 mod server_limits;
 mod server_notices;
+mod server_outlook;
 mod slot_rotation;
 mod slowdown;
 mod windowed_retry;
@@ -35,6 +36,7 @@
     PermitRequest, PermitTarget, ServerLifetime,
 };
 pub use server_notices::{ServerAdmission, ServerNotices};
+pub use server_outlook::{LoadNotice, ServerOutlook};
 pub use slot_rotation::{EntryPosition, SlotRotation};
 pub use slowdown::{median, slowdown, FirstEventTracker};
 pub use windowed_retry::{ExtraRetries, WindowedRetryBudget};
--- a/crates/rw-routing/tests/overload.rs
+++ b/crates/rw-routing/tests/overload.rs
@@ -12,7 +12,7 @@
 use rw_protocol::Name;
 use rw_routing::{
     select_engine, EngineCandidate, EngineLoad, EngineProfile, EngineSelection, EntryPosition,
-    RequestRequirements, SlotRotation, WindowedRetryBudget,
+    RequestRequirements, ServerOutlook, SlotRotation, WindowedRetryBudget,
 };
 
 /// Time at which clocks step, in the middle of a simulation.
@@ -54,6 +54,7 @@
             unread_tokens,
         },
         slowdown: 1.0,
+        outlook: ServerOutlook::default(),
         remote: false,
         max_running: profile.slots,
     }
--- a/crates/rw-routing/tests/slow_server.rs
+++ b/crates/rw-routing/tests/slow_server.rs
@@ -7,7 +7,7 @@
 use rw_protocol::Name;
 use rw_routing::{
     median, select_engine, slowdown, EngineCandidate, EngineLoad, EngineProfile, EngineSelection,
-    FirstEventTracker, RequestRequirements,
+    FirstEventTracker, RequestRequirements, ServerOutlook,
 };
 
 const SERVERS: usize = 10;
@@ -58,6 +58,7 @@
             } else {
                 1.0
             },
+            outlook: ServerOutlook::default(),
             remote: false,
             max_running: 12,
         };
