--- a/crates/rw-routing/src/lib.rs
+++ b/crates/rw-routing/src/lib.rs
@@ -13,6 +13,7 @@
 mod router;
 mod server_limits;
 mod server_notices;
+mod server_outlook;
 mod slot_rotation;
 mod slowdown;
 mod windowed_retry;
@@ -30,11 +31,12 @@
 pub use retry::RetryBudget;
 pub use router::{HostQuery, HostSelection, Router};
 pub use server_limits::{
-    AskOutcome, EntryMembership, LimitChange, LimitCoordinator, LimitIssuer, LimitNews,
-    LimitObservation, LimitUsage, PermitAsk, PermitDecision, PermitRefusal, PermitReply,
+    cold_quota, AskOutcome, ColdShare, EntryMembership, LimitChange, LimitCoordinator, LimitIssuer,
+    LimitNews, LimitObservation, LimitUsage, PermitAsk, PermitDecision, PermitRefusal, PermitReply,
     PermitRequest, PermitTarget, ServerLifetime,
 };
 pub use server_notices::{ServerAdmission, ServerNotices};
+pub use server_outlook::{LoadNotice, ServerOutlook};
 pub use slot_rotation::{EntryPosition, SlotRotation};
 pub use slowdown::{median, slowdown, FirstEventTracker};
 pub use windowed_retry::{ExtraRetries, WindowedRetryBudget};
