Serve only weights whose load a host observed or recorded

Change: hosts record sound weights in a row of the daemons' table: server, start, number of loads, version, manifest. A host that starts adopts the record of exactly this load, else it says that the weights are unknown and loads them again; without any record of the lifetime, hosts do so one after another. An entry trusts exactly the version of the last status or record, and a status without a version withdraws it for good. `verify_found` and `trust_first_weights` are gone; only at the first start of the fleet does the first row of a server count, and only with version 1.

Tests: two in `taken_weights.rs` expected that staged chunks prove what was found, or that found weights stay in service without any proof. They expect a reload without a record, and adoption with one.

Not run yet: the other tests of `rw-adapter`; the new tests on the code before.

--- a/crates/rw-fleet/src/cluster_state.rs
+++ b/crates/rw-fleet/src/cluster_state.rs
@@ -2,6 +2,7 @@
 //! version, whether it comes from the store or from another daemon.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -15,8 +16,10 @@
 use crate::eras::{era, has_earlier_rows};
 use crate::kept_content::keep_newer_content;
 use crate::row_compression::{compress, decompress};
-use crate::server_statuses::{remove_outdated_status, trust_first_weights};
-use crate::{BackendServer, Evacuation, PlatformCodec, RowContent, Snapshot, TimeSpan};
+use crate::server_statuses::{follow_start, remove_outdated_status};
+use crate::{
+    BackendServer, Evacuation, PlatformCodec, RowContent, Snapshot, StoredLoadRecord, TimeSpan,
+};
 
 /// Tombstones of deleted rows kept so that other daemons learn of the deletion.
 const MAX_TOMBSTONES: usize = 2000;
@@ -35,11 +38,12 @@
 /// Rows of the platform's store as this daemon knows them, and the state
 /// derived from them.
 pub struct ClusterState<D> {
-    codec: Arc<D>,
+    pub(crate) codec: Arc<D>,
     pub(crate) recorder: Recorder,
     pub(crate) started_at: Duration,
     state: Mutex<State>,
     pub(crate) changed: ChangeNotifier,
+    first_start: AtomicBool,
 }
 
 impl<D: PlatformCodec> ClusterState<D> {
@@ -51,9 +55,16 @@
             started_at: uptime(),
             state: Mutex::default(),
             changed: ChangeNotifier::default(),
+            first_start: AtomicBool::new(false),
         })
     }
 
+    /// Says whether the complete fleet starts for the first time: no host can have ordered
+    /// a load before.
+    pub fn set_first_start(&self, first_start: bool) {
+        self.first_start.store(first_start, Ordering::Relaxed);
+    }
+
     pub(crate) fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -328,7 +339,8 @@
                 snapshot.servers.retain(|_, old| !conflict(old));
                 self.log_server_change(snapshot, &server);
                 remove_outdated_status(snapshot, &server);
-                trust_first_weights(snapshot, &server);
+                let first_start = self.first_start.load(Ordering::Relaxed);
+                follow_start(snapshot, &server, first_start);
                 if !server.ready {
                     departures.record(&server);
                 }
@@ -340,6 +352,13 @@
             RowContent::WeightsRecord(record) => {
                 snapshot.add_record(row.key.clone(), record, uptime());
             }
+            RowContent::LoadRecord(record) => {
+                let stored = StoredLoadRecord {
+                    row_version: row.version,
+                    record,
+                };
+                snapshot.load_records.insert(row.key.clone(), stored);
+            }
             RowContent::Evacuation(zone) => {
                 let evacuation = Evacuation {
                     zone,
@@ -355,42 +374,6 @@
         }
         true
     }
-
-    fn log_server_change(&self, snapshot: &Snapshot, server: &BackendServer) {
-        let old = snapshot.servers.get(&server.id);
-        let unchanged = old.is_some_and(|old| {
-            old.ready == server.ready && old.weights_version == server.weights_version
-        });
-        if !unchanged {
-            let detail = format!(
-                "server={} service={} addr={} ready={} weights={}",
-                server.id, server.service, server.addr, server.ready, server.weights_version
-            );
-            self.recorder.emit(Event::ServerChanged, &detail);
-        }
-    }
-
-    // Configurations and requested weights stay in effect when their row is
-    // deleted.
-    fn remove_row(&self, departures: &mut Departures, snapshot: &mut Snapshot, row: &StoredRow) {
-        let tables = self.codec.tables();
-        if *row.table == *tables.servers {
-            snapshot.server_statuses.remove(&row.key);
-            if let Some(server) = snapshot.servers.remove(&row.key) {
-                departures.record(&server);
-                let detail = format!("server={} gone=true row_version={}", row.key, row.version);
-                self.recorder.emit(Event::ServerChanged, &detail);
-            } else {
-                departures.record_tombstone(&*self.codec, row);
-            }
-        } else if *row.table == *tables.daemons {
-            snapshot.daemons.remove(&row.key);
-            snapshot.weights_records.remove(&row.key);
-            snapshot.quarantines.remove(&row.key);
-        } else {
-            snapshot.evacuations.remove(&row.key);
-        }
-    }
 }
 
 fn prune_tombstones(state: &mut State) {
--- a/crates/rw-fleet/src/codec.rs
+++ b/crates/rw-fleet/src/codec.rs
@@ -1,9 +1,10 @@
 use std::fmt;
+use std::net::SocketAddr;
 
 use http::{HeaderMap, HeaderName};
 use rw_protocol::{Name, StoredRow};
 
-use crate::{BackendServer, Configuration, Daemon, WeightsRecord};
+use crate::{BackendServer, Configuration, Daemon, LoadRecord, WeightsRecord};
 
 /// Decoded content of a row of the platform's store.
 #[derive(Clone, Debug)]
@@ -23,6 +24,8 @@
     Daemon(Daemon),
     /// Record of when weights were requested, written by daemons.
     WeightsRecord(WeightsRecord),
+    /// Record of the weights that a backend server has loaded, written by its host.
+    LoadRecord(LoadRecord),
     /// Request of an operator that servers of this availability zone get no more requests.
     Evacuation(Name),
     /// Parts of a prompt whose combination is quarantined; none if it no longer is.
@@ -104,6 +107,11 @@
     fn weights_record_key(&self, model: &str) -> Name;
     /// Encodes the record of a model's requested weights.
     fn encode_weights_record(&self, record: &WeightsRecord) -> Vec<u8>;
+    /// Key of the record of the weights that the backend server at an address has loaded, in
+    /// the daemons' table.
+    fn load_record_key(&self, backend: SocketAddr) -> Name;
+    /// Encodes the record of loaded weights.
+    fn encode_load_record(&self, record: &LoadRecord) -> Vec<u8>;
     /// Key of the record of a quarantine, in the daemons' table.
     fn quarantine_key(&self, parts: &[Name]) -> Name;
     /// Encodes the record of a quarantine; no parts if it ended.
--- a/crates/rw-fleet/src/context.rs
+++ b/crates/rw-fleet/src/context.rs
@@ -42,8 +42,10 @@
 impl<D: PlatformCodec> Cx<D> {
     /// Creates the context of a daemon that is starting.
     pub fn new(settings: DaemonSettings, codec: Arc<D>, recorder: Recorder) -> Arc<Self> {
+        let cluster = ClusterState::new(codec.clone(), recorder.clone());
+        cluster.set_first_start(settings.first_start);
         Arc::new(Cx {
-            cluster: ClusterState::new(codec.clone(), recorder.clone()),
+            cluster,
             rng: Arc::new(SharedRng::new(settings.random_seed)),
             limit_guard: LimitGuard::new(settings.name.clone(), recorder.clone()),
             settings,
--- a/crates/rw-fleet/src/host/load_order.rs
+++ b/crates/rw-fleet/src/host/load_order.rs
@@ -23,9 +23,7 @@
 /// verified afterwards.
 const MAX_LATE_ORDERS: u32 = 1;
 /// Time after which a server that refused to load its weights again is asked once more.
-const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
-/// Interval at which weights found at the start are looked at, until they can be read.
-const CHECK_INTERVAL: Duration = Duration::from_secs(5);
+pub(super) const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
 
 impl<D: PlatformCodec, B: BackendClient, O: OriginClient> WeightsReconciler<D, B, O> {
     // Stages and verifies all chunks right before the order, since staged bytes may
@@ -76,21 +74,25 @@
         step: &LoadStep,
         verification: Option<Verification>,
     ) {
-        // Entries have to stop sending before the server starts to refuse
-        // requests.
-        self.send_status(&target.model, report.weights_version, false);
+        // Entries have to stop sending before the server starts to refuse requests, and
+        // nobody vouches for its weights until the outcome is known.
+        self.send_status(&target.model, 0, false);
         let order = LoadOrder {
             model: target.model.clone(),
             version: target.version,
             layers: step.layers(),
             sequence: report.sequence,
         };
+        self.watch.on_sent(order.sequence + 1);
         let sent_at = uptime();
         let result = timeout(BACKEND_TIMEOUT, self.backend.load(&order)).await;
         let answered_at = uptime();
         if matches!(result, Ok(Ok(LoadOutcome::Started)) | Ok(Err(_)) | Err(_)) {
             self.ordered = order.sequence + 1;
         }
+        if matches!(result, Ok(Err(_)) | Err(_)) {
+            self.watch.on_unanswered();
+        }
         if matches!(result, Ok(Ok(LoadOutcome::Started))) {
             self.watch.on_accepted(order.sequence + 1, answered_at);
         } else if report.layers_version == target.version {
@@ -161,24 +163,6 @@
         }
     }
 
-    // Does the same with weights that this daemon found when it started. Corrupt
-    // chunks say nothing about them: they may have turned corrupt long after the load.
-    pub(super) async fn verify_found(&mut self, report: &BackendReport) {
-        let TakenWeights::Found(load) = self.watch.weights() else {
-            return;
-        };
-        if uptime() < self.no_check_before {
-            return;
-        }
-        self.no_check_before = uptime() + CHECK_INTERVAL;
-        let weights = match self.prove(load, report).await {
-            Some(true) => TakenWeights::Intact,
-            Some(false) => TakenWeights::Unknown,
-            None => return,
-        };
-        self.watch.set_weights(weights);
-    }
-
     // Whether all chunks of the loaded version were intact when the server took them;
     // `None` if that is not known yet.
     async fn prove(&mut self, load: Load, report: &BackendReport) -> Option<bool> {
@@ -196,17 +180,15 @@
         }
         let detail = format!(
             "model={} version={} sequence={} chunks_read_again={read} \
-             taken_before_ms={} after_load={}",
+             taken_before_ms={}",
             target.model,
             target.version,
             report.sequence,
-            (uptime() - load.not_after).as_millis(),
-            matches!(self.watch.weights(), TakenWeights::Unverified(_))
+            (uptime() - load.not_after).as_millis()
         );
-        let event = match (is_proven, self.watch.weights()) {
-            (true, _) => Event::WeightsVerified,
-            (false, TakenWeights::Unverified(_)) => Event::WeightsDamaged,
-            (false, _) => Event::WeightsUnknown,
+        let event = match is_proven {
+            true => Event::WeightsVerified,
+            false => Event::WeightsDamaged,
         };
         self.cx.recorder.emit(event, &detail);
         Some(is_proven)
--- a/crates/rw-fleet/src/host/mod.rs
+++ b/crates/rw-fleet/src/host/mod.rs
@@ -7,6 +7,7 @@
 mod download;
 mod fetch_manifest;
 mod load_order;
+mod load_proof;
 mod reload;
 mod staged_chunk_reader;
 mod staging;
@@ -22,4 +23,4 @@
     BackendClient, BackendReport, ClientError, LoadOrder, LoadOutcome, OriginClient, Result,
 };
 pub use staging::CONCURRENT_READS;
-pub use weights_reconciler::reconcile_weights;
+pub(crate) use weights_reconciler::reconcile_weights;
--- a/crates/rw-fleet/src/host/reload.rs
+++ b/crates/rw-fleet/src/host/reload.rs
@@ -12,9 +12,7 @@
 /// Next order to a server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum LoadStep {
-    /// Drop layers of complete weights that may hold a corrupt chunk. Until then the
-    /// staging area stays as it is: its corrupt chunk tells a daemon that starts
-    /// meanwhile what the server may have taken.
+    /// Drop layers of complete weights that may hold a corrupt chunk.
     Drop(Range<u32>),
     /// Load these layers from the staging area.
     Layers(Range<u32>),
--- a/crates/rw-fleet/src/host/status_sender.rs
+++ b/crates/rw-fleet/src/host/status_sender.rs
@@ -34,6 +34,16 @@
         }
     }
 
+    /// Position of a record among the statuses.
+    pub(super) fn next_sequence(&mut self) -> u64 {
+        self.sequence.advance()
+    }
+
+    /// Goes on after the record of an earlier daemon, whose clock may have been ahead.
+    pub(super) fn go_on_after(&mut self, sequence: u64) {
+        self.sequence.go_on_after(sequence);
+    }
+
     pub(super) fn send<D: PlatformCodec>(
         &mut self,
         cx: &Arc<Cx<D>>,
--- a/crates/rw-fleet/src/host/taken_weights.rs
+++ b/crates/rw-fleet/src/host/taken_weights.rs
@@ -50,14 +50,13 @@
 pub(super) enum TakenWeights {
     /// They were intact, or the server held them from its start, or there are none.
     Intact,
-    /// They were loaded before this daemon started, and an earlier one may have verified
-    /// them.
-    Found(Load),
-    /// Like `Found`, and what is staged no longer shows what the server took.
-    Unknown,
-    /// Not known yet.
+    /// Another daemon ordered the load, so only its record shows whether they were intact:
+    /// that daemon may have repaired chunks since.
+    Found,
+    /// Ordered by this daemon; not known yet.
     Unverified(Load),
-    /// They may hold a corrupt chunk and have to be loaded again.
+    /// They may hold a corrupt chunk, or nothing shows that they do not; they have to be
+    /// loaded again.
     Damaged,
 }
 
@@ -86,6 +85,12 @@
     last: Option<(LoadCount, Duration)>,
     // The load that the last accepted order began, and the arrival of the response.
     accepted: Option<(LoadCount, Duration)>,
+    // The loads of orders that this daemon sent: the last one, and one that the server may
+    // still accept as its answer is not known.
+    ordered: Option<LoadCount>,
+    pending: Option<LoadCount>,
+    // Arrival of the first report that showed the current load.
+    observed_at: Duration,
     // Layers that the server held before the load in progress and that may hold a corrupt
     // chunk.
     untrusted: Option<Layers>,
@@ -113,6 +118,9 @@
             weights: TakenWeights::Intact,
             last: None,
             accepted: None,
+            ordered: None,
+            pending: None,
+            observed_at: Duration::ZERO,
             untrusted: None,
             held: None,
             is_found: true,
@@ -133,6 +141,23 @@
         self.last.is_some()
     }
 
+    /// Whether the current load began before the first report.
+    pub(super) fn is_found_at_start(&self) -> bool {
+        self.is_found
+    }
+
+    /// Arrival of the first report that showed the current load.
+    pub(super) fn observed_at(&self) -> Duration {
+        self.observed_at
+    }
+
+    /// Whether the server may still accept an order that was sent before the report.
+    pub(super) fn has_pending_order(&self, report: &BackendReport) -> bool {
+        self.pending.is_some_and(|(started_ms, sequence)| {
+            started_ms == report.started_ms && sequence > report.sequence
+        })
+    }
+
     // Start of the server as of its last report.
     fn server_start(&self) -> Option<u64> {
         self.last.map(|((started_ms, _), _)| started_ms)
@@ -183,13 +208,15 @@
             }
             self.is_found = last.is_none();
             self.is_unsettled = true;
+            self.observed_at = arrived_at;
         }
         self.weights = match last {
             Some((old, _)) if old == count && !is_behind => self.weights,
             _ if was_never_ordered || has_none => TakenWeights::Intact,
-            None if report.busy => TakenWeights::Unverified(load(Duration::ZERO)),
-            None => TakenWeights::Found(load(Duration::ZERO)),
-            Some((_, not_before)) => TakenWeights::Unverified(load(not_before)),
+            Some((_, not_before)) if self.ordered == Some(count) => {
+                TakenWeights::Unverified(load(not_before))
+            }
+            _ => TakenWeights::Found,
         };
         if self.is_unsettled && !report.busy {
             self.is_unsettled = false;
@@ -217,6 +244,16 @@
         self.held = Some(layers);
     }
 
+    /// Records that an order is sent that makes the number of loads `sequence`.
+    pub(super) fn on_sent(&mut self, sequence: u64) {
+        self.ordered = self.server_start().map(|started_ms| (started_ms, sequence));
+    }
+
+    /// Records that it is not known whether the server takes the order that was sent last.
+    pub(super) fn on_unanswered(&mut self) {
+        self.pending = self.ordered;
+    }
+
     /// Records that an order was accepted, which makes the number of loads `sequence`.
     pub(super) fn on_accepted(&mut self, sequence: u64, answered_at: Duration) {
         let started_ms = self.server_start().unwrap_or_default();
--- a/crates/rw-fleet/src/host/weights_reconciler.rs
+++ b/crates/rw-fleet/src/host/weights_reconciler.rs
@@ -24,6 +24,7 @@
 use super::{
     BackendClient, BackendReport, ChunkStore, ObjectArchive, OriginClient, StagedChunkRequest,
 };
+use crate::load_record::WantedRecord;
 use crate::requested_weights::enforced_after;
 use crate::{Cx, Engine, PlatformCodec};
 
@@ -37,13 +38,14 @@
 const LAST_LOAD_MARGIN: Duration = Duration::from_millis(300);
 
 /// Polls the backend server and reconciles its weights while the daemon runs.
-pub async fn reconcile_weights<D, B, O, A>(
+pub(crate) async fn reconcile_weights<D, B, O, A>(
     cx: Arc<Cx<D>>,
     store: Arc<ChunkStore>,
     backend: B,
     origin: O,
     archive: A,
     pending_reads: flume::Receiver<StagedChunkRequest>,
+    wanted_record: WantedRecord,
 ) where
     D: PlatformCodec,
     B: BackendClient,
@@ -89,11 +91,11 @@
         late_orders: 0,
         ordered: 0,
         no_order_before: Duration::ZERO,
-        no_check_before: Duration::ZERO,
         progress,
         scheduled_load: None,
         status_sender: StatusSender::new(),
         server: None,
+        wanted_record,
     };
     while ticks.recv_async().await.is_ok() {
         reconciler.reconcile().await;
@@ -115,14 +117,13 @@
     // Uptime before which no order is sent, after the server refused to load the
     // weights that it has.
     pub(super) no_order_before: Duration,
-    // Uptime before which weights found at the start are not looked at again.
-    pub(super) no_check_before: Duration,
     progress: Arc<Progress>,
     // Version to load next, and the time since the daemon's start at which this
     // host may load it.
     scheduled_load: Option<(u64, Duration)>,
-    status_sender: StatusSender,
+    pub(super) status_sender: StatusSender,
     server: Option<Name>,
+    pub(super) wanted_record: WantedRecord,
 }
 
 impl<D: PlatformCodec, B: BackendClient, O: OriginClient> WeightsReconciler<D, B, O> {
@@ -135,12 +136,15 @@
             None => return self.assume_not_loaded(),
         };
         self.store.set_serving(report.weights_version > 0);
+        self.judge_found(&engine.model, &report);
         self.report_status(&engine.model, &report);
+        self.want_record(&engine.model, &report);
         if report.busy {
             return self.read_while_loading(&report).await;
         }
         self.verify_taken(&report).await;
         self.report_status(&engine.model, &report);
+        self.want_record(&engine.model, &report);
         // Weights that may hold a corrupt chunk count as none: they are loaded again.
         let loaded = match self.watch.weights() {
             TakenWeights::Damaged => 0,
@@ -148,9 +152,10 @@
         };
         self.progress.loaded.store(loaded, Ordering::Relaxed);
         let Some(target) = next_target(&self.cx, loaded) else {
-            return self.verify_found(&report).await;
+            return;
         };
-        let can_order = uptime() >= self.no_order_before;
+        let can_order =
+            uptime() >= self.no_order_before && !self.is_recorded(&report, target.version);
         if let Some(step @ LoadStep::Drop(_)) = self.load_step(&target, &report) {
             if can_order {
                 self.order(&target, &report, &step, None).await;
@@ -215,16 +220,17 @@
         }
     }
 
-    // Entries send requests to new weights only once a status says that the server
-    // accepts requests with them. Of weights that an earlier daemon may have verified,
-    // this one says nothing, and entries go on as before.
+    // Entries send requests to weights only if a status or a record vouches for them. A
+    // status without a version withdraws that.
     fn report_status(&mut self, model: &Name, report: &BackendReport) {
         let is_open = !report.busy && !report.leaving && report.weights_version > 0;
-        let accepting = match self.watch.weights() {
-            TakenWeights::Found(_) | TakenWeights::Unknown if is_open => return,
-            weights => is_open && weights == TakenWeights::Intact,
-        };
-        self.send_status(model, report.weights_version, accepting);
+        if is_open && self.awaits_record(report) {
+            return;
+        }
+        match self.is_sound(report) {
+            true => self.send_status(model, report.weights_version, is_open),
+            false => self.send_status(model, 0, false),
+        }
     }
 
     // Reads the server's report and follows its loads.
@@ -281,22 +287,27 @@
         };
         let remaining =
             enforced_after(&self.cx.settings.bounds).saturating_sub(age + LAST_LOAD_MARGIN);
-        let own = self.own_server().unwrap_or_default();
         let key = version_name(&target.model, target.version);
+        let (earlier_hosts, hosts) = self.load_rank(&key);
+        load_delay(earlier_hosts, hosts, remaining)
+    }
+
+    // Number of hosts that load before this one, and of all that serve.
+    pub(super) fn load_rank(&mut self, key: &str) -> (usize, usize) {
+        let snapshot = self.cx.cluster.snapshot();
+        let own = self.own_server().unwrap_or_default();
         let ranks: Vec<u64> = snapshot
             .servers
             .values()
             .filter(|s| s.service == self.cx.settings.service && snapshot.loaded_version(s) > 0)
-            .map(|s| rendezvous_rank(&key, &s.id))
+            .map(|s| rendezvous_rank(key, &s.id))
             .collect();
-        if !ranks.contains(&rendezvous_rank(&key, &own)) {
-            return Duration::ZERO;
+        let own_rank = rendezvous_rank(key, &own);
+        if !ranks.contains(&own_rank) {
+            return (0, ranks.len());
         }
-        let earlier_hosts = ranks
-            .iter()
-            .filter(|r| **r < rendezvous_rank(&key, &own))
-            .count();
-        load_delay(earlier_hosts, ranks.len(), remaining)
+        let earlier_hosts = ranks.iter().filter(|rank| **rank < own_rank).count();
+        (earlier_hosts, ranks.len())
     }
 }
 
--- a/crates/rw-fleet/src/run.rs
+++ b/crates/rw-fleet/src/run.rs
@@ -18,6 +18,7 @@
 };
 use crate::host::{reconcile_weights, BackendClient, ChunkStore, ObjectArchive, OriginClient};
 use crate::limit_exchange::exchange_limits;
+use crate::load_record::{record_loads, WantedRecord};
 use crate::peers::{broadcast_load, PeerHandler};
 use crate::poison_notices::exchange_poison_notices;
 use crate::quarantine_record::follow_quarantines;
@@ -74,8 +75,8 @@
         FleetRole::Entry => run_entry(&cx, peers, clients.store, &mut signals).await?,
         FleetRole::Host => {
             let backend = clients.backend.ok_or(Error::Missing("backend server"))?;
-            let (origin, archive) = (clients.origin, clients.store);
-            run_host(&cx, peers, backend, origin, archive, &mut signals).await;
+            let (origin, store) = (clients.origin, clients.store);
+            run_host(&cx, peers, backend, origin, store, &mut signals).await;
         }
     }
     cx.recorder.emit(Event::DaemonStopped, "");
@@ -193,12 +194,17 @@
     }
 }
 
-async fn run_host<D: PlatformCodec, B: BackendClient, O: OriginClient, A: ObjectArchive>(
+async fn run_host<
+    D: PlatformCodec,
+    B: BackendClient,
+    O: OriginClient,
+    S: TableFeed + ObjectArchive,
+>(
     cx: &Arc<Cx<D>>,
     peers: TcpListener,
     backend: B,
     origin: O,
-    archive: A,
+    store: S,
     signals: &mut Signals,
 ) {
     let (read_requests, pending_reads) = flume::bounded(MAX_PENDING_READS);
@@ -210,13 +216,17 @@
         chunk_store: Some(chunk_store.clone()),
     };
     tokio::spawn(rw_peer::serve(peers, Arc::new(handler)));
+    let wanted_record = WantedRecord::default();
+    let (recorded_cx, records) = (cx.clone(), store.clone());
+    tokio::spawn(record_loads(recorded_cx, records, wanted_record.clone()));
     tokio::spawn(reconcile_weights(
         cx.clone(),
         chunk_store,
         backend,
         origin,
-        archive,
+        store,
         pending_reads,
+        wanted_record,
     ));
     signals.wait_for_stop(cx).await;
 }
--- a/crates/rw-fleet/src/server_statuses.rs
+++ b/crates/rw-fleet/src/server_statuses.rs
@@ -12,6 +12,8 @@
 /// Servers that are gone whose trusted weights are kept: a server's row is gone at times
 /// although the server runs.
 const MAX_GONE_SERVERS: usize = 256;
+/// Version of weights that operators need not request.
+const INITIAL_VERSION: u64 = 1;
 
 impl<D: PlatformCodec> ClusterState<D> {
     /// Applies the status of a backend server, sent by the daemon beside it,
@@ -27,9 +29,12 @@
             received_at: uptime(),
             status: status.clone(),
         };
-        if status.accepting {
+        // A pause says nothing about the weights.
+        if status.accepting || status.weights == 0 {
             let known = snapshot.trusted_weights.entry(status.server.clone());
-            known.or_default().version = status.weights;
+            let trusted = known.or_default();
+            trusted.version = status.weights;
+            trusted.sequence = status.sequence;
         }
         snapshot.server_statuses.insert(status.server, received);
         state.snapshot = Arc::new(snapshot);
@@ -38,14 +43,18 @@
     }
 }
 
-/// Trusts the weights that a server has when its row is first seen. Those that it loads
-/// later, or after another start, have to be verified by its host.
-pub(crate) fn trust_first_weights(snapshot: &mut Snapshot, server: &BackendServer) {
-    let version = snapshot.registered_version(server);
+/// Ends the trust in the weights of an earlier start of a server. At the first start of
+/// the fleet, servers hold the initial weights, which no host had loaded.
+pub(crate) fn follow_start(snapshot: &mut Snapshot, server: &BackendServer, first_start: bool) {
     let started_ms = Some(server.started_ms);
+    let holds_initial = snapshot.registered_version(server) == INITIAL_VERSION;
     let first = TrustedWeights {
         started_ms,
-        version,
+        version: match first_start && holds_initial {
+            true => INITIAL_VERSION,
+            false => 0,
+        },
+        sequence: 0,
     };
     let trusted = snapshot.trusted_weights.entry(server.id.clone());
     let trusted = trusted.or_insert(first);
--- a/crates/rw-fleet/src/snapshot.rs
+++ b/crates/rw-fleet/src/snapshot.rs
@@ -8,7 +8,10 @@
 
 use crate::request_times::RequestsByModel;
 use crate::requested_weights::enforced_after;
-use crate::{BackendServer, Bounds, Configuration, Daemon, StoreClock, TimeSpan, WeightsRecord};
+use crate::{
+    BackendServer, Bounds, Configuration, Daemon, StoreClock, StoredLoadRecord, TimeSpan,
+    WeightsRecord,
+};
 
 /// Share of the rollout deadline; a version that is followed by a newer one
 /// within it is not loaded. Loading the newer one needs the rest of the time.
@@ -31,9 +34,10 @@
 pub struct TrustedWeights {
     /// Start of the server in Unix milliseconds; `None` if its row is not known yet.
     pub started_ms: Option<u64>,
-    /// Newest version that it held when its row was first seen, or that its host has
-    /// verified since.
+    /// Version that the host of the server vouched for last; 0 if it withdrew that.
     pub version: u64,
+    /// Number of the status that says so; 0 if none does.
+    pub sequence: u64,
 }
 
 /// Request of an operator that the servers of an availability zone get no more requests.
@@ -62,6 +66,8 @@
     pub weights_records: BTreeMap<Name, WeightsRecord>,
     /// Recorded quarantines by row: the quarantined parts of prompts, none if it ended.
     pub quarantines: BTreeMap<Name, Vec<Name>>,
+    /// Records of loaded weights, by the key of their row.
+    pub load_records: BTreeMap<Name, StoredLoadRecord>,
     /// Evacuations in force, by the key of their row.
     pub evacuations: BTreeMap<Name, Evacuation>,
     /// Daemons by name.
@@ -98,11 +104,17 @@
         }
     }
 
-    /// Whether the weights that a server has loaded may answer requests: its host has
-    /// verified them, or they were loaded before this daemon knew the server.
+    /// Whether the weights that a server has loaded may answer requests: its host vouches
+    /// for exactly this version, in a status or in the record of the server's current
+    /// lifetime. The later of both decides.
     pub fn has_trusted_weights(&self, server: &BackendServer) -> bool {
-        let trusted = self.trusted_weights.get(&server.id);
-        trusted.is_none_or(|trusted| self.loaded_version(server) <= trusted.version)
+        let trusted = self.trusted_weights.get(&server.id).copied();
+        let trusted = trusted.unwrap_or_default();
+        let record = self.load_record(server);
+        let version = record
+            .filter(|record| record.sequence > trusted.sequence)
+            .map_or(trusted.version, |record| record.version);
+        version > 0 && version == self.loaded_version(server)
     }
 
     /// Whether the daemon beside a server has reported that the server accepts
--- a/crates/rw-fleet/src/status_sequence.rs
+++ b/crates/rw-fleet/src/status_sequence.rs
@@ -20,6 +20,13 @@
         StatusSequence(started_ms << COUNT_BITS)
     }
 
+    /// Continues with higher numbers than a known one, which another process gave out.
+    pub fn go_on_after(&mut self, sequence: u64) {
+        if self.0 < sequence {
+            self.0 = ((sequence >> COUNT_BITS) + 1) << COUNT_BITS;
+        }
+    }
+
     /// Returns the next sequence number.
     pub fn advance(&mut self) -> u64 {
         self.0 += 1;
--- a/crates/rw-observe/src/catalogue.rs
+++ b/crates/rw-observe/src/catalogue.rs
@@ -109,7 +109,9 @@
     720 LoadObserved Info "The report of a backend server shows that it has begun to load weights, or has started again." "Nothing.";
     721 WeightsVerified Info "The staged chunks were intact when the backend server took its weights from them." "Nothing.";
     722 WeightsDamaged Error "A staged chunk may have been corrupt when the backend server took its weights; it gets no requests until it has loaded again." "Nothing if an order follows that is answered with 'started'; otherwise restart the backend server or request other weights.";
-    723 WeightsUnknown Warn "A host that started again cannot tell whether the weights of its backend server were intact when they were taken; entries go on as before." "Nothing, unless the server gets no requests: then restart it or request other weights.";
+    723 WeightsUnknown Warn "No record proves the weights that a host found at its backend server, in this lifetime of the server and with this number of loads; it gets no requests until it has loaded again." "Nothing if an order follows that is answered with 'started'; otherwise restart the backend server or request other weights.";
+    724 LoadRecorded Info "A host recorded in the platform's store which weights its backend server has loaded; version 0 withdraws the record before." "Nothing.";
+    725 LoadAdopted Info "A host that did not order a load found the record that proves the weights of its backend server." "Nothing.";
 }
 
 /// Renders the event catalogue as a Markdown page.
--- a/crates/rw-platform/src/types.rs
+++ b/crates/rw-platform/src/types.rs
@@ -17,6 +17,10 @@
         Limited(msg: String) {
             display("platform limits the rate of calls: {msg}")
         }
+        /// The call did not take effect, because a row is not as the caller expects.
+        Conflict(msg: String) {
+            display("platform met another row: {msg}")
+        }
         /// The call may or may not have taken effect.
         Unknown(msg: String) {
             display("no answer from the platform, the call may have taken effect: {msg}")
@@ -170,5 +174,16 @@
         table: &str,
         key: &str,
         value: &[u8],
+    ) -> impl Future<Output = Result<()>> + Send {
+        self.write_row_if(table, key, value, None)
+    }
+    /// Writes one row. If `expected` is given, fails with [`Error::Conflict`] unless the row
+    /// has this version.
+    fn write_row_if(
+        &self,
+        table: &str,
+        key: &str,
+        value: &[u8],
+        expected: Option<u64>,
     ) -> impl Future<Output = Result<()>> + Send;
 }
