Bound the memory and connections that clients take of a process

Cause: the sum of bodies, answers, messages between daemons and connections was unbounded, whole bodies were read before route and key were looked at, and a daemon without a configuration read bodies of any size.

Change: where the settings name the machine's memory and descriptors, a memory account grants bytes as they arrive, closes the connection that has held the most for the longest time without progress, or refuses with 503 (not run). Each port has a bound of connections; messages between daemons and replies that are not taken have a budget. Streams hold at most 256 KiB for a caller that does not read. Bodies without a route or key are read up to 64 KiB. Without these settings nothing is limited.

Partial: bytes in the kernel's receive buffers behind a request that is worked on are measured by the tests, but bounded only by the number of connections.

--- a/crates/rw-fleet/src/connect.rs
+++ b/crates/rw-fleet/src/connect.rs
@@ -3,6 +3,7 @@
 //! another request.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,6 +17,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::memory_guard::{BodyError, MemoryShare};
 use crate::read_budget::{BudgetedBody, BudgetedIo, ReadBudget};
 
 /// Idle time after which the kernel probes a connection, and the interval
@@ -150,9 +152,29 @@
     let (head, body) = res.into_parts();
     let body = Limited::new(body, max).collect().await;
     let body = body.map_err(|err| Error::Broken(describe(&*err)))?;
-    Ok(CompleteResponse {
+    Ok(complete(head, body.to_bytes()))
+}
+
+/// Like [`read_response`], with memory that is taken from the share of the caller who gets
+/// the response.
+pub(crate) async fn read_caller_response(
+    res: Response<BudgetedBody>,
+    max: usize,
+    memory: &Arc<MemoryShare>,
+) -> Result<CompleteResponse> {
+    let (head, body) = res.into_parts();
+    let body = memory.collect(body, max).await.map_err(|err| match err {
+        BodyError::TooLarge => Error::Broken("length limit exceeded".to_string()),
+        BodyError::NoMemory => Error::Broken("no memory for the response".to_string()),
+        BodyError::Broken(msg) => Error::Broken(msg),
+    })?;
+    Ok(complete(head, body))
+}
+
+fn complete(head: http::response::Parts, body: Bytes) -> CompleteResponse {
+    CompleteResponse {
         status: head.status,
         headers: head.headers,
-        body: body.to_bytes(),
-    })
+        body,
+    }
 }
--- a/crates/rw-fleet/src/context.rs
+++ b/crates/rw-fleet/src/context.rs
@@ -9,6 +9,8 @@
 
 use crate::entry::LimitGuard;
 use crate::follow::SyncStatus;
+use crate::memory_guard::MemoryGuard;
+use crate::process_limits::ProcessLimits;
 use crate::{ClusterState, DaemonSettings, PlatformCodec, SharedRng};
 
 /// Time without an answer after which the connection to another daemon is
@@ -35,6 +37,10 @@
     pub sync: SyncStatus,
     /// Limits that backend servers named, on entries.
     pub limit_guard: Arc<LimitGuard>,
+    /// Memory that callers hold.
+    pub memory: Arc<MemoryGuard>,
+    /// Limits on connections and on messages of other daemons.
+    pub limits: ProcessLimits,
     started: Instant,
     shutting_down: AtomicBool,
 }
@@ -46,6 +52,8 @@
             cluster: ClusterState::new(codec.clone(), recorder.clone()),
             rng: Arc::new(SharedRng::new(settings.random_seed)),
             limit_guard: LimitGuard::new(settings.name.clone(), recorder.clone()),
+            memory: MemoryGuard::new(settings.memory_bytes, recorder.clone()),
+            limits: ProcessLimits::new(&settings),
             settings,
             codec,
             recorder,
--- a/crates/rw-fleet/src/entry/call.rs
+++ b/crates/rw-fleet/src/entry/call.rs
@@ -7,6 +7,7 @@
 use rw_protocol::Name;
 use tokio::time::Instant;
 
+use crate::memory_guard::MemoryShare;
 use crate::{CallKind, Configuration, Engine, Route};
 
 /// Minimum share of a route's time limit that a caller states on its first
@@ -42,6 +43,8 @@
     pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
+    /// Memory that its caller's connection holds.
+    pub memory: Arc<MemoryShare>,
     /// When the request head was received.
     pub received_at: Instant,
     /// Deadline of the caller or the route, whichever is earlier.
--- a/crates/rw-fleet/src/entry/caller_connection.rs
+++ b/crates/rw-fleet/src/entry/caller_connection.rs
@@ -7,12 +7,14 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
+use rw_peer::ConnectionPlace;
 use rw_protocol::Name;
 use tokio::time::Instant;
 
 use super::caller_socket::SocketObserver;
 use super::response::ResponseBody;
 use super::Call;
+use crate::memory_guard::MemoryShare;
 use crate::CallerLimits;
 
 /// The open caller connections of an entry.
@@ -55,8 +57,13 @@
 
 impl CallerConnections {
     /// Adds a connection, which counts as open until the returned value is dropped.
-    pub fn add(self: &Arc<Self>, limits: CallerLimits) -> OpenConnection {
-        let state = Arc::new(ConnectionState::new(limits));
+    pub fn add(
+        self: &Arc<Self>,
+        limits: CallerLimits,
+        memory: Arc<MemoryShare>,
+        place: ConnectionPlace,
+    ) -> OpenConnection {
+        let state = Arc::new(ConnectionState::new(limits, memory, place));
         let mut table = self.lock();
         let id = table.next_id;
         table.next_id += 1;
@@ -108,7 +115,11 @@
 }
 
 /// What a caller connection is doing.
-pub struct ConnectionState(Mutex<Progress>);
+pub struct ConnectionState {
+    progress: Mutex<Progress>,
+    memory: Arc<MemoryShare>,
+    place: ConnectionPlace,
+}
 
 struct Progress {
     phase: Phase,
@@ -117,6 +128,14 @@
     limits: CallerLimits,
     // Bytes of an answer are buffered that the socket has not taken yet.
     is_sending: bool,
+    // A request was answered before its body was read.
+    has_refused_body: bool,
+}
+
+impl Progress {
+    fn is_reading_body(&self) -> bool {
+        matches!(&self.phase, Phase::Request(req) if req.call.is_none() && !req.is_answering)
+    }
 }
 
 enum Phase {
@@ -134,13 +153,29 @@
 }
 
 impl ConnectionState {
-    fn new(limits: CallerLimits) -> Self {
-        ConnectionState(Mutex::new(Progress {
+    fn new(limits: CallerLimits, memory: Arc<MemoryShare>, place: ConnectionPlace) -> Self {
+        let progress = Progress {
             phase: Phase::Idle,
             since: Instant::now(),
             limits,
             is_sending: false,
-        }))
+            has_refused_body: false,
+        };
+        ConnectionState {
+            progress: Mutex::new(progress),
+            memory,
+            place,
+        }
+    }
+
+    /// Waits until the connection has to close to make room for others.
+    pub async fn displaced(&self) {
+        self.place.closed().await;
+    }
+
+    /// Whether a request was answered before its body was read.
+    pub fn has_refused_body(&self) -> bool {
+        self.lock().has_refused_body
     }
 
     /// Marks the start of a request, which is in progress until the guard is dropped, with
@@ -209,12 +244,13 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Progress> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.progress.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl SocketObserver for ConnectionState {
-    fn on_read(&self) {
+    fn on_read(&self, len: usize) {
+        self.memory.on_transfer(len);
         let mut progress = self.lock();
         match &mut progress.phase {
             Phase::Idle => {
@@ -228,6 +264,11 @@
 
     fn on_write(&self) {
         self.lock().is_sending = true;
+        self.memory.set_owing(true);
+    }
+
+    fn on_written(&self, len: usize) {
+        self.memory.on_transfer(len);
     }
 
     fn on_flushed(&self) {
@@ -235,6 +276,10 @@
         if progress.is_sending && !matches!(progress.phase, Phase::Request(_)) {
             progress.since = Instant::now();
         }
+        if progress.is_sending {
+            // A caller may be told to go on with its body.
+            self.memory.set_owing(progress.is_reading_body());
+        }
         progress.is_sending = false;
     }
 }
@@ -243,8 +288,19 @@
 pub struct RequestGuard(Arc<ConnectionState>);
 
 impl RequestGuard {
+    /// Memory that the connection holds.
+    pub fn memory(&self) -> &Arc<MemoryShare> {
+        &self.0.memory
+    }
+
+    /// The request is answered before its body has been read.
+    pub fn on_refused_body(&self) {
+        self.0.lock().has_refused_body = true;
+    }
+
     /// The request has been read in full.
     pub fn on_read(&self, call: &Arc<Call>) {
+        self.0.place.set_working(true);
         self.0.update_request(|req| req.call = Some(call.clone()));
     }
 
@@ -280,6 +336,7 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
+        self.0.place.set_working(false);
         self.0.set(match self.has_read_ahead() {
             true => Phase::ReadingHead,
             false => Phase::Idle,
--- a/crates/rw-fleet/src/entry/caller_socket.rs
+++ b/crates/rw-fleet/src/entry/caller_socket.rs
@@ -7,12 +7,17 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+/// Bytes that are read and dropped at once.
+const DRAIN_BYTES: usize = 16 << 10;
+
 /// Notes what a [`CallerSocket`] does.
 pub trait SocketObserver {
     /// Bytes have arrived.
-    fn on_read(&self) {}
+    fn on_read(&self, _len: usize) {}
     /// The socket is about to take bytes.
     fn on_write(&self) {}
+    /// The socket has taken bytes.
+    fn on_written(&self, _len: usize) {}
     /// The socket has taken all bytes so far.
     fn on_flushed(&self) {}
 }
@@ -44,6 +49,20 @@
         }
     }
 
+    /// Reads and drops what arrives, until the caller ends the connection. Closing it before
+    /// would reset it, and the caller could lose the answer.
+    pub async fn drain(&self) {
+        let mut bytes = vec![0; DRAIN_BYTES];
+        while self.conn.readable().await.is_ok() {
+            match self.conn.try_read(&mut bytes) {
+                Ok(0) => return,
+                Ok(_) => {}
+                Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
+                Err(err) => return log::debug!("a refused caller is gone: {err}"),
+            }
+        }
+    }
+
     /// Whether bytes of the caller, or its end of the connection, wait to be read. Asks the
     /// socket, since the runtime may not have seen yet that it can be read.
     pub fn has_unread(&self) -> bool {
@@ -66,7 +85,7 @@
             match self.conn.try_read_buf(buf) {
                 Ok(len) => {
                     if len > 0 {
-                        self.state.on_read();
+                        self.state.on_read(len);
                     }
                     return Poll::Ready(Ok(()));
                 }
@@ -88,7 +107,12 @@
             ready!(self.conn.poll_write_ready(cx))?;
             match self.conn.try_write(buf) {
                 Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
+                written => {
+                    if let Ok(len) = &written {
+                        self.state.on_written(*len);
+                    }
+                    return Poll::Ready(written);
+                }
             }
         }
     }
@@ -103,7 +127,12 @@
             ready!(self.conn.poll_write_ready(cx))?;
             match self.conn.try_write_vectored(bufs) {
                 Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
+                written => {
+                    if let Ok(len) = &written {
+                        self.state.on_written(*len);
+                    }
+                    return Poll::Ready(written);
+                }
             }
         }
     }
--- a/crates/rw-fleet/src/entry/listener.rs
+++ b/crates/rw-fleet/src/entry/listener.rs
@@ -14,9 +14,10 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use rw_observe::Event;
+use rw_peer::ConnectionLimit;
 use rw_protocol::Name;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{sleep, sleep_until, Instant};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 use super::caller_connection::{ConnectionState, GuardedBody, RequestGuard};
 use super::caller_socket::CallerSocket;
@@ -45,6 +46,8 @@
 const IDLE_LIMIT_AT_SHUTDOWN: Duration = Duration::from_secs(1);
 /// Time in which the task of a connection reads what has arrived.
 const READ_PAUSE: Duration = Duration::from_millis(5);
+/// Time in which a caller whose body was refused may go on to send it.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 
 /// Serves callers. Returns when the caller port is closed; open connections then finish
@@ -94,10 +97,22 @@
 }
 
 fn spawn_connection<D: PlatformCodec>(entry: &Arc<Entry<D>>, conn: TcpStream, shutdown: &Shutdown) {
+    // Closed at once if there is no room.
+    let Some(place) = entry.cx.limits.callers.open() else {
+        return;
+    };
+    let (memory, evicted) = entry.cx.memory.open();
     // Counted before its task runs, or the process could end in between.
-    let open = entry.connections.add(caller_limits(entry));
+    let open = entry.connections.add(caller_limits(entry), memory, place);
     let (entry, shutdown) = (entry.clone(), shutdown.clone());
-    tokio::spawn(async move { serve_connection(&entry, conn, &open.state, &shutdown).await });
+    tokio::spawn(async move {
+        tokio::select! {
+            () = serve_connection(&entry, conn, &open.state, &shutdown) => {}
+            // No message is sent: the sender is dropped.
+            _ = evicted.recv_async() => {}
+            () = open.state.displaced() => {}
+        }
+    });
 }
 
 async fn serve_connection<D: PlatformCodec>(
@@ -120,6 +135,10 @@
             let pending = PendingRequest::new(&entry, &guard);
             let mut res = handle(&entry, req, &guard, &shutdown).await?;
             pending.on_answer();
+            if state.has_refused_body() {
+                let close = HeaderValue::from_static("close");
+                res.headers_mut().insert(CONNECTION, close);
+            }
             let is_last = || !guard.has_read_ahead() && !socket.has_unread();
             if entry.cx.is_shutting_down() && is_last() {
                 let close = HeaderValue::from_static("close");
@@ -140,6 +159,9 @@
     if let Err(err) = served {
         log::debug!("caller connection failed: {err}");
     }
+    if state.has_refused_body() && timeout(DRAIN_TIMEOUT, socket.drain()).await.is_err() {
+        log::debug!("a refused caller goes on to send");
+    }
 }
 
 // Waits until a connection has had no request for as long as it may, and nothing of one has
@@ -221,7 +243,7 @@
     req: Request<Incoming>,
     guard: &RequestGuard,
 ) -> std::result::Result<Response<ResponseBody>, Refusal> {
-    let call = Arc::new(request::read(&entry.cx, req).await?);
+    let call = Arc::new(request::read(&entry.cx, req, guard).await?);
     guard.on_read(&call);
     if entry.may_outlive_process(&call) {
         return Err(stopping_refusal());
@@ -275,7 +297,7 @@
 }
 
 /// Serves readiness checks and metrics.
-pub async fn serve_probe<F>(listener: TcpListener, respond: F)
+pub async fn serve_probe<F>(listener: TcpListener, limit: Arc<ConnectionLimit>, respond: F)
 where
     F: Fn(&str) -> (StatusCode, String) + Clone + Send + Sync + 'static,
 {
@@ -288,9 +310,14 @@
                 continue;
             }
         };
+        let Some(place) = limit.open() else {
+            continue;
+        };
         let respond = respond.clone();
         tokio::spawn(async move {
             let service = service_fn(|req: Request<Incoming>| {
+                place.set_working(true);
+                place.set_working(false);
                 let (status, text) = respond(req.uri().path());
                 let mut res = Response::new(Full::new(Bytes::from(text)));
                 *res.status_mut() = status;
@@ -300,7 +327,11 @@
                 .timer(TokioTimer::new())
                 .header_read_timeout(PROBE_HEAD_TIMEOUT)
                 .serve_connection(TokioIo::new(conn), service);
-            if let Err(err) = served.await {
+            let served = tokio::select! {
+                served = served => served,
+                () = place.closed() => return,
+            };
+            if let Err(err) = served {
                 log::debug!("probe connection failed: {err}");
             }
         });
--- a/crates/rw-fleet/src/entry/request.rs
+++ b/crates/rw-fleet/src/entry/request.rs
@@ -1,62 +1,84 @@
 //! Reads and validates callers' requests.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{AUTHORIZATION, EXPECT, HOST};
+use http::request::Parts;
 use http::{HeaderMap, HeaderName, Request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use rand::Rng;
 use rw_protocol::Name;
 use tokio::time::Instant;
 
+use super::caller_connection::RequestGuard;
 use super::response::strip_hop_by_hop;
 use super::{Call, Refusal};
-use crate::{Cx, PlatformCodec, Route, SharedRng, Team};
+use crate::memory_guard::{BodyError, MemoryShare};
+use crate::{Configuration, Cx, PlatformCodec, Route, SharedRng, Team};
 
 /// `Retry-After` while the entry has no configuration yet.
 const NO_CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Time limit for receiving a body if the caller states no deadline.
 const DEFAULT_BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// `Retry-After` when there is no memory for a body; about the time in which connections
+/// that make no progress are closed.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Largest body that is read of a request without a route or a known key, in bytes. A
+/// configuration that arrives with its last bytes may still permit it.
+const UNMATCHED_BODY_BYTES: usize = 64 << 10;
+/// Interval at which the transfer rate of a body is checked.
+const RATE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Result of reading a request.
 pub type Result<T> = std::result::Result<T, Refusal>;
 
 /// Reads a complete request and matches it to a route and a team.
-pub async fn read<D: PlatformCodec>(cx: &Cx<D>, req: Request<Incoming>) -> Result<Call> {
+pub async fn read<D: PlatformCodec>(
+    cx: &Cx<D>,
+    req: Request<Incoming>,
+    guard: &RequestGuard,
+) -> Result<Call> {
     let received_at = Instant::now();
     let (head, body) = req.into_parts();
     let names = cx.codec.headers();
     let cfg = cx.cluster.snapshot().cfg.clone();
+    let memory = guard.memory();
     let max_body = cfg.as_ref().map_or(usize::MAX, |cfg| cfg.limits.body_bytes);
+    let is_matched = cfg
+        .as_ref()
+        .is_some_and(|cfg| matched(cx, cfg, &head).is_ok());
+    let max_read = match memory.is_limited() && !is_matched {
+        true => max_body.min(UNMATCHED_BODY_BYTES),
+        false => max_body,
+    };
     let caller_timeout =
         header_number(&head.headers, &names.deadline_ms).map(Duration::from_millis);
     // The body is read before any response, which keeps the connection usable.
-    let body = read_body(
-        body,
-        max_body,
-        caller_timeout.unwrap_or(DEFAULT_BODY_TIMEOUT),
-    )
-    .await?;
-    // The configuration may have changed while the body was received.
-    let cfg = cx.cluster.snapshot().cfg.clone().ok_or(Refusal::NotRun {
-        reason: "no configuration yet",
-        retry_after: NO_CONFIGURATION_RETRY_AFTER,
-        known_load: String::new(),
-    })?;
-    let host = header_text(&head.headers, &HOST).unwrap_or_default();
-    let route = cfg
-        .route(without_port(host), head.uri.path())
-        .ok_or(Refusal::NoRoute)?;
-    let team: Option<&Team> = match (&cfg.teams, route.public) {
-        (Some(_), false) => {
-            let api_key = api_key(&head.headers, names.key_scheme);
-            let team = api_key.and_then(|key| cfg.team(key));
-            Some(team.ok_or(Refusal::UnknownKey)?)
+    let limit = caller_timeout.unwrap_or(DEFAULT_BODY_TIMEOUT);
+    memory.set_owing(true);
+    let read = read_body(body, max_read, limit, memory).await;
+    memory.set_owing(false);
+    if read.is_err() && memory.is_limited() {
+        guard.on_refused_body();
+    }
+    let body = match read {
+        Err(Refusal::TooLarge) if max_read < max_body => {
+            let cfg = cx.cluster.snapshot().cfg.clone().ok_or(NO_CONFIGURATION)?;
+            matched(cx, &cfg, &head)?;
+            return Err(Refusal::NotRun {
+                reason: "the configuration changed",
+                retry_after: Duration::ZERO,
+                known_load: String::new(),
+            });
         }
-        _ => None,
+        read => read?,
     };
+    // The configuration may have changed while the body was received.
+    let cfg = cx.cluster.snapshot().cfg.clone().ok_or(NO_CONFIGURATION)?;
+    let (route, team) = matched(cx, &cfg, &head)?;
     let priority = team.and_then(|team| team.priority);
     let id =
         header_text(&head.headers, &names.attempt).ok_or(Refusal::BadRequest("no attempt id"))?;
@@ -70,6 +92,7 @@
         method: head.method,
         uri: head.uri,
         body,
+        memory: memory.clone(),
         received_at,
         deadline: received_at + time_limit,
         prompt_tokens,
@@ -82,12 +105,66 @@
     })
 }
 
-async fn read_body(body: Incoming, max: usize, limit: Duration) -> Result<Bytes> {
-    let collected = tokio::time::timeout(limit, Limited::new(body, max).collect()).await;
+const NO_CONFIGURATION: Refusal = Refusal::NotRun {
+    reason: "no configuration yet",
+    retry_after: NO_CONFIGURATION_RETRY_AFTER,
+    known_load: String::new(),
+};
+
+// The route and the team of a request under a configuration.
+fn matched<'a, D: PlatformCodec>(
+    cx: &Cx<D>,
+    cfg: &'a Configuration,
+    head: &Parts,
+) -> Result<(Arc<Route>, Option<&'a Team>)> {
+    let host = header_text(&head.headers, &HOST).unwrap_or_default();
+    let route = cfg
+        .route(without_port(host), head.uri.path())
+        .ok_or(Refusal::NoRoute)?;
+    let team: Option<&Team> = match (&cfg.teams, route.public) {
+        (Some(_), false) => {
+            let api_key = api_key(&head.headers, cx.codec.headers().key_scheme);
+            let team = api_key.and_then(|key| cfg.team(key));
+            Some(team.ok_or(Refusal::UnknownKey)?)
+        }
+        _ => None,
+    };
+    Ok((route, team))
+}
+
+async fn read_body(
+    body: Incoming,
+    max: usize,
+    limit: Duration,
+    memory: &Arc<MemoryShare>,
+) -> Result<Bytes> {
+    if memory.is_limited() && body.size_hint().lower() > max as u64 {
+        return Err(Refusal::TooLarge);
+    }
+    let collected = tokio::select! {
+        collected = tokio::time::timeout(limit, memory.collect(body, max)) => collected,
+        () = wait_until_too_slow(memory), if memory.is_limited() => {
+            return Err(Refusal::BodyTimeout);
+        }
+    };
     match collected.map_err(|_| Refusal::BodyTimeout)? {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(err) if err.is::<LengthLimitError>() => Err(Refusal::TooLarge),
-        Err(_) => Err(Refusal::BadRequest("body broke off")),
+        Ok(body) => Ok(body),
+        Err(BodyError::TooLarge) => Err(Refusal::TooLarge),
+        Err(BodyError::NoMemory) => Err(Refusal::NotRun {
+            reason: "no memory for the body",
+            retry_after: NO_MEMORY_RETRY_AFTER,
+            known_load: String::new(),
+        }),
+        Err(BodyError::Broken(msg)) => {
+            log::debug!("the body of a request broke off: {msg}");
+            Err(Refusal::BadRequest("body broke off"))
+        }
+    }
+}
+
+async fn wait_until_too_slow(memory: &MemoryShare) {
+    while !memory.is_too_slow() {
+        tokio::time::sleep(RATE_CHECK_INTERVAL).await;
     }
 }
 
--- a/crates/rw-fleet/src/entry/response.rs
+++ b/crates/rw-fleet/src/entry/response.rs
@@ -14,6 +14,7 @@
 
 use super::Refusal;
 use crate::connect::CompleteResponse;
+use crate::memory_guard::MemoryShare;
 use crate::HeaderNames;
 
 /// Maximum number of event batches that are buffered for a slow caller.
@@ -47,13 +48,23 @@
 pub struct EventSender {
     batches: flume::Sender<Bytes>,
     finished: Arc<AtomicBool>,
+    memory: Arc<MemoryShare>,
     /// Closed when the caller disconnects.
     pub disconnected: flume::Receiver<()>,
 }
 
 impl EventSender {
-    /// Sends events. Returns false once the caller has disconnected.
+    /// Sends events. Returns false once the caller has disconnected, or if there is no
+    /// memory to hold them until it reads.
     pub async fn send(&self, events: Bytes) -> bool {
+        let disconnected = self.disconnected.clone();
+        let events = tokio::select! {
+            events = self.memory.hold_events(events) => events,
+            _ = disconnected.recv_async() => None,
+        };
+        let Some(events) = events else {
+            return false;
+        };
         self.batches.send_async(events).await.is_ok()
     }
 
@@ -69,7 +80,7 @@
 }
 
 /// Creates a body and the sender of its events.
-pub fn event_body() -> (EventSender, EventBody) {
+pub fn event_body(memory: Arc<MemoryShare>) -> (EventSender, EventBody) {
     let (tx, rx) = flume::bounded(MAX_BUFFERED_BATCHES);
     let (alive, disconnected) = flume::bounded(0);
     let finished = Arc::new(AtomicBool::new(false));
@@ -82,6 +93,7 @@
         EventSender {
             batches: tx,
             finished,
+            memory,
             disconnected,
         },
         body,
--- a/crates/rw-fleet/src/entry/stream.rs
+++ b/crates/rw-fleet/src/entry/stream.rs
@@ -47,7 +47,7 @@
     };
     let mut res = Response::new(());
     *res.headers_mut() = caller_headers(&stream.head, entry.cx.codec.headers());
-    let (tx, body) = event_body();
+    let (tx, body) = event_body(call.memory.clone());
     let (tried_servers, sent_attempts) = (opener.tried_servers, opener.sent_attempts);
     let relay = Relay {
         entry: entry.clone(),
--- a/crates/rw-fleet/src/entry/stream_attempt.rs
+++ b/crates/rw-fleet/src/entry/stream_attempt.rs
@@ -9,7 +9,7 @@
 use super::attempt::{self, AttemptOptions, Failure};
 use super::response::ResponseBody;
 use super::{response, Call, Entry, EventReader, SlotPermit};
-use crate::connect::{self, read_response, Connection};
+use crate::connect::{self, read_caller_response, Connection};
 use crate::limit_exchange::SendPermit;
 use crate::read_budget::BudgetedBody;
 use crate::PlatformCodec;
@@ -67,7 +67,8 @@
     )
     .await?;
     if !is_event_stream(&res) {
-        let response = timeout_at(until, read_response(res, MAX_RESPONSE_BYTES)).await;
+        let response = read_caller_response(res, MAX_RESPONSE_BYTES, &call.memory);
+        let response = timeout_at(until, response).await;
         let response = response.map_err(|_| attempt::timed_out(call))??;
         if must_not_relay(response.status, call) {
             return Err(Failure::Unknown(format!("status {}", response.status)));
--- a/crates/rw-fleet/src/entry/unary.rs
+++ b/crates/rw-fleet/src/entry/unary.rs
@@ -13,7 +13,7 @@
 use super::residency::REGION_REASON;
 use super::weights_guard::WEIGHTS_EXPIRED_REASON;
 use super::{Call, Entry, Refusal, SlotPermit};
-use crate::connect::{read_response, CompleteResponse};
+use crate::connect::{read_caller_response, CompleteResponse};
 use crate::limit_exchange::SendPermit;
 use crate::{BackendServer, PlatformCodec};
 
@@ -266,7 +266,7 @@
     let exchange = async {
         let (_conn, res) =
             attempt::send(entry, call, &permit.server, &options, send_permit, limit).await?;
-        Ok(read_response(res, MAX_RESPONSE_BYTES).await?)
+        Ok(read_caller_response(res, MAX_RESPONSE_BYTES, &call.memory).await?)
     };
     let result = tokio::time::timeout(limit, exchange).await;
     result.unwrap_or_else(|_| Err(attempt::timed_out(call)))
--- a/crates/rw-fleet/src/run.rs
+++ b/crates/rw-fleet/src/run.rs
@@ -20,6 +20,7 @@
 use crate::limit_exchange::exchange_limits;
 use crate::peers::{broadcast_load, PeerHandler};
 use crate::poison_notices::exchange_poison_notices;
+use crate::process_limits::log_connection_limits;
 use crate::quarantine_record::follow_quarantines;
 use crate::weights_record::record_requests;
 use crate::{follow, Cx, Daemon, DaemonSettings, Error, FleetRole, PlatformCodec, Result};
@@ -69,6 +70,7 @@
     if let Some(addr) = cx.settings.metrics_addr {
         serve_metrics(&cx, addr).await;
     }
+    tokio::spawn(log_connection_limits(cx.clone()));
     follow::start(&cx, clients.store.clone());
     match cx.settings.role {
         FleetRole::Entry => run_entry(&cx, peers, clients.store, &mut signals).await?,
@@ -94,7 +96,7 @@
         Ok(listener) => {
             let recorder = cx.recorder.clone();
             let answer = move |_: &str| (StatusCode::OK, recorder.metrics().render());
-            tokio::spawn(serve_probe(listener, answer));
+            tokio::spawn(serve_probe(listener, cx.limits.probes.clone(), answer));
         }
         Err(err) => log::warn!("running without metrics: {err}"),
     }
@@ -128,7 +130,8 @@
         poison_guard: Some(poison_guard.clone()),
         chunk_store: None,
     };
-    tokio::spawn(rw_peer::serve(peers, Arc::new(handler)));
+    let limits = cx.limits.peers.clone();
+    tokio::spawn(rw_peer::serve_within(peers, Arc::new(handler), limits));
     tokio::spawn(broadcast_load(cx.clone(), load_tracker.clone()));
     tokio::spawn(exchange_poison_notices(cx.clone(), poison_guard.clone()));
     tokio::spawn(exchange_limits(cx.clone()));
@@ -150,7 +153,7 @@
         (true, false) => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
         (false, _) => (StatusCode::NOT_FOUND, String::new()),
     };
-    tokio::spawn(serve_probe(ready, answer));
+    tokio::spawn(serve_probe(ready, cx.limits.probes.clone(), answer));
     let (close_port, port_closed) = flume::bounded::<()>(0);
     let (end_requests, requests_end) = flume::bounded::<()>(0);
     let shutdown = Shutdown {
@@ -209,7 +212,8 @@
         poison_guard: None,
         chunk_store: Some(chunk_store.clone()),
     };
-    tokio::spawn(rw_peer::serve(peers, Arc::new(handler)));
+    let limits = cx.limits.peers.clone();
+    tokio::spawn(rw_peer::serve_within(peers, Arc::new(handler), limits));
     tokio::spawn(reconcile_weights(
         cx.clone(),
         chunk_store,
--- a/crates/rw-observe/src/catalogue.rs
+++ b/crates/rw-observe/src/catalogue.rs
@@ -110,6 +110,8 @@
     721 WeightsVerified Info "The staged chunks were intact when the backend server took its weights from them." "Nothing.";
     722 WeightsDamaged Error "A staged chunk may have been corrupt when the backend server took its weights; it gets no requests until it has loaded again." "Nothing if an order follows that is answered with 'started'; otherwise restart the backend server or request other weights.";
     723 WeightsUnknown Warn "A host that started again cannot tell whether the weights of its backend server were intact when they were taken; entries go on as before." "Nothing, unless the server gets no requests: then restart it or request other weights.";
+    724 MemoryShort Warn "Callers held as much memory as they may together; since the last such event, connections without progress were closed, or bodies and answers refused." "Look for callers that send large bodies or do not read their answers; if they are sound, give the entry more memory.";
+    725 ConnectionsLimited Warn "A port had as many connections as it may; since the last such event, some that waited were closed, or new ones refused." "Look for clients that open connections and leave them; if they are sound, raise the limit of descriptors.";
 }
 
 /// Renders the event catalogue as a Markdown page.
--- a/crates/rw-observe/src/metrics.rs
+++ b/crates/rw-observe/src/metrics.rs
@@ -40,6 +40,8 @@
     pub prompt_parts_quarantined: Gauge,
     /// Backend servers that name a limit on their requests.
     pub servers_limited: Gauge,
+    /// Bytes of bodies, answers and events that are held for callers.
+    pub caller_bytes: Gauge,
 }
 
 impl Default for Metrics {
@@ -94,6 +96,7 @@
         let prompt_parts_quarantined =
             gauge("prompt_parts_quarantined", "Quarantined parts of prompts");
         let servers_limited = gauge("servers_limited", "Backend servers that name a limit");
+        let caller_bytes = gauge("caller_bytes", "Bytes held for callers");
         Metrics {
             registry: Arc::new(reg),
             events,
@@ -109,6 +112,7 @@
             claims_unresolved,
             prompt_parts_quarantined,
             servers_limited,
+            caller_bytes,
         }
     }
 
--- a/crates/rw-peer/src/lib.rs
+++ b/crates/rw-peer/src/lib.rs
@@ -1,11 +1,15 @@
 //! Message streams between daemons over HTTP/2.
 
 mod client;
+mod connection_limit;
+mod message_budget;
 mod server;
 mod wire;
 
 pub use client::PeerPool;
-pub use server::{serve, Handler};
+pub use connection_limit::{ConnectionLimit, ConnectionPlace};
+pub use message_budget::{MessageBudget, MessageBytes};
+pub use server::{serve, serve_within, Handler, ServeLimits};
 pub use wire::{FrameRx, FrameTx};
 
 use quick_error::quick_error;
--- a/crates/rw-peer/src/server.rs
+++ b/crates/rw-peer/src/server.rs
@@ -8,11 +8,18 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::client::{CONNECTION_WINDOW_BYTES, MAX_CONCURRENT_STREAMS, STREAM_WINDOW_BYTES};
-use crate::{FrameRx, FrameTx, Result};
+use crate::{ConnectionLimit, ConnectionPlace, FrameRx, FrameTx, MessageBudget, Result};
 
 /// Time limit for the HTTP/2 handshake of a connection and for the first message
 /// of a stream.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
+/// Flow-control windows where memory is limited, of a stream and of a connection. Requests
+/// between daemons are small; only replies are large.
+const LIMITED_STREAM_WINDOW_BYTES: u32 = 128 << 10;
+const LIMITED_CONNECTION_WINDOW_BYTES: u32 = 512 << 10;
+/// Streams that a peer may have open on one connection where memory is limited; further
+/// requests wait at the peer.
+const LIMITED_CONCURRENT_STREAMS: u32 = 256;
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Handles requests from other daemons.
@@ -21,31 +28,83 @@
     fn handle(self: Arc<Self>, req: PeerRequest, tx: FrameTx) -> impl Future<Output = ()> + Send;
 }
 
+/// Limits on what the peers of a port may use.
+#[derive(Clone)]
+pub struct ServeLimits {
+    /// Open connections.
+    pub connections: Arc<ConnectionLimit>,
+    /// Bytes of messages.
+    pub messages: Arc<MessageBudget>,
+}
+
+impl Default for ServeLimits {
+    fn default() -> Self {
+        ServeLimits {
+            connections: ConnectionLimit::new(None),
+            messages: MessageBudget::new(None),
+        }
+    }
+}
+
 /// Accepts connections and serves their streams until the task is aborted.
 pub async fn serve<H: Handler>(listener: TcpListener, handler: Arc<H>) {
+    serve_within(listener, handler, ServeLimits::default()).await;
+}
+
+/// Like [`serve`], with limits on what peers may use.
+pub async fn serve_within<H: Handler>(listener: TcpListener, handler: Arc<H>, limits: ServeLimits) {
     loop {
         match listener.accept().await {
-            Ok((conn, _)) => drop(tokio::spawn(serve_connection(conn, handler.clone()))),
+            Ok((conn, _)) => {
+                let Some(place) = limits.connections.open() else {
+                    continue;
+                };
+                let (handler, limits) = (handler.clone(), limits.clone());
+                tokio::spawn(async move {
+                    let place = Arc::new(place);
+                    tokio::select! {
+                        () = serve_connection(conn, handler, &limits, &place) => {}
+                        () = place.closed() => {}
+                    }
+                });
+            }
             // Most likely out of file descriptors; retry when some may be free again.
             Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
         }
     }
 }
 
-async fn serve_connection<H: Handler>(conn: TcpStream, handler: Arc<H>) {
+async fn serve_connection<H: Handler>(
+    conn: TcpStream,
+    handler: Arc<H>,
+    limits: &ServeLimits,
+    place: &Arc<ConnectionPlace>,
+) {
     let _ = conn.set_nodelay(true);
+    let (stream_window, connection_window, streams) = match limits.messages.is_limited() {
+        true => (
+            LIMITED_STREAM_WINDOW_BYTES,
+            LIMITED_CONNECTION_WINDOW_BYTES,
+            LIMITED_CONCURRENT_STREAMS,
+        ),
+        false => (
+            STREAM_WINDOW_BYTES,
+            CONNECTION_WINDOW_BYTES,
+            MAX_CONCURRENT_STREAMS,
+        ),
+    };
     let handshake = h2::server::Builder::new()
-        .initial_window_size(STREAM_WINDOW_BYTES)
-        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
-        .max_concurrent_streams(MAX_CONCURRENT_STREAMS)
+        .initial_window_size(stream_window)
+        .initial_connection_window_size(connection_window)
+        .max_concurrent_streams(streams)
         .handshake::<_, Bytes>(conn);
     let Ok(Ok(mut conn)) = tokio::time::timeout(REQUEST_TIMEOUT, handshake).await else {
         return;
     };
     while let Some(Ok((req, respond))) = conn.accept().await {
-        let handler = handler.clone();
+        let (handler, budget, place) = (handler.clone(), limits.messages.clone(), place.clone());
         tokio::spawn(async move {
-            if let Err(err) = serve_stream(req, respond, handler).await {
+            if let Err(err) = serve_stream(req, respond, handler, budget, &place).await {
                 log::debug!("peer stream failed: {err}");
             }
         });
@@ -56,8 +115,10 @@
     req: http::Request<h2::RecvStream>,
     mut respond: SendResponse<Bytes>,
     handler: Arc<H>,
+    budget: Arc<MessageBudget>,
+    place: &ConnectionPlace,
 ) -> Result<()> {
-    let mut rx = FrameRx::new(req.into_body());
+    let mut rx = FrameRx::within(req.into_body(), &budget);
     let first = tokio::time::timeout(REQUEST_TIMEOUT, rx.next::<PeerRequest>()).await;
     let Ok(first) = first else {
         respond.send_reset(h2::Reason::CANCEL);
@@ -67,7 +128,11 @@
         respond.send_reset(h2::Reason::PROTOCOL_ERROR);
         return Ok(());
     };
+    // What follows the first message is not kept for as long as the reply takes.
+    drop(rx);
+    place.set_working(true);
+    place.set_working(false);
     let tx = respond.send_response(http::Response::new(()), false)?;
-    handler.handle(req, FrameTx::new(tx)).await;
+    handler.handle(req, FrameTx::within(tx, budget)).await;
     Ok(())
 }
--- a/crates/rw-peer/src/wire.rs
+++ b/crates/rw-peer/src/wire.rs
@@ -1,4 +1,6 @@
 use std::future::poll_fn;
+use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use h2::{Reason, RecvStream, SendStream};
@@ -6,16 +8,30 @@
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
-use crate::{Error, Result};
+use crate::{Error, MessageBudget, MessageBytes, Result};
+
+/// Time in which a peer has to take some of a reply where the memory for replies is limited.
+const STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Sends messages on one stream.
 pub struct FrameTx {
     stream: SendStream<Bytes>,
+    budget: Option<Arc<MessageBudget>>,
 }
 
 impl FrameTx {
     pub(crate) fn new(stream: SendStream<Bytes>) -> Self {
-        FrameTx { stream }
+        FrameTx {
+            stream,
+            budget: None,
+        }
+    }
+
+    pub(crate) fn within(stream: SendStream<Bytes>, budget: Arc<MessageBudget>) -> Self {
+        FrameTx {
+            stream,
+            budget: budget.is_limited().then_some(budget),
+        }
     }
 
     /// Sends one message; waits while the flow-control window is full.
@@ -31,9 +47,19 @@
 
     async fn send_frame<T: Serialize>(&mut self, msg: &T, is_last: bool) -> Result<()> {
         let mut buf = encode(msg)?;
+        let mut held = self.budget.as_ref().map(MessageBudget::open);
+        if held.as_mut().is_some_and(|held| !held.take(buf.len())) {
+            return Err(Error::Broken("no memory for the message".to_string()));
+        }
         while !buf.is_empty() {
             self.stream.reserve_capacity(buf.len());
-            let capacity = poll_fn(|cx| self.stream.poll_capacity(cx)).await;
+            let capacity = poll_fn(|cx| self.stream.poll_capacity(cx));
+            let capacity = match held {
+                Some(_) => tokio::time::timeout(STALL_TIMEOUT, capacity)
+                    .await
+                    .map_err(|_| Error::Timeout)?,
+                None => capacity.await,
+            };
             let capacity = capacity.ok_or_else(|| Error::Broken("closed".to_string()))??;
             let part = buf.split_to(capacity.min(buf.len()));
             self.stream.send_data(part, is_last && buf.is_empty())?;
@@ -62,6 +88,7 @@
 pub struct FrameRx {
     body: RecvStream,
     decoder: Decoder,
+    held: Option<MessageBytes>,
 }
 
 impl FrameRx {
@@ -69,6 +96,14 @@
         FrameRx {
             body,
             decoder: Decoder::default(),
+            held: None,
+        }
+    }
+
+    pub(crate) fn within(body: RecvStream, budget: &Arc<MessageBudget>) -> Self {
+        FrameRx {
+            held: budget.is_limited().then(|| budget.open()),
+            ..FrameRx::new(body)
         }
     }
 
@@ -76,6 +111,9 @@
     pub async fn next<T: DeserializeOwned>(&mut self) -> Result<Option<T>> {
         loop {
             if let Some(msg) = self.decoder.next()? {
+                if let Some(held) = &mut self.held {
+                    held.clear();
+                }
                 return Ok(Some(msg));
             }
             let Some(data) = self.body.data().await else {
@@ -85,6 +123,13 @@
                 };
             };
             let data = data?;
+            if self
+                .held
+                .as_mut()
+                .is_some_and(|held| !held.take(data.len()))
+            {
+                return Err(Error::Broken("no memory for the message".to_string()));
+            }
             self.body.flow_control().release_capacity(data.len())?;
             self.decoder.extend(&data);
         }
--- a/crates/rw-routing/src/lib.rs
+++ b/crates/rw-routing/src/lib.rs
@@ -2,8 +2,10 @@
 //! budgets and circuit breaking. Performs no I/O.
 
 mod circuit_breaker;
+mod connection_table;
 mod engine;
 mod engine_selection;
+mod memory_account;
 mod poison;
 mod policy;
 mod queue;
@@ -17,8 +19,10 @@
 mod windowed_retry;
 
 pub use circuit_breaker::CircuitBreaker;
+pub use connection_table::{ConnectionActivity, ConnectionRoom, ConnectionTable};
 pub use engine::{EngineLoad, EngineProfile};
 pub use engine_selection::{select_engine, EngineCandidate, EngineSelection, RequestRequirements};
+pub use memory_account::{MemoryAccount, MemoryGrant, MemoryLimits};
 pub use poison::{CrashedServer, PoisonDetector, PoisonReport, Quarantine, SuspectedCrash};
 pub use policy::{
     Affinity, AnyPolicy, HostCandidate, LeastLoaded, LoadBalancingPolicy, Random, RoundRobin,
