End the test of the memory account when its bound is missing

Cause: with the bound removed by hand, the test that fills the account did not end.

Change: it fails once more is granted than the machine has.

--- a/crates/rw-routing/tests/memory_account.rs
+++ b/crates/rw-routing/tests/memory_account.rs
@@ -159,6 +159,7 @@
             break;
         }
         id += 1;
+        assert!(id * BODY < MEMORY, "more is granted than there is");
     }
     assert_eq!(account.take(id, BODY, later), MemoryGrant::Refused);
     account.give_back(2, BODY / 2);
