--- a/crates/rw-observe/src/catalogue.rs
+++ b/crates/rw-observe/src/catalogue.rs
@@ -116,6 +116,8 @@
     750 ZoneEvacuated Info "An operator asked that the servers of an availability zone get no more requests; they move to other zones within half of the bound." "Delete the row when the zone may serve again.";
     751 ZoneReturned Info "The evacuation of an availability zone ended; its requests come back over some seconds." "Nothing.";
     752 ServerCold Info "A backend server is cold by its row or a response: it gets no more requests than it tolerates until it has warmed up." "Nothing, unless it recurs: then find out why the server starts again.";
+    760 MemoryShort Warn "Callers held as much memory as they may together; since the last such event, connections without progress were closed, or bodies and answers refused." "Look for callers that send large bodies or do not read their answers; if they are sound, give the entry more memory.";
+    761 ConnectionsLimited Warn "A port had as many connections as it may; since the last such event, some that waited were closed, or new ones refused." "Look for clients that open connections and leave them; if they are sound, raise the limit of descriptors.";
 }
 
 /// Renders the event catalogue as a Markdown page.
--- a/crates/rw-observe/src/metrics.rs
+++ b/crates/rw-observe/src/metrics.rs
@@ -49,6 +49,8 @@
     pub weights_whole_ms: Gauge,
     /// The same until its server had loaded them.
     pub weights_loaded_ms: Gauge,
+    /// Bytes of bodies, answers and events that are held for callers.
+    pub caller_bytes: Gauge,
 }
 
 impl Default for Metrics {
@@ -118,6 +120,7 @@
             "weights_loaded_ms",
             "Time from the request for weights until the server had loaded them",
         );
+        let caller_bytes = gauge("caller_bytes", "Bytes held for callers");
         Metrics {
             registry: Arc::new(reg),
             events,
@@ -137,6 +140,7 @@
             zones_evacuated,
             weights_whole_ms,
             weights_loaded_ms,
+            caller_bytes,
         }
     }
 
