Select engines by the prompt prefixes that they still hold

Cause: the decision had no caller, and no configuration could ask for it. Change: a service may declare for how long, and for how many tokens, its engines keep prompts; entries then remember which beginnings their requests left at each engine and forecast first events without them. Without the declaration a request's parts are not even read.

--- a/crates/rw-fleet/src/configuration.rs
+++ b/crates/rw-fleet/src/configuration.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use rw_protocol::Name;
-use rw_routing::EngineProfile;
+use rw_routing::{EngineProfile, PromptRetention};
 
 /// How a route's requests are answered, and whether they may be retried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -100,6 +100,8 @@
     pub layers: u32,
     /// Number of chunks of its weights.
     pub chunks: u32,
+    /// For how long it keeps prompts after their requests; `None` if it keeps none.
+    pub retention: Option<PromptRetention>,
 }
 
 /// Origin of weights.
--- a/crates/rw-fleet/src/entry/call.rs
+++ b/crates/rw-fleet/src/entry/call.rs
@@ -5,8 +5,10 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use rw_protocol::Name;
+use rw_routing::PromptChain;
 use tokio::time::Instant;
 
+use crate::memory_guard::MemoryShare;
 use crate::{CallKind, Configuration, Engine, Route};
 
 /// Minimum share of a route's time limit that a caller states on its first
@@ -42,6 +44,8 @@
     pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
+    /// Memory that its caller's connection holds.
+    pub memory: Arc<MemoryShare>,
     /// When the request head was received.
     pub received_at: Instant,
     /// Deadline of the caller or the route, whichever is earlier.
@@ -50,6 +54,8 @@
     pub prompt_tokens: u32,
     /// Parts of the prompt that other requests may share, in order.
     pub prompt_parts: Vec<Name>,
+    /// Beginnings of the prompt; empty unless its engines keep prompts.
+    pub prompt_chain: PromptChain,
     /// Id of the last event that the caller has received; 0 if none.
     pub last_event_id: u64,
     /// Priority of the team or the route; 0 goes first.
--- a/crates/rw-fleet/src/entry/shared.rs
+++ b/crates/rw-fleet/src/entry/shared.rs
@@ -10,6 +10,8 @@
 use tokio::time::Instant;
 
 use super::attempt::{self, Failure};
+use super::cold_guard::ColdGuard;
+use super::prompt_reuse::PromptReuse;
 use super::weights_guard::WeightsGuard;
 use super::{Call, CallerConnections, LoadTracker, OutdatedWeights, PoisonGuard};
 use crate::{BackendServer, Cx, Engine, PlatformCodec, Snapshot};
@@ -30,6 +32,8 @@
     // Version that requests required last, by model.
     required_weights: Mutex<BTreeMap<Name, u64>>,
     pub(super) weights_guard: WeightsGuard,
+    pub(super) cold_guard: ColdGuard,
+    pub(super) prompt_reuse: PromptReuse,
 }
 
 impl<D: PlatformCodec> Entry<D> {
@@ -53,6 +57,8 @@
             extra_retries,
             required_weights: Mutex::default(),
             weights_guard: WeightsGuard::default(),
+            cold_guard: ColdGuard::default(),
+            prompt_reuse: PromptReuse::default(),
         })
     }
 
@@ -143,7 +149,9 @@
         if let Some(engine) = call.engine() {
             self.retain_valid_weights(engine, &mut servers);
         }
-        self.load_tracker.admitted(servers)
+        let mut servers = self.load_tracker.admitted(servers);
+        self.retain_open_zones(call, &mut servers);
+        servers
     }
 
     /// Whether the call is let through although a part of its prompt is quarantined.
@@ -178,6 +186,7 @@
             Err(
                 Failure::PermitExpired
                 | Failure::RegionNotAllowed
+                | Failure::ZoneEvacuated
                 | Failure::WeightsOutdated(_)
                 | Failure::WeightsExpired(_),
             ) => false,
--- a/crates/rw-fleet/src/entry/stream_attempt.rs
+++ b/crates/rw-fleet/src/entry/stream_attempt.rs
@@ -9,7 +9,7 @@
 use super::attempt::{self, AttemptOptions, Failure};
 use super::response::ResponseBody;
 use super::{response, Call, Entry, EventReader, SlotPermit};
-use crate::connect::{self, read_response, Connection};
+use crate::connect::{self, read_caller_response, Connection};
 use crate::limit_exchange::SendPermit;
 use crate::read_budget::BudgetedBody;
 use crate::PlatformCodec;
@@ -57,6 +57,7 @@
         permit.load.unread_tokens,
         call.prompt_tokens
     );
+    let sent_at = Instant::now();
     let (conn, res) = attempt::send(
         entry,
         call,
@@ -67,7 +68,8 @@
     )
     .await?;
     if !is_event_stream(&res) {
-        let response = timeout_at(until, read_response(res, MAX_RESPONSE_BYTES)).await;
+        let response = read_caller_response(res, MAX_RESPONSE_BYTES, &call.memory);
+        let response = timeout_at(until, response).await;
         let response = response.map_err(|_| attempt::timed_out(call))??;
         if must_not_relay(response.status, call) {
             return Err(Failure::Unknown(format!("status {}", response.status)));
@@ -88,6 +90,7 @@
         .begin_in_time(call, &permit.server, first_events)
         .await?;
     permit.on_first_event();
+    entry.record_prompt_read(call, &permit, sent_at.elapsed());
     let is_complete = first_events.is_none();
     Ok(Opened::Stream(Box::new(OpenedStream {
         permit,
--- a/crates/rw-fleet/src/host/chunk_store.rs
+++ b/crates/rw-fleet/src/host/chunk_store.rs
@@ -4,9 +4,11 @@
 
 use rw_coord::{ChangeNotifier, TokenBucket};
 use rw_protocol::{Blob, Chunk, ChunkRequest, Manifest, ManifestRequest, Missing, Name, PeerReply};
-use rw_weights::{MemoryChunkStore, Result};
+use rw_weights::{long_delay, Delivery, LinkWindow, MemoryChunkStore, Result};
 use tokio::time::Instant;
 
+use super::download::MAX_CONCURRENT_FETCHES;
+
 /// Share of the host's link that chunks may use in each direction while the
 /// backend server serves requests, whose events would queue behind chunks.
 /// Packet headers take another twentieth.
@@ -18,6 +20,9 @@
 const BURST_TIME: Duration = Duration::from_millis(30);
 /// Maximum time for which a request waits until a chunk is available.
 const MAX_CHUNK_WAIT: Duration = Duration::from_secs(3);
+/// The same for a manifest, well within the time for which the other host waits. Hosts
+/// learn of a version together, so the first ones fetch its manifest just then.
+const MAX_MANIFEST_WAIT: Duration = Duration::from_millis(150);
 /// Delay after which a host may request a missing chunk again.
 const RETRY_AFTER_MS: u64 = 100;
 /// Retry delay in the reply of a host that neither holds nor downloads a version.
@@ -45,6 +50,9 @@
     arrived: ChangeNotifier,
     uplink: Mutex<TokenBucket>,
     downlink: Mutex<TokenBucket>,
+    link_bytes_per_s: u64,
+    // Chunks that may be in flight to this host while its server serves requests.
+    window: Mutex<LinkWindow>,
     serving: AtomicBool,
     read_requests: flume::Sender<StagedChunkRequest>,
     started: Instant,
@@ -76,6 +84,8 @@
             arrived: ChangeNotifier::default(),
             uplink: bucket(),
             downlink: bucket(),
+            link_bytes_per_s,
+            window: Mutex::new(LinkWindow::new(MAX_CONCURRENT_FETCHES)),
             serving: AtomicBool::new(false),
             read_requests,
             started: Instant::now(),
@@ -149,6 +159,27 @@
         self.serving.load(Ordering::Relaxed)
     }
 
+    /// Number of chunks that may be in flight to this host; not bounded here while its
+    /// server serves no requests that chunks could delay.
+    pub fn download_window(&self) -> usize {
+        match self.is_serving() {
+            true => lock(&self.window).chunks(),
+            false => usize::MAX,
+        }
+    }
+
+    /// Records how long a chunk took from another host to this one. Returns whether fewer
+    /// chunks may be in flight from now on.
+    pub fn on_delivery(&self, source: &Name, delay: Duration, bytes: u64) -> bool {
+        let delivery = Delivery {
+            source: source.clone(),
+            delay,
+            at: self.started.elapsed(),
+        };
+        let limit = long_delay(bytes, self.link_bytes_per_s);
+        lock(&self.window).on_delivery(delivery, limit)
+    }
+
     // Bytes to take from a link's token bucket for a chunk. The bucket's rate is
     // the idle share, so a chunk costs more while the backend server serves
     // requests.
@@ -175,7 +206,8 @@
     /// as long as the request allows.
     pub async fn serve_chunk(&self, req: &ChunkRequest) -> PeerReply {
         let arrived = self.arrived.subscribe();
-        let deadline = Instant::now() + Duration::from_millis(req.wait_ms).min(MAX_CHUNK_WAIT);
+        let requested_at = Instant::now();
+        let deadline = requested_at + Duration::from_millis(req.wait_ms).min(MAX_CHUNK_WAIT);
         if !self.is_available_soon(&req.manifest) {
             match self.read_back(req, deadline).await {
                 ReadBack::Held => {}
@@ -198,6 +230,7 @@
         PeerReply::Chunk(Chunk {
             chunk: req.chunk,
             body,
+            held_ms: requested_at.elapsed().as_millis() as u64,
         })
     }
 
@@ -238,11 +271,19 @@
         DownloadGuard(self.clone())
     }
 
-    /// Replies to another host's request for the manifest of a version.
-    pub fn serve_manifest(&self, req: &ManifestRequest) -> PeerReply {
-        match self.manifest(&req.manifest) {
-            Some(manifest) => PeerReply::Manifest(manifest),
-            None => missing(RETRY_AFTER_MS),
+    /// Replies to another host's request for the manifest of a version, after waiting for
+    /// it for a short time.
+    pub async fn serve_manifest(&self, req: &ManifestRequest) -> PeerReply {
+        let arrived = self.arrived.subscribe();
+        let deadline = Instant::now() + MAX_MANIFEST_WAIT;
+        loop {
+            if let Some(manifest) = self.manifest(&req.manifest) {
+                return PeerReply::Manifest(manifest);
+            }
+            let is_over = tokio::time::timeout_at(deadline, arrived.recv_async());
+            if is_over.await.is_err() {
+                return missing(RETRY_AFTER_MS);
+            }
         }
     }
 }
--- a/crates/rw-fleet/src/run.rs
+++ b/crates/rw-fleet/src/run.rs
@@ -18,8 +18,10 @@
 };
 use crate::host::{reconcile_weights, BackendClient, ChunkStore, ObjectArchive, OriginClient};
 use crate::limit_exchange::exchange_limits;
+use crate::load_record::{record_loads, WantedRecord};
 use crate::peers::{broadcast_load, PeerHandler};
 use crate::poison_notices::exchange_poison_notices;
+use crate::process_limits::log_connection_limits;
 use crate::quarantine_record::follow_quarantines;
 use crate::weights_record::record_requests;
 use crate::{follow, Cx, Daemon, DaemonSettings, Error, FleetRole, PlatformCodec, Result};
@@ -69,13 +71,14 @@
     if let Some(addr) = cx.settings.metrics_addr {
         serve_metrics(&cx, addr).await;
     }
+    tokio::spawn(log_connection_limits(cx.clone()));
     follow::start(&cx, clients.store.clone());
     match cx.settings.role {
         FleetRole::Entry => run_entry(&cx, peers, clients.store, &mut signals).await?,
         FleetRole::Host => {
             let backend = clients.backend.ok_or(Error::Missing("backend server"))?;
-            let (origin, archive) = (clients.origin, clients.store);
-            run_host(&cx, peers, backend, origin, archive, &mut signals).await;
+            let (origin, store) = (clients.origin, clients.store);
+            run_host(&cx, peers, backend, origin, store, &mut signals).await;
         }
     }
     cx.recorder.emit(Event::DaemonStopped, "");
@@ -94,7 +97,7 @@
         Ok(listener) => {
             let recorder = cx.recorder.clone();
             let answer = move |_: &str| (StatusCode::OK, recorder.metrics().render());
-            tokio::spawn(serve_probe(listener, answer));
+            tokio::spawn(serve_probe(listener, cx.limits.probes.clone(), answer));
         }
         Err(err) => log::warn!("running without metrics: {err}"),
     }
@@ -128,7 +131,8 @@
         poison_guard: Some(poison_guard.clone()),
         chunk_store: None,
     };
-    tokio::spawn(rw_peer::serve(peers, Arc::new(handler)));
+    let limits = cx.limits.peers.clone();
+    tokio::spawn(rw_peer::serve_within(peers, Arc::new(handler), limits));
     tokio::spawn(broadcast_load(cx.clone(), load_tracker.clone()));
     tokio::spawn(exchange_poison_notices(cx.clone(), poison_guard.clone()));
     tokio::spawn(exchange_limits(cx.clone()));
@@ -150,7 +154,7 @@
         (true, false) => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
         (false, _) => (StatusCode::NOT_FOUND, String::new()),
     };
-    tokio::spawn(serve_probe(ready, answer));
+    tokio::spawn(serve_probe(ready, cx.limits.probes.clone(), answer));
     let (close_port, port_closed) = flume::bounded::<()>(0);
     let (end_requests, requests_end) = flume::bounded::<()>(0);
     let shutdown = Shutdown {
@@ -193,12 +197,17 @@
     }
 }
 
-async fn run_host<D: PlatformCodec, B: BackendClient, O: OriginClient, A: ObjectArchive>(
+async fn run_host<
+    D: PlatformCodec,
+    B: BackendClient,
+    O: OriginClient,
+    S: TableFeed + ObjectArchive,
+>(
     cx: &Arc<Cx<D>>,
     peers: TcpListener,
     backend: B,
     origin: O,
-    archive: A,
+    store: S,
     signals: &mut Signals,
 ) {
     let (read_requests, pending_reads) = flume::bounded(MAX_PENDING_READS);
@@ -209,14 +218,19 @@
         poison_guard: None,
         chunk_store: Some(chunk_store.clone()),
     };
-    tokio::spawn(rw_peer::serve(peers, Arc::new(handler)));
+    let limits = cx.limits.peers.clone();
+    tokio::spawn(rw_peer::serve_within(peers, Arc::new(handler), limits));
+    let wanted_record = WantedRecord::default();
+    let (recorded_cx, records) = (cx.clone(), store.clone());
+    tokio::spawn(record_loads(recorded_cx, records, wanted_record.clone()));
     tokio::spawn(reconcile_weights(
         cx.clone(),
         chunk_store,
         backend,
         origin,
-        archive,
+        store,
         pending_reads,
+        wanted_record,
     ));
     signals.wait_for_stop(cx).await;
 }
--- a/crates/rw-observe/src/catalogue.rs
+++ b/crates/rw-observe/src/catalogue.rs
@@ -64,6 +64,7 @@
     304 TransferCancelled Info "A transfer was cancelled because its manifest is no longer needed." "Nothing.";
     305 ManifestMismatch Error "The origin serves different bytes under a confirmed manifest." "Restore the version at the origin; versions are immutable.";
     306 OriginUnreachable Warn "The origin does not respond." "Check the origin; hosts continue to fetch from each other.";
+    307 ChunksBounded Info "Chunks take long over the link of a host, which fetches one at a time so that requests do not wait behind them." "Nothing, unless it recurs on one host: then check its link.";
     400 OrderSent Info "An order to load a model was sent to an engine." "Nothing.";
     401 OrderFailed Warn "An order to an engine failed." "If it recurs, check the engine.";
     402 OrderLapsed Warn "A lease expired before its order could be sent." "Nothing; the order is retried under a new lease.";
@@ -109,7 +110,14 @@
     720 LoadObserved Info "The report of a backend server shows that it has begun to load weights, or has started again." "Nothing.";
     721 WeightsVerified Info "The staged chunks were intact when the backend server took its weights from them." "Nothing.";
     722 WeightsDamaged Error "A staged chunk may have been corrupt when the backend server took its weights; it gets no requests until it has loaded again." "Nothing if an order follows that is answered with 'started'; otherwise restart the backend server or request other weights.";
-    723 WeightsUnknown Warn "A host that started again cannot tell whether the weights of its backend server were intact when they were taken; entries go on as before." "Nothing, unless the server gets no requests: then restart it or request other weights.";
+    723 WeightsUnknown Warn "No record proves the weights that a host found at its backend server, in this lifetime of the server and with this number of loads; it gets no requests until it has loaded again." "Nothing if an order follows that is answered with 'started'; otherwise restart the backend server or request other weights.";
+    724 LoadRecorded Info "A host recorded in the platform's store which weights its backend server has loaded; version 0 withdraws the record before." "Nothing.";
+    725 LoadAdopted Info "A host that did not order a load found the record that proves the weights of its backend server." "Nothing.";
+    750 ZoneEvacuated Info "An operator asked that the servers of an availability zone get no more requests; they move to other zones within half of the bound." "Delete the row when the zone may serve again.";
+    751 ZoneReturned Info "The evacuation of an availability zone ended; its requests come back over some seconds." "Nothing.";
+    752 ServerCold Info "A backend server is cold by its row or a response: it gets no more requests than it tolerates until it has warmed up." "Nothing, unless it recurs: then find out why the server starts again.";
+    760 MemoryShort Warn "Callers held as much memory as they may together; since the last such event, connections without progress were closed, or bodies and answers refused." "Look for callers that send large bodies or do not read their answers; if they are sound, give the entry more memory.";
+    761 ConnectionsLimited Warn "A port had as many connections as it may; since the last such event, some that waited were closed, or new ones refused." "Look for clients that open connections and leave them; if they are sound, raise the limit of descriptors.";
 }
 
 /// Renders the event catalogue as a Markdown page.
--- a/crates/rw-observe/src/metrics.rs
+++ b/crates/rw-observe/src/metrics.rs
@@ -19,9 +19,15 @@
     /// Requests by outcome: `answered`, `not_run`, `unknown` or `refused`.
     calls: Family<LabelSet, Counter>,
     weight_bytes: Family<LabelSet, Counter>,
-    /// Permits to send requests to servers with a limit, by outcome: `granted`, `refused`
-    /// or `failed`.
+    /// Permits to send requests to servers with a limit, by outcome: `granted`, `refused`,
+    /// `failed`, or `cold` if this entry's share of a cold server was used up.
     permits: Family<LabelSet, Counter>,
+    /// Requests refused because of where they may be served, by reason: `region` or `zone`.
+    placement_refusals: Family<LabelSet, Counter>,
+    /// Requests whose prompt their engine was expected to hold in part, and these tokens, by
+    /// outcome: `kept` or `missed`.
+    prompt_reuses: Family<LabelSet, Counter>,
+    reused_tokens: Family<LabelSet, Counter>,
     /// Seconds until the first frame of an answer.
     pub first_token_seconds: Histogram,
     /// Requests in progress.
@@ -40,6 +46,15 @@
     pub prompt_parts_quarantined: Gauge,
     /// Backend servers that name a limit on their requests.
     pub servers_limited: Gauge,
+    /// Availability zones that operators evacuate.
+    pub zones_evacuated: Gauge,
+    /// Milliseconds from the request for the newest downloaded weights until this host held
+    /// them all.
+    pub weights_whole_ms: Gauge,
+    /// The same until its server had loaded them.
+    pub weights_loaded_ms: Gauge,
+    /// Bytes of bodies, answers and events that are held for callers.
+    pub caller_bytes: Gauge,
 }
 
 impl Default for Metrics {
@@ -74,6 +89,24 @@
             "Permits for servers with a limit, by outcome",
             permits.clone(),
         );
+        let placement_refusals = Family::default();
+        reg.register(
+            "placement_refusals",
+            "Calls refused for lack of a server that may serve them, by reason",
+            placement_refusals.clone(),
+        );
+        let prompt_reuses = Family::default();
+        reg.register(
+            "prompt_reuses",
+            "Calls to engines that were expected to hold a part of the prompt, by outcome",
+            prompt_reuses.clone(),
+        );
+        let reused_tokens = Family::default();
+        reg.register(
+            "reused_tokens",
+            "Prompt tokens that engines were expected to hold, by outcome",
+            reused_tokens.clone(),
+        );
         let first_token_seconds = Histogram::new(exponential_buckets(0.001, 2.0, 16));
         reg.register(
             "first_token_seconds",
@@ -94,12 +127,25 @@
         let prompt_parts_quarantined =
             gauge("prompt_parts_quarantined", "Quarantined parts of prompts");
         let servers_limited = gauge("servers_limited", "Backend servers that name a limit");
+        let zones_evacuated = gauge("zones_evacuated", "Evacuated availability zones");
+        let weights_whole_ms = gauge(
+            "weights_whole_ms",
+            "Time from the request for weights until the host held them",
+        );
+        let weights_loaded_ms = gauge(
+            "weights_loaded_ms",
+            "Time from the request for weights until the server had loaded them",
+        );
+        let caller_bytes = gauge("caller_bytes", "Bytes held for callers");
         Metrics {
             registry: Arc::new(reg),
             events,
             calls,
             weight_bytes,
             permits,
+            placement_refusals,
+            prompt_reuses,
+            reused_tokens,
             first_token_seconds,
             in_flight,
             queued,
@@ -109,6 +155,10 @@
             claims_unresolved,
             prompt_parts_quarantined,
             servers_limited,
+            zones_evacuated,
+            weights_whole_ms,
+            weights_loaded_ms,
+            caller_bytes,
         }
     }
 
@@ -122,11 +172,29 @@
         self.calls.get_or_create(&[("outcome", outcome)]).inc();
     }
 
-    /// Counts a permit by its outcome: `granted`, `refused` or `failed`.
+    /// Counts a permit by its outcome: `granted`, `refused`, `failed` or `cold`.
     pub fn count_permit(&self, outcome: &'static str) {
         self.permits.get_or_create(&[("outcome", outcome)]).inc();
     }
 
+    /// Counts a request whose prompt its engine was expected to hold in part, and the tokens;
+    /// a miss if its first event came no earlier than without them.
+    pub fn count_prompt_reuse(&self, is_missed: bool, tokens: u32) {
+        let outcome = if is_missed { "missed" } else { "kept" };
+        let labels = [("outcome", outcome)];
+        self.prompt_reuses.get_or_create(&labels).inc();
+        let tokens = u64::from(tokens);
+        self.reused_tokens.get_or_create(&labels).inc_by(tokens);
+    }
+
+    /// Counts a request that no server may serve where it may be served; `reason` is
+    /// `region` or `zone`.
+    pub fn count_placement_refusal(&self, reason: &'static str) {
+        self.placement_refusals
+            .get_or_create(&[("reason", reason)])
+            .inc();
+    }
+
     /// Counts transferred weight bytes; `flow` is `sent`, `from_zone`, `from_region`,
     /// `from_other_region` or `from_origin`.
     pub fn count_weight_bytes(&self, flow: &'static str, bytes: u64) {
--- a/crates/rw-routing/tests/prompt_reuse.rs
+++ b/crates/rw-routing/tests/prompt_reuse.rs
@@ -10,7 +10,7 @@
 use rw_protocol::Name;
 use rw_routing::{
     select_engine, EngineCandidate, EngineLoad, EngineProfile, EngineSelection, HeldPrompts,
-    PromptChain, PromptRetention, RequestRequirements,
+    PromptChain, PromptRetention, RequestRequirements, ServerOutlook,
 };
 
 const ENGINES: usize = 12;
@@ -123,6 +123,7 @@
                     * profile.prefill_tokens_per_ms) as u32,
             },
             slowdown: 1.0,
+            outlook: ServerOutlook::default(),
             remote: false,
             max_running: u32::MAX,
             held_tokens: match policy {
