Mend what the reviews of memory bounds, cold servers and proofs found

Cause, by reading: on a full port new connections displaced each other while idle ones kept their places; bodies on their way to servers were copied into the HTTP library's buffer; a lack of memory for an answer counted against its server; a Cold-Start-Ms near the limit of a duration panicked, and one of another request was believed; a call that waited in vain for a cold server was told that engines are full; a record of other loads of the same version stayed when it came back; the trust of the first start never ended; property tests had random seeds. Change: each of these; timeouts are logged. What stays open is in docs/design/memory-account.md and platform.md.

--- a/crates/rw-fleet/src/cluster_state.rs
+++ b/crates/rw-fleet/src/cluster_state.rs
@@ -21,6 +21,9 @@
 
 /// Tombstones of deleted rows kept so that other daemons learn of the deletion.
 const MAX_TOMBSTONES: usize = 2000;
+/// Time after the first start of the fleet in which servers register that hold the initial
+/// weights. The hosts of later ones vouch for what they load.
+const FIRST_START_TIME: Duration = Duration::from_secs(60);
 
 #[derive(Default)]
 pub(crate) struct State {
@@ -338,7 +341,8 @@
                 snapshot.servers.retain(|_, old| !conflict(old));
                 self.log_server_change(snapshot, &server);
                 remove_outdated_status(snapshot, &server);
-                let first_start = self.first_start.load(Ordering::Relaxed);
+                let is_early = uptime() < self.started_at + FIRST_START_TIME;
+                let first_start = is_early && self.first_start.load(Ordering::Relaxed);
                 follow_start(snapshot, &server, first_start);
                 self.record_cold(snapshot, &server);
                 if !server.ready {
--- a/crates/rw-fleet/src/connect.rs
+++ b/crates/rw-fleet/src/connect.rs
@@ -45,6 +45,10 @@
         Broken(msg: String) {
             display("connection broke: {msg}")
         }
+        /// There is no memory for the response.
+        NoMemory {
+            display("no memory for the response")
+        }
         /// No response arrived in time.
         Timeout {
             display("no answer in time")
@@ -165,7 +169,7 @@
     let (head, body) = res.into_parts();
     let body = memory.collect(body, max).await.map_err(|err| match err {
         BodyError::TooLarge => Error::Broken("length limit exceeded".to_string()),
-        BodyError::NoMemory => Error::Broken("no memory for the response".to_string()),
+        BodyError::NoMemory => Error::NoMemory,
         BodyError::Broken(msg) => Error::Broken(msg),
     })?;
     Ok(complete(head, body))
--- a/crates/rw-fleet/src/entry/attempt.rs
+++ b/crates/rw-fleet/src/entry/attempt.rs
@@ -25,6 +25,9 @@
 /// response.
 const RETURN_MARGIN: Duration = Duration::from_millis(5);
 
+/// Why a call fails whose response the entry could not hold.
+pub(super) const NO_MEMORY_REASON: &str = "no memory for the response";
+
 /// Reason why an attempt gave no usable response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Failure {
@@ -45,6 +48,8 @@
     WeightsExpired(OutdatedWeights),
     /// The request was sent and may have been executed.
     Unknown(String),
+    /// The request was sent, but this entry had no memory for the response.
+    NoMemory,
     /// The request was sent, but no response arrived within a time limit.
     Timeout(TimeLimit),
 }
@@ -68,6 +73,7 @@
         match err {
             connect::Error::Unreachable(msg) => Failure::NotSent(msg),
             connect::Error::Broken(msg) => Failure::Unknown(msg),
+            connect::Error::NoMemory => Failure::NoMemory,
             connect::Error::Timeout => Failure::Timeout(TimeLimit::Deadline),
         }
     }
@@ -112,8 +118,8 @@
     let res = entry.begin_in_time(call, server, head).await?;
     let notice = ServerNotice::parse(res.status(), res.headers(), names);
     entry.load_tracker.on_notice(server, &notice);
-    entry.on_cold_notice(server, parse_cold(res.status(), res.headers(), names));
     if !is_to_other_request(call, names, &res) {
+        entry.on_cold_notice(server, parse_cold(res.status(), res.headers(), names));
         if let Some(load) = parse_load(res.status(), res.headers(), names) {
             entry.load_tracker.on_load_notice(server, load);
         }
--- a/crates/rw-fleet/src/entry/cold_guard.rs
+++ b/crates/rw-fleet/src/entry/cold_guard.rs
@@ -124,9 +124,15 @@
 
     /// Records for how long a server is cold by its response.
     pub(super) fn on_cold_notice(&self, server: &BackendServer, cold: Option<Duration>) {
-        let Some(cold) = cold.filter(|cold| !cold.is_zero()) else {
+        let snapshot = self.cx.cluster.snapshot();
+        let (Some(cold), Some(cold_start)) = (cold, cold_start(&snapshot, server)) else {
             return;
         };
+        // A server is not cold for longer than after a start, whatever it says.
+        let cold = cold.min(cold_start.duration);
+        if cold.is_zero() {
+            return;
+        }
         let now = uptime();
         let mut servers = self.cold_guard.servers();
         let state = servers.entry(server.id.clone()).or_default();
--- a/crates/rw-fleet/src/entry/shared.rs
+++ b/crates/rw-fleet/src/entry/shared.rs
@@ -188,7 +188,9 @@
                 | Failure::RegionNotAllowed
                 | Failure::ZoneEvacuated
                 | Failure::WeightsOutdated(_)
-                | Failure::WeightsExpired(_),
+                | Failure::WeightsExpired(_)
+                // The server is sound.
+                | Failure::NoMemory,
             ) => false,
             Err(_) => self.load_tracker.on_failure(server),
         };
--- a/crates/rw-fleet/src/entry/stream_opener.rs
+++ b/crates/rw-fleet/src/entry/stream_opener.rs
@@ -8,7 +8,7 @@
 use rw_routing::{EngineSelection, RequestRequirements};
 use tokio::time::{sleep_until, timeout_at, Instant};
 
-use super::attempt::{self, AttemptOptions, Failure, TimeLimit};
+use super::attempt::{self, AttemptOptions, Failure, TimeLimit, NO_MEMORY_REASON};
 use super::limited_selection::{LimitedSelection, LIMIT_REASON};
 use super::open_attempts::OpenAttempts;
 use super::stream_attempt::{start_stream, Opened};
@@ -194,6 +194,7 @@
             }
             Failure::Timeout(_) => Some(Refusal::Timeout),
             Failure::WeightsExpired(_) => Some(Refusal::Failed(WEIGHTS_EXPIRED_REASON)),
+            Failure::NoMemory => Some(Refusal::Failed(NO_MEMORY_REASON)),
             Failure::Unknown(_) => Some(Refusal::Failed("the backend server broke off")),
         }
     }
@@ -328,10 +329,10 @@
                     Some(send_permit) => return Ok((permit, send_permit)),
                     None => continue,
                 },
-                Err(EngineSelection::Full(_)) => true,
-                Err(_) => limits.awaits_cold_server(),
+                Err(selection) => matches!(selection, EngineSelection::Full(_)),
             };
-            if is_full && timeout_at(until, load_changed.recv_async()).await.is_ok() {
+            let may_wait = is_full || limits.awaits_cold_server();
+            if may_wait && timeout_at(until, load_changed.recv_async()).await.is_ok() {
                 continue;
             }
             if limits.fall_back_to_limited() {
--- a/crates/rw-fleet/src/entry/unary.rs
+++ b/crates/rw-fleet/src/entry/unary.rs
@@ -7,7 +7,7 @@
 use rw_protocol::Name;
 use tokio::time::{sleep_until, Instant};
 
-use super::attempt::{self, AttemptOptions, Failure};
+use super::attempt::{self, AttemptOptions, Failure, NO_MEMORY_REASON};
 use super::limited_selection::{LimitedSelection, LIMIT_REASON};
 use super::open_attempts::OpenAttempts;
 use super::weights_guard::WEIGHTS_EXPIRED_REASON;
@@ -182,6 +182,7 @@
             }
             Failure::Timeout(_) => *fallback = Refusal::Timeout,
             Failure::WeightsExpired(_) => *fallback = Refusal::Failed(WEIGHTS_EXPIRED_REASON),
+            Failure::NoMemory => *fallback = Refusal::Failed(NO_MEMORY_REASON),
             Failure::Unknown(_) => *fallback = Refusal::Failed("the backend server broke off"),
         }
     }
--- a/crates/rw-fleet/src/host/load_proof.rs
+++ b/crates/rw-fleet/src/host/load_proof.rs
@@ -109,7 +109,14 @@
         let stored = self.stored_record(report);
         let holds_none = report.weights_version == 0 && !report.busy;
         let is_sound = self.is_sound(report) && !report.busy && report.weights_version > 0;
-        let is_void = holds_none || self.watch.weights() == TakenWeights::Damaged;
+        // A record of other loads may come back with an older copy of the store, or with a late
+        // write of an earlier daemon. Entries compare versions, not loads.
+        let is_other_load = stored.as_ref().is_some_and(|stored| {
+            let is_same_version = stored.version == report.weights_version;
+            is_same_version && stored.loads != report.sequence && !report.busy
+        });
+        let is_damaged = self.watch.weights() == TakenWeights::Damaged;
+        let is_void = holds_none || is_damaged || is_other_load;
         let wanted = match stored {
             _ if is_sound => Some(own),
             Some(stored) if is_void && stored.version > 0 => Some(LoadRecord { version: 0, ..own }),
--- a/crates/rw-fleet/src/host/staged_chunk_reader.rs
+++ b/crates/rw-fleet/src/host/staged_chunk_reader.rs
@@ -92,6 +92,9 @@
             log::debug!("fetching the manifest of {name} from the origin failed: {err}");
             None
         }
-        Err(_) => None,
+        Err(_) => {
+            log::debug!("fetching the manifest of {name} from the origin timed out");
+            None
+        }
     }
 }
--- a/crates/rw-fleet/src/host/weights_reconciler.rs
+++ b/crates/rw-fleet/src/host/weights_reconciler.rs
@@ -339,6 +339,9 @@
             log::debug!("reading the report of the backend server failed: {err}");
             None
         }
-        Err(_) => None,
+        Err(_) => {
+            log::debug!("reading the report of the backend server timed out");
+            None
+        }
     }
 }
--- a/crates/rw-fleet/src/load_record.rs
+++ b/crates/rw-fleet/src/load_record.rs
@@ -122,8 +122,9 @@
         let write = store.write_row_if(table, &key, &value, expected);
         match timeout(WRITE_TIMEOUT, write).await {
             Ok(Ok(())) => {
+                conflicts = 0;
                 let detail = format!(
-                    "server={} server_started_ms={} sequence={} version={} manifest={}",
+                    "server={} server_started_ms={} loads={} version={} manifest={}",
                     record.server, record.started_ms, record.loads, record.version, record.manifest
                 );
                 cx.recorder.emit(Event::LoadRecorded, &detail);
--- a/crates/rw-fleet/src/read_budget.rs
+++ b/crates/rw-fleet/src/read_budget.rs
@@ -2,7 +2,7 @@
 //! may send bytes that are no response, such as endless informational responses, for
 //! as long as the connection is open.
 
-use std::io;
+use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicI64, Ordering};
 use std::sync::Arc;
@@ -97,23 +97,37 @@
 
 impl<T: Write + Unpin> Write for BudgetedIo<T> {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.poll_write_vectored(cx, &[IoSlice::new(buf)])
+    }
+
+    // Without it, the HTTP library would copy each body into a buffer of its own.
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let len = bufs.iter().map(|buf| buf.len()).sum();
         if self.write_error.is_some() {
-            return Poll::Ready(Ok(buf.len()));
+            return Poll::Ready(Ok(len));
         }
-        match std::task::ready!(Pin::new(&mut self.io).poll_write(cx, buf)) {
+        match std::task::ready!(Pin::new(&mut self.io).poll_write_vectored(cx, bufs)) {
             Ok(written) => Poll::Ready(Ok(written)),
             Err(err) => {
                 log::debug!("the rest of a request cannot be sent: {err}");
                 self.write_error = Some(err.kind());
-                Poll::Ready(Ok(buf.len()))
+                Poll::Ready(Ok(len))
             }
         }
     }
 
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.io).poll_flush(cx)
     }
--- a/crates/rw-fleet/src/server_statuses.rs
+++ b/crates/rw-fleet/src/server_statuses.rs
@@ -29,7 +29,7 @@
             received_at: uptime(),
             status: status.clone(),
         };
-        // A pause says nothing about the weights.
+        // A pause that names a version leaves the trust as it is.
         if status.accepting || status.weights == 0 {
             let known = snapshot.trusted_weights.entry(status.server.clone());
             let trusted = known.or_default();
--- a/crates/rw-routing/src/connection_table.rs
+++ b/crates/rw-routing/src/connection_table.rs
@@ -3,6 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// Time in which a new connection has to send its first request before it is the first to
+/// make room. Callers allow as much for a connection to be established.
+const FIRST_REQUEST_TIME: Duration = Duration::from_secs(1);
+
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionActivity {
@@ -19,6 +23,16 @@
     since: Duration,
 }
 
+impl Entry {
+    // Order in which waiting connections make room: those that were not served although they
+    // had the time, then the one that has waited longest, and new ones last. Otherwise new
+    // callers would displace each other while idle connections keep their places.
+    fn order(&self, now: Duration) -> (bool, bool, Duration) {
+        let is_new = !self.has_been_served && now < self.since + FIRST_REQUEST_TIME;
+        (is_new, self.has_been_served, self.since)
+    }
+}
+
 /// Open connections of a port. Times are counted from any fixed start.
 ///
 /// ```
@@ -59,8 +73,8 @@
         self.open.len()
     }
 
-    /// Adds a connection. A connection that was never served makes room first, then the one
-    /// that has waited for the longest time.
+    /// Adds a connection. A connection that was not served within a second makes room first,
+    /// then the one that has waited for the longest time.
     pub fn open(&mut self, id: u64, now: Duration) -> ConnectionRoom {
         let mut room = ConnectionRoom::Free;
         if self.open.len() >= self.max {
@@ -68,7 +82,7 @@
                 .open
                 .iter()
                 .filter(|(_, entry)| entry.activity == ConnectionActivity::Waiting);
-            let oldest = waiting.min_by_key(|(_, entry)| (entry.has_been_served, entry.since));
+            let oldest = waiting.min_by_key(|(_, entry)| entry.order(now));
             let Some(oldest) = oldest.map(|(id, _)| *id) else {
                 return ConnectionRoom::Full;
             };
--- a/crates/rw-routing/tests/memory_account.rs
+++ b/crates/rw-routing/tests/memory_account.rs
@@ -38,7 +38,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(128) })]
+    #![proptest_config(ProptestConfig { cases: 128, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(17), ..ProptestConfig::default() })]
 
     /// Guards against grants beyond the bound, bytes that are lost to the account, and small
     /// requests that larger ones starve.
@@ -173,3 +173,19 @@
     account.close(1);
     assert_eq!(account.take(id, BODY, later), MemoryGrant::Granted);
 }
+
+/// Guards against new callers that displace each other on a full port while idle
+/// connections keep their places.
+#[test]
+fn new_connections_do_not_displace_each_other() {
+    let at = Duration::from_millis;
+    let mut table = ConnectionTable::new(3);
+    for id in 0..3 {
+        table.open(id, Duration::ZERO);
+        table.set(id, ConnectionActivity::Working, at(1));
+        table.set(id, ConnectionActivity::Waiting, at(2 + id));
+    }
+    assert_eq!(table.open(3, at(5000)), ConnectionRoom::Closing(0));
+    assert_eq!(table.open(4, at(5100)), ConnectionRoom::Closing(1));
+    assert_eq!(table.open(5, at(6500)), ConnectionRoom::Closing(3));
+}
