Name the memory account's fields by what they hold

Cause: its names spoke of debts; a reader had to guess what is owed. Change: awaits_transfer, credited_until, transfer_delay; the doc of LinkWindow says when it grows. No behaviour changes.

--- a/crates/rw-fleet/src/entry/caller_connection.rs
+++ b/crates/rw-fleet/src/entry/caller_connection.rs
@@ -264,7 +264,7 @@
 
     fn on_write(&self) {
         self.lock().is_sending = true;
-        self.memory.set_owing(true);
+        self.memory.set_awaiting_transfer(true);
     }
 
     fn on_written(&self, len: usize) {
@@ -278,7 +278,8 @@
         }
         if progress.is_sending {
             // A caller may be told to go on with its body.
-            self.memory.set_owing(progress.is_reading_body());
+            self.memory
+                .set_awaiting_transfer(progress.is_reading_body());
         }
         progress.is_sending = false;
     }
--- a/crates/rw-fleet/src/entry/request.rs
+++ b/crates/rw-fleet/src/entry/request.rs
@@ -59,9 +59,9 @@
         header_number(&head.headers, &names.deadline_ms).map(Duration::from_millis);
     // The body is read before any response, which keeps the connection usable.
     let limit = caller_timeout.unwrap_or(DEFAULT_BODY_TIMEOUT);
-    memory.set_owing(true);
+    memory.set_awaiting_transfer(true);
     let read = read_body(body, max_read, limit, memory).await;
-    memory.set_owing(false);
+    memory.set_awaiting_transfer(false);
     if read.is_err() && memory.is_limited() {
         guard.on_refused_body();
     }
--- a/crates/rw-fleet/src/memory_guard.rs
+++ b/crates/rw-fleet/src/memory_guard.rs
@@ -186,9 +186,9 @@
     }
 
     /// Says whether the process waits for this connection to send or to take bytes.
-    pub fn set_owing(&self, is_owing: bool) {
+    pub fn set_awaiting_transfer(&self, awaits_transfer: bool) {
         self.guard
-            .update(|account, now| account.set_owing(self.id, is_owing, now));
+            .update(|account, now| account.set_awaiting_transfer(self.id, awaits_transfer, now));
     }
 
     /// The connection has sent or taken bytes.
--- a/crates/rw-routing/src/memory_account.rs
+++ b/crates/rw-routing/src/memory_account.rs
@@ -17,7 +17,7 @@
 const GRACE: Duration = Duration::from_secs(10);
 /// Rate below which a connection counts as making no progress.
 const MIN_BYTES_PER_S: u64 = 4 << 10;
-/// Time without progress after which a connection may be closed for others' sake; pauses
+/// Time without progress after which a connection may be closed to make room for others; pauses
 /// of a sound connection, such as the resend of a lost packet, are shorter.
 const MIN_STALL: Duration = Duration::from_millis(300);
 
@@ -36,7 +36,7 @@
     pub grace: Duration,
     /// Minimum transfer rate after the grace period, in bytes per second.
     pub min_bytes_per_s: u64,
-    /// Time without progress after which a connection may be closed for others' sake.
+    /// Time without progress after which a connection may be closed to make room for others.
     pub min_stall: Duration,
 }
 
@@ -83,16 +83,16 @@
 struct Holder {
     bytes: u64,
     // Whether the process waits for this connection to send or to take bytes.
-    is_owing: bool,
+    awaits_transfer: bool,
     // Moves on with each transferred byte, as fast as time at the minimum rate.
-    paid_until: Duration,
+    credited_until: Duration,
     is_closing: bool,
 }
 
 impl Holder {
-    fn behind(&self, now: Duration) -> Duration {
-        match self.is_owing {
-            true => now.saturating_sub(self.paid_until),
+    fn transfer_delay(&self, now: Duration) -> Duration {
+        match self.awaits_transfer {
+            true => now.saturating_sub(self.credited_until),
             false => Duration::ZERO,
         }
     }
@@ -133,12 +133,12 @@
         self.held
     }
 
-    /// Adds a connection, which holds nothing and owes nothing.
+    /// Adds a connection, which holds nothing and is not waited for.
     pub fn open(&mut self, id: u64) {
         let holder = Holder {
             bytes: 0,
-            is_owing: false,
-            paid_until: Duration::ZERO,
+            awaits_transfer: false,
+            credited_until: Duration::ZERO,
             is_closing: false,
         };
         self.holders.insert(id, holder);
@@ -153,12 +153,12 @@
 
     /// Says whether the process waits for a connection to send or to take bytes. The grace
     /// period begins when it starts to wait.
-    pub fn set_owing(&mut self, id: u64, is_owing: bool, now: Duration) {
+    pub fn set_awaiting_transfer(&mut self, id: u64, awaits_transfer: bool, now: Duration) {
         if let Some(holder) = self.holders.get_mut(&id) {
-            if is_owing && !holder.is_owing {
-                holder.paid_until = now;
+            if awaits_transfer && !holder.awaits_transfer {
+                holder.credited_until = now;
             }
-            holder.is_owing = is_owing;
+            holder.awaits_transfer = awaits_transfer;
         }
     }
 
@@ -166,15 +166,15 @@
     pub fn on_transfer(&mut self, id: u64, bytes: u64, now: Duration) {
         if let Some(holder) = self.holders.get_mut(&id) {
             let rate = self.limits.min_bytes_per_s.max(1) as f64;
-            let paid = Duration::from_secs_f64(bytes as f64 / rate);
-            holder.paid_until = now.min(holder.paid_until + paid);
+            let credit = Duration::from_secs_f64(bytes as f64 / rate);
+            holder.credited_until = now.min(holder.credited_until + credit);
         }
     }
 
     /// Whether a connection has been slower than the minimum rate for the grace period.
     pub fn is_too_slow(&self, id: u64, now: Duration) -> bool {
         let holder = self.holders.get(&id);
-        holder.is_some_and(|holder| holder.behind(now) > self.limits.grace)
+        holder.is_some_and(|holder| holder.transfer_delay(now) > self.limits.grace)
     }
 
     /// Asks for bytes on behalf of a connection.
@@ -221,9 +221,10 @@
             **other != id
                 && !holder.is_closing
                 && holder.bytes > 0
-                && holder.behind(now) >= min_stall
+                && holder.transfer_delay(now) >= min_stall
         });
-        let weight = |holder: &Holder| holder.bytes as f64 * holder.behind(now).as_secs_f64();
+        let weight =
+            |holder: &Holder| holder.bytes as f64 * holder.transfer_delay(now).as_secs_f64();
         let worst = stalled.max_by(|(_, a), (_, b)| weight(a).total_cmp(&weight(b)));
         let Some(worst) = worst.map(|(id, _)| *id) else {
             return MemoryGrant::Refused;
--- a/crates/rw-routing/tests/memory_account.rs
+++ b/crates/rw-routing/tests/memory_account.rs
@@ -71,7 +71,7 @@
                     let left = held.entry(id).or_default();
                     *left = left.saturating_sub(bytes);
                 },
-                Step::Owe(n, owes) => if let Some(id) = pick(n) { account.set_owing(id, owes, now) },
+                Step::Owe(n, owes) => if let Some(id) = pick(n) { account.set_awaiting_transfer(id, owes, now) },
                 Step::Close(n) => if let Some(id) = pick(n) {
                     account.close(id);
                     held.remove(&id);
@@ -130,13 +130,13 @@
 }
 
 /// Guards against a slow client that is cut off although it keeps the minimum rate, and one
-/// that holds memory for ever by sending next to nothing.
+/// that holds memory while it sends less.
 #[test]
 fn only_clients_below_the_minimum_rate_are_too_slow() {
     let (limits, mut account) = (limits(), MemoryAccount::new(limits()));
     for id in [1, 2] {
         account.open(id);
-        account.set_owing(id, true, Duration::ZERO);
+        account.set_awaiting_transfer(id, true, Duration::ZERO);
     }
     for s in 1..=60 {
         let now = Duration::from_secs(s);
@@ -147,7 +147,7 @@
     assert!(account.is_too_slow(2, Duration::from_secs(60)));
 }
 
-/// Guards against closing a connection for others' sake that makes progress, or whose
+/// Guards against closing a connection to make room for others that makes progress, or whose
 /// request waits for a server.
 #[test]
 fn only_the_largest_stalled_connection_makes_room() {
@@ -164,7 +164,7 @@
     assert_eq!(account.take(id, BODY, later), MemoryGrant::Refused);
     account.give_back(2, BODY / 2);
     for stalled in [1, 2] {
-        account.set_owing(stalled, true, Duration::ZERO);
+        account.set_awaiting_transfer(stalled, true, Duration::ZERO);
     }
     assert_eq!(
         account.take(id, 2 * BODY, later),
--- a/crates/rw-weights/src/link_window.rs
+++ b/crates/rw-weights/src/link_window.rs
@@ -44,7 +44,7 @@
 ///
 /// It falls to one when chunks of two sources in succession take long, as then the own link
 /// delays them, or those of the only source of the last second. It grows by one with each
-/// chunk that does not take long.
+/// chunk that takes at most half of that time.
 ///
 /// ```
 /// use rw_weights::{Delivery, LinkWindow};
