Load unproven weights again from what is staged beside their server

Cause: a host that started and found no record of its server's load withdrew its trust, and then downloaded all chunks before it ordered the load, with all other hosts at once. Ruled out: a slow store; the records that were written were adopted at 35 s. Change: such a host reads the staged chunks back first and keeps those with the right digest; it downloads only what is missing or corrupt.

--- a/crates/rw-fleet/src/host/reload.rs
+++ b/crates/rw-fleet/src/host/reload.rs
@@ -6,8 +6,15 @@
 
 use std::ops::Range;
 
+use rw_protocol::manifest_id;
+use tokio::time::timeout;
+
+use super::staged_chunk_reader::known_manifest;
 use super::taken_weights::TakenWeights;
-use super::BackendReport;
+use super::target_version::target;
+use super::weights_reconciler::{WeightsReconciler, BACKEND_TIMEOUT};
+use super::{BackendClient, BackendReport, OriginClient};
+use crate::PlatformCodec;
 
 /// Next order to a server.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -56,3 +63,39 @@
         }
     }
 }
+
+impl<D: PlatformCodec, B: BackendClient, O: OriginClient> WeightsReconciler<D, B, O> {
+    /// Reads back what is staged of weights that have to be loaded again, once. A daemon that
+    /// starts holds no chunks, and would download all of them although the server's machine
+    /// still has them. The store takes only chunks with the right digest.
+    pub(super) async fn restore_staged(&mut self, report: &BackendReport) {
+        let version = report.layers_version;
+        let is_due = self.watch.weights() == TakenWeights::Damaged && self.restored != version;
+        let Some(target) = target(&self.cx, version).filter(|_| is_due) else {
+            return;
+        };
+        let Some(manifest) = known_manifest(&self.store, &self.origin, &target).await else {
+            return;
+        };
+        self.restored = version;
+        let id = manifest_id(&manifest);
+        for chunk in 0..manifest.chunks.len() as u32 {
+            if self.store.chunk(&id, chunk).is_some() {
+                continue;
+            }
+            let read = self.backend.read_staged(&target.model, chunk);
+            match timeout(BACKEND_TIMEOUT, read).await {
+                Ok(Ok(body)) => {
+                    if let Err(err) = self.store.insert(&id, chunk, body.into()) {
+                        log::debug!("staged chunk {chunk} is downloaded instead: {err}");
+                    }
+                }
+                Ok(Err(err)) => log::debug!("reading staged chunk {chunk} failed: {err}"),
+                Err(_) => {
+                    log::debug!("reading staged chunk {chunk} timed out");
+                    return;
+                }
+            }
+        }
+    }
+}
--- a/crates/rw-fleet/src/host/weights_reconciler.rs
+++ b/crates/rw-fleet/src/host/weights_reconciler.rs
@@ -96,6 +96,7 @@
         status_sender: StatusSender::new(),
         server: None,
         wanted_record,
+        restored: 0,
     };
     while ticks.recv_async().await.is_ok() {
         reconciler.reconcile().await;
@@ -124,6 +125,8 @@
     pub(super) status_sender: StatusSender,
     server: Option<Name>,
     pub(super) wanted_record: WantedRecord,
+    // Version whose staged chunks were read back to load it again.
+    pub(super) restored: u64,
 }
 
 impl<D: PlatformCodec, B: BackendClient, O: OriginClient> WeightsReconciler<D, B, O> {
@@ -145,6 +148,7 @@
         self.verify_taken(&report).await;
         self.report_status(&engine.model, &report);
         self.want_record(&engine.model, &report);
+        self.restore_staged(&report).await;
         // Weights that may hold a corrupt chunk count as none: they are loaded again.
         let loaded = match self.watch.weights() {
             TakenWeights::Damaged => 0,
