Admit streaming requests by rank where priorities differ

Change: a queue for each service at an entry (rw-routing/src/admission, no I/O) orders waiting requests by rank, returning ones first; keeps up to 12% of the slots free for more urgent ranks while their measured arrivals need them; gives each kind (rank, team, long prompts, returns) a floor by credit; forecasts the wait on arrival and refuses at once; spreads Retry-After by the measured start rate. It is active only for services whose streaming requests differ in priority; all others take the path as before.

--- a/crates/rw-fleet/src/entry/load_tracker.rs
+++ b/crates/rw-fleet/src/entry/load_tracker.rs
@@ -11,7 +11,7 @@
 use rw_protocol::{LoadReport, Name, ServerLoad};
 use rw_routing::{
     median, select_engine, slowdown, EngineCandidate, EngineLoad, EngineSelection,
-    RequestRequirements,
+    RequestRequirements, ServiceRoom,
 };
 use tokio::time::Instant;
 
@@ -234,6 +234,23 @@
         )
     }
 
+    /// Slots of the servers that accept requests, and how many are in use.
+    pub(super) fn room(&self, servers: &[Arc<BackendServer>]) -> ServiceRoom {
+        let now = self.now();
+        let state = self.state();
+        let mut room = ServiceRoom::default();
+        for server in servers {
+            let limit = state.effective_limit(&server.id, server.slots, now);
+            let running = state.load(&server.id, now).running;
+            let own = state.servers.get(&server.id);
+            room.slots += limit;
+            room.free += limit.saturating_sub(running);
+            room.running += running;
+            room.own_running += own.map_or(0, |s| s.own_load.running);
+        }
+        room
+    }
+
     /// Counts a request towards the retry budget of its service.
     pub fn count_request(&self, service: &Name) {
         let now = self.now();
--- a/crates/rw-fleet/src/entry/mod.rs
+++ b/crates/rw-fleet/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The entry role: accepts callers' requests and forwards them to backend
 //! servers.
 
+mod admission_queue;
 mod attempt;
 mod call;
 mod caller_connection;
@@ -27,6 +28,7 @@
 mod stream;
 mod stream_attempt;
 mod stream_opener;
+mod turn_selection;
 mod unary;
 mod weights_guard;
 
--- a/crates/rw-fleet/src/entry/shared.rs
+++ b/crates/rw-fleet/src/entry/shared.rs
@@ -9,6 +9,7 @@
 use rw_routing::ExtraRetries;
 use tokio::time::Instant;
 
+use super::admission_queue::AdmissionQueues;
 use super::attempt::{self, Failure};
 use super::weights_guard::WeightsGuard;
 use super::{Call, CallerConnections, LoadTracker, OutdatedWeights, PoisonGuard};
@@ -30,6 +31,7 @@
     // Version that requests required last, by model.
     required_weights: Mutex<BTreeMap<Name, u64>>,
     pub(super) weights_guard: WeightsGuard,
+    pub(super) admission: Arc<AdmissionQueues>,
 }
 
 impl<D: PlatformCodec> Entry<D> {
@@ -53,6 +55,7 @@
             extra_retries,
             required_weights: Mutex::default(),
             weights_guard: WeightsGuard::default(),
+            admission: Arc::default(),
         })
     }
 
--- a/crates/rw-fleet/src/entry/stream_opener.rs
+++ b/crates/rw-fleet/src/entry/stream_opener.rs
@@ -23,7 +23,7 @@
 const MAX_NOT_RUN_ATTEMPTS: u32 = 4;
 /// Maximum time that a call waits for a free slot, as a share of the route's
 /// latency objective.
-const SLOT_WAIT_SHARE: f64 = 0.12;
+pub(super) const SLOT_WAIT_SHARE: f64 = 0.12;
 /// Maximum time that a retry waits for a free slot; each engine frees one within
 /// that time.
 const RETRY_SLOT_WAIT: Duration = Duration::from_millis(500);
@@ -244,7 +244,7 @@
         }
     }
 
-    fn not_run_refusal(&self, reason: &'static str, retry_after: Duration) -> Refusal {
+    pub(super) fn not_run_refusal(&self, reason: &'static str, retry_after: Duration) -> Refusal {
         let servers = match self.call.engine() {
             Some(_) => self.eligible_servers(false),
             None => self.entry.ready_servers(&self.call.service),
@@ -267,7 +267,7 @@
         }
     }
 
-    fn no_server_refusal(&self, limits: &LimitedSelection<'_, D>) -> Refusal {
+    pub(super) fn no_server_refusal(&self, limits: &LimitedSelection<'_, D>) -> Refusal {
         if let Some(retry_after) = limits.retry_after() {
             return self.not_run_refusal(LIMIT_REASON, retry_after);
         }
@@ -306,6 +306,9 @@
             let selected = limits.select_least_loaded(servers).await;
             return selected.ok_or_else(|| self.no_server_refusal(&limits));
         };
+        if self.tried_servers.is_empty() && entry.admission.is_active(call) {
+            return self.select_in_turn(engine, limits).await;
+        }
         let until = match self.tried_servers.is_empty() {
             true => call.received_at + call.route.objective.mul_f64(SLOT_WAIT_SHARE),
             false => Instant::now() + RETRY_SLOT_WAIT.min(self.time_left() / 3),
@@ -342,7 +345,7 @@
         }
     }
 
-    fn requirements(&self) -> RequestRequirements {
+    pub(super) fn requirements(&self) -> RequestRequirements {
         let call = self.call;
         let late = call.is_late_retry() || call.age() > call.route.objective;
         // Retries never count as late: when a stream resumes, its caller already
@@ -361,7 +364,7 @@
 
     // With `only_untried`, a server that the call was sent to is left out although no other
     // one is there, because it may still answer.
-    fn eligible_servers(&self, only_untried: bool) -> Vec<Arc<BackendServer>> {
+    pub(super) fn eligible_servers(&self, only_untried: bool) -> Vec<Arc<BackendServer>> {
         let mut servers = self.entry.admitted_servers(self.call);
         // A stream goes on only on the weights on which it began.
         if let Some(version) = self.weights_version {
--- a/crates/rw-observe/src/catalogue.rs
+++ b/crates/rw-observe/src/catalogue.rs
@@ -83,6 +83,7 @@
     510 StreamBrokenOff Error "A stream ended before its last event." "See the failure for the cause.";
     511 ServerSilent Info "A backend server has sent nothing of an answer for some time; the request waits on and is sent to another server as well if there is one." "If it recurs, check the named server.";
     512 WeightsOutdated Info "A request was not sent to a backend server, or was cancelled there before it had begun, because the server holds older weights than are required by now." "If it recurs, check why the rollout of the required version is late.";
+    520 AdmissionRefused Info "An entry refused a request on arrival, because free slots are kept for more urgent ones or its wait would be too long." "If urgent requests are refused as well, add backend servers.";
     600 IntentLate Error "An intent was not fulfilled by its deadline." "Run ragworttack status to list the missing hosts.";
     601 IntentFulfilled Info "Every host of an intent serves its model." "Nothing.";
     602 HostUnreachable Warn "A host that should serve does not respond." "Check the host.";
--- a/crates/rw-observe/src/metrics.rs
+++ b/crates/rw-observe/src/metrics.rs
@@ -1,3 +1,4 @@
+use std::borrow::Cow;
 use std::sync::Arc;
 
 use prometheus_client::encoding::text::encode;
@@ -10,6 +11,7 @@
 use crate::Event;
 
 type LabelSet = [(&'static str, &'static str); 1];
+type AdmissionLabels = [(&'static str, Cow<'static, str>); 2];
 
 /// Prometheus metrics of one daemon.
 #[derive(Clone)]
@@ -22,6 +24,7 @@
     /// Permits to send requests to servers with a limit, by outcome: `granted`, `refused`
     /// or `failed`.
     permits: Family<LabelSet, Counter>,
+    admissions: Family<AdmissionLabels, Counter>,
     /// Seconds until the first frame of an answer.
     pub first_token_seconds: Histogram,
     /// Requests in progress.
@@ -74,6 +77,12 @@
             "Permits for servers with a limit, by outcome",
             permits.clone(),
         );
+        let admissions = Family::default();
+        reg.register(
+            "admissions",
+            "Admission of streaming calls, by rank and outcome",
+            admissions.clone(),
+        );
         let first_token_seconds = Histogram::new(exponential_buckets(0.001, 2.0, 16));
         reg.register(
             "first_token_seconds",
@@ -100,6 +109,7 @@
             calls,
             weight_bytes,
             permits,
+            admissions,
             first_token_seconds,
             in_flight,
             queued,
@@ -127,6 +137,16 @@
         self.permits.get_or_create(&[("outcome", outcome)]).inc();
     }
 
+    /// Counts a decision about the admission of a request of a rank: `admitted`, `waited`
+    /// (admitted after a wait), `refused`, `return_admitted` or `return_refused`.
+    pub fn count_admission(&self, rank: u32, outcome: &'static str) {
+        let labels = [
+            ("rank", Cow::Owned(rank.to_string())),
+            ("outcome", Cow::Borrowed(outcome)),
+        ];
+        self.admissions.get_or_create(&labels).inc();
+    }
+
     /// Counts transferred weight bytes; `flow` is `sent`, `from_zone`, `from_region`,
     /// `from_other_region` or `from_origin`.
     pub fn count_weight_bytes(&self, flow: &'static str, bytes: u64) {
--- a/crates/rw-routing/src/lib.rs
+++ b/crates/rw-routing/src/lib.rs
@@ -1,6 +1,7 @@
 //! Request routing: host and engine selection, queueing, load shedding, retry
 //! budgets and circuit breaking. Performs no I/O.
 
+mod admission;
 mod circuit_breaker;
 mod engine;
 mod engine_selection;
@@ -16,6 +17,10 @@
 mod slowdown;
 mod windowed_retry;
 
+pub use admission::{
+    AdmissionDecision, AdmissionInputs, AdmissionQueue, AdmissionRequest, ServiceRoom, Ticket,
+    Verdict,
+};
 pub use circuit_breaker::CircuitBreaker;
 pub use engine::{EngineLoad, EngineProfile};
 pub use engine_selection::{select_engine, EngineCandidate, EngineSelection, RequestRequirements};
