Let floors go before urgent ranks only for ranks that are below them

Cause: requests served by their kind's credit, among them most returning ones, went with the most urgent rank and took its slots.

Change: credit lifts a request over its rank only while the rank's served share is under half of that of all; otherwise it orders requests within the rank and leaves 0.8 of the kept slots free. The same goes for returning requests. The most urgent rank waits up to 0.33 of its objective. Types of the queue are in a file of their own.

Callers that repeat at once until they are served still get one answer each, which nothing here prevents.

--- a/crates/rw-fleet/src/entry/turn_selection.rs
+++ b/crates/rw-fleet/src/entry/turn_selection.rs
@@ -16,10 +16,11 @@
 use crate::limit_exchange::SendPermit;
 use crate::{BackendServer, Engine, PlatformCodec};
 
-/// Share of the objective for which a call waits whose refusal would cost its caller most: a
-/// returning one, or one of the most urgent rank. A wait up to a third of the objective costs
-/// less than a refusal.
-const LONG_WAIT_SHARE: f64 = 0.25;
+/// Share of the objective for which returning calls wait; their callers return only once.
+const RETURN_WAIT_SHARE: f64 = 0.25;
+/// The same for calls of the most urgent rank. A wait of up to about a third of the objective
+/// costs less than a refusal.
+const URGENT_WAIT_SHARE: f64 = 0.33;
 /// Share of the time left after which callers return at the latest.
 const RETURN_SHARE: u32 = 3;
 /// Multiple of its objective within which a returning call should have its first event. It
@@ -133,9 +134,10 @@
     fn admission_request(&self) -> AdmissionRequest {
         let call = self.call;
         let returning = call.is_late_retry();
-        let share = match returning || call.priority == 0 {
-            true => LONG_WAIT_SHARE,
-            false => SLOT_WAIT_SHARE,
+        let share = match (call.priority, returning) {
+            (0, _) => URGENT_WAIT_SHARE,
+            (_, true) => RETURN_WAIT_SHARE,
+            (_, false) => SLOT_WAIT_SHARE,
         };
         AdmissionRequest {
             rank: call.priority,
--- a/crates/rw-routing/src/admission/mod.rs
+++ b/crates/rw-routing/src/admission/mod.rs
@@ -2,9 +2,10 @@
 
 mod queue;
 mod rates;
+mod request;
 mod return_times;
 
-pub use queue::{
-    AdmissionDecision, AdmissionInputs, AdmissionQueue, AdmissionRequest, ServiceRoom, Ticket,
-    Verdict,
+pub use queue::AdmissionQueue;
+pub use request::{
+    AdmissionDecision, AdmissionInputs, AdmissionRequest, ServiceRoom, Ticket, Verdict,
 };
--- a/crates/rw-routing/src/admission/queue.rs
+++ b/crates/rw-routing/src/admission/queue.rs
@@ -4,6 +4,9 @@
 use rw_protocol::Name;
 
 use super::rates::{DecayingCount, QuantileEstimate};
+use super::request::{
+    AdmissionDecision, AdmissionInputs, AdmissionRequest, ServiceRoom, Ticket, Verdict,
+};
 use super::return_times::ReturnTimes;
 
 /// Window of the arrival and start rates. Bursts of one route last 3 to 6 s.
@@ -25,8 +28,13 @@
 const FLOOR_OF_RANK: f64 = 0.6;
 /// The same two for returning requests: the first as a multiple of that of new ones, the
 /// second below 1, so that a rank's share does not grow by itself.
-const RETURN_FACTOR: f64 = 1.5;
-const RETURN_FLOOR_OF_RANK: f64 = 0.9;
+const RETURN_FACTOR: f64 = 1.2;
+const RETURN_FLOOR_OF_RANK: f64 = 0.6;
+/// Served share of a rank, relative to all attempts, below which its requests with credit go
+/// with the most urgent ones.
+const CROSSING_SHARE: f64 = 0.5;
+/// Share of the kept slots that returning requests and those with credit also leave free.
+const PREFERRED_PRESSURE: f64 = 0.8;
 /// Credit is bounded so that a kind that was idle or served in full causes no burst or gap.
 const MAX_CREDIT: f64 = 2.0;
 const MIN_CREDIT: f64 = -2.0;
@@ -35,85 +43,8 @@
 /// Multiple of the patience from which a forecast wait leads to a refusal. Start rates vary
 /// by about this factor within a second.
 const FORECAST_MARGIN: f64 = 1.5;
-
-/// A request that asks for admission.
-#[derive(Clone, Debug, PartialEq)]
-pub struct AdmissionRequest {
-    /// Rank; 0 is the most urgent.
-    pub rank: u32,
-    /// Team that sent it.
-    pub team: Name,
-    /// Whether its caller was refused before and returned when told.
-    pub returning: bool,
-    /// Length of the prompt.
-    pub prompt_tokens: u32,
-    /// Longest time that it may wait.
-    pub patience: Duration,
-}
-
-/// Slots of the servers that may serve a request, as far as the entry knows.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ServiceRoom {
-    /// Slots of the servers that accept requests.
-    pub slots: u32,
-    /// Free ones among them.
-    pub free: u32,
-    /// Requests that run there.
-    pub running: u32,
-    /// Requests that this entry runs there.
-    pub own_running: u32,
-}
-
-impl ServiceRoom {
-    // Share of the slots that this entry uses.
-    fn own_share(&self) -> f64 {
-        f64::from(self.own_running.max(1)) / f64::from(self.running.max(1))
-    }
-}
-
-/// Identifies a request in the queue.
-pub type Ticket = u64;
-
-/// What becomes of a request on arrival.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Verdict {
-    /// It may take a slot now, and else waits.
-    Try,
-    /// It waits for its turn.
-    Wait,
-    /// It is refused, because free slots are kept for more urgent requests.
-    RefuseForUrgent,
-    /// It is refused, because it would wait too long behind other requests.
-    RefuseForWait,
-}
-
-/// The inputs of a decision, for the log.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct AdmissionInputs {
-    /// Waiting requests that go first.
-    pub ahead: usize,
-    /// Slots kept for more urgent requests.
-    pub reserved: f64,
-    /// Arrivals of more urgent requests per second.
-    pub urgent_per_s: f64,
-    /// Started requests per second.
-    pub starts_per_s: f64,
-    /// Time since the last start.
-    pub starts_age: Duration,
-    /// Forecast wait.
-    pub wait: Duration,
-}
-
-/// Decision about an arriving request.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct AdmissionDecision {
-    /// Its ticket. A refused request has left the queue.
-    pub ticket: Ticket,
-    /// What becomes of it.
-    pub verdict: Verdict,
-    /// Why.
-    pub inputs: AdmissionInputs,
-}
+/// Longest wait that is forecast.
+const MAX_WAIT_S: f64 = 60.0;
 
 // Requests that are compared when shares are balanced.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -148,7 +79,7 @@
 struct Waiting {
     kind: Kind,
     position: Position,
-    // Whether it is served by its kind's credit, and keeps no slots for others.
+    // Whether it uses its kind's credit.
     has_credit: bool,
 }
 
@@ -226,7 +157,10 @@
         let has_credit = self.use_credit(&kind, now);
         let ticket = self.next_ticket;
         self.next_ticket += 1;
-        let rank = if has_credit { 0 } else { request.rank };
+        let rank = match has_credit && self.is_below_floor(request.rank, now) {
+            true => 0,
+            false => request.rank,
+        };
         let waiting = Waiting {
             kind,
             position: (rank, has_credit || !returning, ticket),
@@ -234,12 +168,12 @@
         };
         let inputs = self.inputs(&waiting, room, now);
         let limit = request.patience.mul_f64(FORECAST_MARGIN);
-        let has_room = has_room(room, inputs.reserved);
+        let has_room = room.exceeds(inputs.reserved);
         let verdict = if !has_room && inputs.wait > request.patience {
             Verdict::RefuseForUrgent
         } else if inputs.ahead > 0 && inputs.wait > limit {
             Verdict::RefuseForWait
-        } else if has_room && has_spare(inputs.ahead, room) {
+        } else if has_room && room.has_spare(inputs.ahead) {
             Verdict::Try
         } else {
             Verdict::Wait
@@ -275,9 +209,7 @@
     // Adds the share that the kind is due, and uses its credit if that has reached a request.
     fn use_credit(&mut self, kind: &Kind, now: Duration) -> bool {
         let all = self.served_share(now);
-        let of_rank = self.ranks.get(&kind.rank).map_or(1.0, |rank| {
-            share(rank.served.value(now), rank.offered.value(now))
-        });
+        let of_rank = self.served_share_of(kind.rank, now);
         let floor = all * FLOOR_OF_ALL;
         let due = match kind.returning {
             // Callers lose most by a second refusal.
@@ -293,6 +225,18 @@
         has_credit
     }
 
+    // Whether a rank is served so rarely that its requests with credit go with the most
+    // urgent ones.
+    fn is_below_floor(&self, rank: u32, now: Duration) -> bool {
+        self.served_share_of(rank, now) < self.served_share(now) * CROSSING_SHARE
+    }
+
+    fn served_share_of(&self, rank: u32, now: Duration) -> f64 {
+        self.ranks.get(&rank).map_or(1.0, |counts| {
+            share(counts.served.value(now), counts.offered.value(now))
+        })
+    }
+
     fn served_share(&self, now: Duration) -> f64 {
         let served = self.ranks.values().map(|rank| rank.served.value(now));
         let offered = self.ranks.values().map(|rank| rank.offered.value(now));
@@ -309,8 +253,8 @@
             true => (urgent_per_s / starts_per_s - RESERVING_LOAD) / (1.0 - RESERVING_LOAD),
             false => 0.0,
         };
-        if waiting.kind.returning {
-            pressure /= 2.0;
+        if waiting.kind.returning || waiting.has_credit {
+            pressure *= PREFERRED_PRESSURE;
         }
         let reserved = pressure.clamp(0.0, MAX_PRESSURE) * RESERVED_SHARE * f64::from(room.slots);
         // Slots that have to be released here until it can start.
@@ -403,17 +347,3 @@
             .assign(rank, starts_per_s, max, spread, now)
     }
 }
-
-/// Longest wait that is forecast.
-const MAX_WAIT_S: f64 = 60.0;
-
-// Whether more slots are free than are kept. Where none are kept, the selection of an engine
-// decides alone.
-fn has_room(room: ServiceRoom, reserved: f64) -> bool {
-    reserved <= 0.0 || f64::from(room.free) > reserved
-}
-
-// Whether there is a free slot for this request besides those for the requests before it.
-fn has_spare(ahead: usize, room: ServiceRoom) -> bool {
-    ahead == 0 || f64::from(room.free) * room.own_share() > ahead as f64
-}
--- a/crates/rw-routing/tests/admission_simulation/mod.rs
+++ b/crates/rw-routing/tests/admission_simulation/mod.rs
@@ -82,6 +82,15 @@
         ratio(served, self.routes.iter().map(|c| c.offered).sum())
     }
 
+    pub fn worth(&self) -> f64 {
+        let worth: f64 = self
+            .routes
+            .iter()
+            .map(|c| f64::from(c.at_once) + 0.45 * f64::from(c.on_return))
+            .sum();
+        worth / f64::from(self.routes.iter().map(|c| c.offered).sum::<u32>())
+    }
+
     pub fn at_once(&self, route: usize) -> f64 {
         ratio(self.routes[route].at_once, self.routes[route].offered)
     }
@@ -117,8 +126,9 @@
         }
         write!(
             f,
-            "all={:.2} with_room={}",
+            "all={:.2} worth={:.3} with_room={}",
             self.served_of_all(),
+            self.worth(),
             self.refused_with_room
         )?;
         let entries = self.entries.iter();
@@ -299,8 +309,12 @@
         let objective_us = route.objective_ms * 1000;
         // What an entry can tell from the time that the caller has left.
         let returning = self.now_us - request.first_us > objective_us.max(TIMEOUT_US / 5);
-        let is_patient = returning || route.rank == 0;
-        let patience_us = objective_us * if is_patient { 25 } else { 12 } / 100;
+        let patience_percent = match (route.rank, returning) {
+            (0, _) => 33,
+            (_, true) => 25,
+            (_, false) => 12,
+        };
+        let patience_us = objective_us * patience_percent / 100;
         let admission = AdmissionRequest {
             rank: route.rank,
             team: Name::from(route.team),
