Forget teams without recent requests when the configuration changes

Cause: the admission queue kept counts and credits of every team that it had ever seen.

Change: when the configuration's version changes, teams without requests in the last minute are dropped with their credits.

--- a/crates/rw-fleet/src/entry/admission_queue.rs
+++ b/crates/rw-fleet/src/entry/admission_queue.rs
@@ -83,8 +83,10 @@
 
     /// Whether calls to the service of this one are admitted by rank.
     pub(super) fn is_active(&self, call: &Call) -> bool {
+        let now = self.now();
         self.update(&call.service, |service| {
             if service.is_ranked.0 != call.cfg.version {
+                service.queue.prune_teams(now);
                 service.is_ranked = (call.cfg.version, has_ranks(&call.cfg, &call.service));
             }
             service.is_ranked.1
--- a/crates/rw-routing/src/admission/queue.rs
+++ b/crates/rw-routing/src/admission/queue.rs
@@ -43,6 +43,8 @@
 /// Multiple of the patience from which a forecast wait leads to a refusal. Start rates vary
 /// by about this factor within a second.
 const FORECAST_MARGIN: f64 = 1.5;
+/// Decayed count of requests below which a team is idle: a minute after a single request.
+const IDLE_COUNT: f64 = 0.0025;
 /// Longest wait that is forecast.
 const MAX_WAIT_S: f64 = 60.0;
 
@@ -333,6 +335,16 @@
         Some(waiting)
     }
 
+    /// Forgets teams without recent requests. To be called when the configuration changes, as
+    /// teams may be gone.
+    pub fn prune_teams(&mut self, now: Duration) {
+        self.teams
+            .retain(|_, (new, returned)| new.value(now) + returned.value(now) > IDLE_COUNT);
+        let teams = &self.teams;
+        self.credits
+            .retain(|kind, _| teams.contains_key(&(kind.rank, kind.team.clone())));
+    }
+
     /// Time after which a refused caller should return, at most `max`. `spread` is random
     /// in 0..1.
     pub fn retry_after(
