Record a load once the server has accepted it from proven chunks

Cause: a server takes all staged chunks when it accepts an order, but its load may wait seconds for running requests. A host recorded the load only at its end, so servers that were loading when all processes were killed loaded again. Change: while the server still loads, the host records the load as soon as it is proven, if the load replaces everything that the server held. The next host sees its end and adopts the record. Records are indexed by server, which entries looked for among all records at each selection.

--- a/crates/rw-fleet/src/cluster_state.rs
+++ b/crates/rw-fleet/src/cluster_state.rs
@@ -362,6 +362,7 @@
                     record,
                 };
                 snapshot.load_records.insert(row.key.clone(), stored);
+                snapshot.index_load_records();
             }
             RowContent::Evacuation(zone) => {
                 self.add_evacuation(snapshot, &row.key, zone, made);
--- a/crates/rw-fleet/src/host/load_order.rs
+++ b/crates/rw-fleet/src/host/load_order.rs
@@ -9,6 +9,7 @@
 
 use super::chunk_store::version_name;
 use super::download::TargetVersion;
+use super::load_proof::AcceptedLoad;
 use super::reload::LoadStep;
 use super::staged_chunk_reader::known_manifest;
 use super::staging::Verification;
@@ -95,6 +96,14 @@
         }
         if matches!(result, Ok(Ok(LoadOutcome::Started))) {
             self.watch.on_accepted(order.sequence + 1, answered_at);
+            // Layers of the same version would be kept.
+            let replaces_all = *step == LoadStep::All && report.layers_version != target.version;
+            self.accepted_load = replaces_all.then(|| AcceptedLoad {
+                started_ms: report.started_ms,
+                loads: order.sequence + 1,
+                version: target.version,
+                manifest: self.staging.manifest_id().clone(),
+            });
         } else if report.layers_version == target.version {
             self.no_order_before = answered_at + RELOAD_INTERVAL;
         }
--- a/crates/rw-fleet/src/host/load_proof.rs
+++ b/crates/rw-fleet/src/host/load_proof.rs
@@ -22,6 +22,15 @@
 /// service may lack theirs.
 const RELOAD_SPREAD: Duration = Duration::from_secs(5);
 
+/// A load that the server has accepted, in place of everything that it held.
+#[derive(Debug)]
+pub(super) struct AcceptedLoad {
+    pub(super) started_ms: u64,
+    pub(super) loads: u64,
+    pub(super) version: u64,
+    pub(super) manifest: Name,
+}
+
 impl<D: PlatformCodec, B: BackendClient, O: OriginClient> WeightsReconciler<D, B, O> {
     pub(super) fn is_sound(&self, report: &BackendReport) -> bool {
         self.watch.weights() == TakenWeights::Intact && !self.watch.has_pending_order(report)
@@ -100,6 +109,22 @@
         self.cx.recorder.emit(Event::WeightsUnknown, &detail);
     }
 
+    // The version that the server is loading from chunks that were intact when it took them.
+    // It took all of them when it accepted the order, so the load needs no more proof, and its
+    // record outlives a host that ends before the load.
+    fn proven_load(&self, report: &BackendReport) -> Option<&AcceptedLoad> {
+        let accepted = self.accepted_load.as_ref()?;
+        let TakenWeights::Unverified(load) = self.watch.weights() else {
+            return None;
+        };
+        let is_current = (report.started_ms, report.sequence)
+            == (accepted.started_ms, accepted.loads)
+            && report.busy
+            && *self.staging.manifest_id() == accepted.manifest;
+        let unproven = load.unproven(self.staging.chunks())?;
+        (is_current && unproven.is_empty()).then_some(accepted)
+    }
+
     /// Has the sound weights recorded, or the record of others withdrawn before the server
     /// loads that version again.
     pub(super) fn want_record(&mut self, model: &Name, report: &BackendReport) {
@@ -117,8 +142,14 @@
         });
         let is_damaged = self.watch.weights() == TakenWeights::Damaged;
         let is_void = holds_none || is_damaged || is_other_load;
+        let proven = self.proven_load(report).map(|load| LoadRecord {
+            version: load.version,
+            manifest: load.manifest.clone(),
+            ..own.clone()
+        });
         let wanted = match stored {
             _ if is_sound => Some(own),
+            _ if proven.is_some() => proven,
             Some(stored) if is_void && stored.version > 0 => Some(LoadRecord { version: 0, ..own }),
             _ => None,
         };
--- a/crates/rw-fleet/src/host/weights_reconciler.rs
+++ b/crates/rw-fleet/src/host/weights_reconciler.rs
@@ -14,6 +14,7 @@
 use super::archive::ArchiveWriter;
 use super::chunk_store::version_name;
 use super::download::TargetVersion;
+use super::load_proof::AcceptedLoad;
 use super::reload::LoadStep;
 use super::staged_chunk_reader::StagedChunkReader;
 use super::staging::StagingArea;
@@ -96,6 +97,7 @@
         status_sender: StatusSender::new(),
         server: None,
         wanted_record,
+        accepted_load: None,
         restored: 0,
     };
     while ticks.recv_async().await.is_ok() {
@@ -125,6 +127,7 @@
     pub(super) status_sender: StatusSender,
     server: Option<Name>,
     pub(super) wanted_record: WantedRecord,
+    pub(super) accepted_load: Option<AcceptedLoad>,
     // Version whose staged chunks were read back to load it again.
     pub(super) restored: u64,
 }
@@ -143,7 +146,8 @@
         self.report_status(&engine.model, &report);
         self.want_record(&engine.model, &report);
         if report.busy {
-            return self.read_while_loading(&report).await;
+            self.read_while_loading(&report).await;
+            return self.want_record(&engine.model, &report);
         }
         self.verify_taken(&report).await;
         self.report_status(&engine.model, &report);
--- a/crates/rw-fleet/src/load_record.rs
+++ b/crates/rw-fleet/src/load_record.rs
@@ -2,6 +2,7 @@
 //! beside it keeps the record in the platform's store, so that hosts and entries that
 //! start know which weights may serve.
 
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -67,9 +68,22 @@
 impl Snapshot {
     /// Latest record of a server in its current lifetime.
     pub(crate) fn load_record(&self, server: &BackendServer) -> Option<&LoadRecord> {
-        let records = self.load_records.values().map(|stored| &stored.record);
-        let own = records.filter(|r| r.server == server.id && r.started_ms == server.started_ms);
-        own.max_by_key(|record| record.sequence)
+        self.latest_records
+            .get(&(server.id.clone(), server.started_ms))
+    }
+
+    /// Finds the latest records again; to be called after their rows have changed. Entries
+    /// look them up for each server at each selection.
+    pub(crate) fn index_load_records(&mut self) {
+        let mut latest: BTreeMap<(Name, u64), LoadRecord> = BTreeMap::new();
+        for StoredLoadRecord { record, .. } in self.load_records.values() {
+            let key = (record.server.clone(), record.started_ms);
+            let known = latest.get(&key);
+            if known.is_none_or(|known| known.sequence < record.sequence) {
+                latest.insert(key, record.clone());
+            }
+        }
+        self.latest_records = latest;
     }
 }
 
--- a/crates/rw-fleet/src/removed_rows.rs
+++ b/crates/rw-fleet/src/removed_rows.rs
@@ -42,7 +42,9 @@
         } else if *row.table == *tables.daemons {
             snapshot.daemons.remove(&row.key);
             snapshot.weights_records.remove(&row.key);
-            snapshot.load_records.remove(&row.key);
+            if snapshot.load_records.remove(&row.key).is_some() {
+                snapshot.index_load_records();
+            }
             snapshot.quarantines.remove(&row.key);
         } else {
             self.end_evacuation(snapshot, &row.key);
--- a/crates/rw-fleet/src/snapshot.rs
+++ b/crates/rw-fleet/src/snapshot.rs
@@ -9,8 +9,8 @@
 use crate::request_times::RequestsByModel;
 use crate::requested_weights::enforced_after;
 use crate::{
-    BackendServer, Bounds, Configuration, Daemon, EndedEvacuation, Evacuation, StoreClock,
-    StoredLoadRecord, WeightsRecord,
+    BackendServer, Bounds, Configuration, Daemon, EndedEvacuation, Evacuation, LoadRecord,
+    StoreClock, StoredLoadRecord, WeightsRecord,
 };
 
 /// Share of the rollout deadline; a version that is followed by a newer one
@@ -57,6 +57,8 @@
     pub quarantines: BTreeMap<Name, Vec<Name>>,
     /// Records of loaded weights, by the key of their row.
     pub load_records: BTreeMap<Name, StoredLoadRecord>,
+    /// The latest of these records by server and its start.
+    pub latest_records: BTreeMap<(Name, u64), LoadRecord>,
     /// Evacuations in force, by the key of their row.
     pub evacuations: BTreeMap<Name, Evacuation>,
     /// The last evacuation of each availability zone that has ended, by zone.
