Keep the place of a peer's connection while any of its requests is served

Change: a connection works while it has requests in progress. Failures of accept, handshake, origin and archive calls are logged.

--- a/crates/rw-fleet/src/host/chunk_sources.rs
+++ b/crates/rw-fleet/src/host/chunk_sources.rs
@@ -39,7 +39,10 @@
             log::debug!("fetching chunk {chunk} from the origin failed: {err}");
             FetchResult::Failed
         }
-        Err(_) => FetchResult::Failed,
+        Err(_) => {
+            log::debug!("fetching chunk {chunk} from the origin timed out");
+            FetchResult::Failed
+        }
     }
 }
 
@@ -51,7 +54,10 @@
             log::debug!("reading {name} from the archive failed: {err}");
             FetchResult::Failed
         }
-        Err(_) => FetchResult::Failed,
+        Err(_) => {
+            log::debug!("reading {name} from the archive timed out");
+            FetchResult::Failed
+        }
     }
 }
 
--- a/crates/rw-peer/src/server.rs
+++ b/crates/rw-peer/src/server.rs
@@ -1,4 +1,5 @@
 use std::future::Future;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -46,6 +47,38 @@
     }
 }
 
+/// Requests in progress on one connection, which does not make room for others meanwhile.
+struct Requests {
+    place: ConnectionPlace,
+    count: AtomicUsize,
+}
+
+impl Requests {
+    fn new(place: ConnectionPlace) -> Arc<Self> {
+        Arc::new(Requests {
+            place,
+            count: AtomicUsize::new(0),
+        })
+    }
+
+    fn begin(self: &Arc<Self>) -> RequestInProgress {
+        if self.count.fetch_add(1, Ordering::Relaxed) == 0 {
+            self.place.set_working(true);
+        }
+        RequestInProgress(self.clone())
+    }
+}
+
+struct RequestInProgress(Arc<Requests>);
+
+impl Drop for RequestInProgress {
+    fn drop(&mut self) {
+        if self.0.count.fetch_sub(1, Ordering::Relaxed) == 1 {
+            self.0.place.set_working(false);
+        }
+    }
+}
+
 /// Accepts connections and serves their streams until the task is aborted.
 pub async fn serve<H: Handler>(listener: TcpListener, handler: Arc<H>) {
     serve_within(listener, handler, ServeLimits::default()).await;
@@ -61,15 +94,18 @@
                 };
                 let (handler, limits) = (handler.clone(), limits.clone());
                 tokio::spawn(async move {
-                    let place = Arc::new(place);
+                    let requests = Requests::new(place);
                     tokio::select! {
-                        () = serve_connection(conn, handler, &limits, &place) => {}
-                        () = place.closed() => {}
+                        () = serve_connection(conn, handler, &limits, &requests) => {}
+                        () = requests.place.closed() => {}
                     }
                 });
             }
             // Most likely out of file descriptors; retry when some may be free again.
-            Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+            Err(err) => {
+                log::warn!("accepting a connection of a peer failed, retrying: {err}");
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
         }
     }
 }
@@ -78,9 +114,11 @@
     conn: TcpStream,
     handler: Arc<H>,
     limits: &ServeLimits,
-    place: &Arc<ConnectionPlace>,
+    requests: &Arc<Requests>,
 ) {
-    let _ = conn.set_nodelay(true);
+    if let Err(err) = conn.set_nodelay(true) {
+        log::debug!("small messages of a peer connection may be delayed: {err}");
+    }
     let (stream_window, connection_window, streams) = match limits.messages.is_limited() {
         true => (
             LIMITED_STREAM_WINDOW_BYTES,
@@ -98,13 +136,16 @@
         .initial_connection_window_size(connection_window)
         .max_concurrent_streams(streams)
         .handshake::<_, Bytes>(conn);
-    let Ok(Ok(mut conn)) = tokio::time::timeout(REQUEST_TIMEOUT, handshake).await else {
-        return;
+    let mut conn = match tokio::time::timeout(REQUEST_TIMEOUT, handshake).await {
+        Ok(Ok(conn)) => conn,
+        Ok(Err(err)) => return log::debug!("handshake with a peer failed: {err}"),
+        Err(_) => return log::debug!("handshake with a peer timed out"),
     };
     while let Some(Ok((req, respond))) = conn.accept().await {
-        let (handler, budget, place) = (handler.clone(), limits.messages.clone(), place.clone());
+        let (handler, budget) = (handler.clone(), limits.messages.clone());
+        let requests = requests.clone();
         tokio::spawn(async move {
-            if let Err(err) = serve_stream(req, respond, handler, budget, &place).await {
+            if let Err(err) = serve_stream(req, respond, handler, budget, &requests).await {
                 log::debug!("peer stream failed: {err}");
             }
         });
@@ -116,7 +157,7 @@
     mut respond: SendResponse<Bytes>,
     handler: Arc<H>,
     budget: Arc<MessageBudget>,
-    place: &ConnectionPlace,
+    requests: &Arc<Requests>,
 ) -> Result<()> {
     let mut rx = FrameRx::within(req.into_body(), &budget);
     let first = tokio::time::timeout(REQUEST_TIMEOUT, rx.next::<PeerRequest>()).await;
@@ -130,8 +171,7 @@
     };
     // What follows the first message is not kept for as long as the reply takes.
     drop(rx);
-    place.set_working(true);
-    place.set_working(false);
+    let _in_progress = requests.begin();
     let tx = respond.send_response(http::Response::new(()), false)?;
     handler.handle(req, FrameTx::within(tx, budget)).await;
     Ok(())
