--- a/review/standins-2/body_flood.rs
+++ b/review/standins-2/body_flood.rs
@@ -1,5 +1,6 @@
-//! Clients that send many large bodies at once, piece by piece, and stop short of the end. The
-//! platform ends a process that exceeds the memory of its machine.
+//! Clients that send many large bodies at once, piece by piece, and stop short of the end, at
+//! two entries. The platform ends a process that exceeds the memory of its machine and starts
+//! it again.
 
 #[path = "kit.rs"]
 mod kit;
@@ -13,12 +14,18 @@
 
 use kit::{call, with_trouble, Addresses, Entry, Folder, Log, Machine, Server, Store};
 
-/// Clients of one wave, and the waves.
+const ENTRIES: usize = 2;
+/// Times that a process has to end by itself for the rule to be broken.
+const MAX_ENDS: usize = 3;
+/// Time of the run, at most.
+const RUN_TIME: Duration = Duration::from_secs(100);
+/// Time after which the platform starts a process again.
+const RESTART_DELAY: Duration = Duration::from_millis(500);
+/// Clients of one wave at an entry, and the time after which they leave.
 const CLIENTS: usize = 1500;
-const WAVES: usize = 8;
-const WAVE_TIME: Duration = Duration::from_secs(7);
+const WAVE_TIME: Duration = Duration::from_secs(8);
 const PAUSE: Duration = Duration::from_millis(500);
-/// Bytes that all clients together send in a second, half of what the machine's link carries.
+/// Bytes that all clients of an entry send in a second, half of what the machine's link carries.
 const BYTES_PER_S: f64 = 60e6;
 /// The manifest's `maxBodyBytes`; all bodies have this length and lack their last byte.
 const BODY_BYTES: usize = 4 << 20;
@@ -84,32 +91,201 @@
     }
 }
 
-fn wave(addr: SocketAddr, number: usize, log: &Log, is_over: &AtomicBool) {
-    let piece = vec![b'x'; PIECE_BYTES];
-    let connect = |n| Client::connect(addr, &format!("flood-{number}-{n}"));
-    let mut clients: Vec<Client> = (0..CLIENTS).filter_map(connect).collect();
-    let connected = clients.len();
-    let (began, mut bytes, mut next) = (Instant::now(), 0.0, 0);
-    while began.elapsed() < WAVE_TIME && !is_over.load(Ordering::Relaxed) {
-        // The clients take turns.
-        while bytes < began.elapsed().as_secs_f64() * BYTES_PER_S && !clients.is_empty() {
-            next %= clients.len();
-            match clients[next].send(&piece) {
-                Some(0) => bytes += 100.0,
-                Some(n) => bytes += n as f64,
-                None => drop(clients.swap_remove(next)),
+/// One entry, the platform that watches it, and those who call it.
+struct Site {
+    name: usize,
+    entry: Mutex<Option<Entry>>,
+    // Whether the process that runs has been ended.
+    is_down: AtomicBool,
+    most_kib: AtomicU64,
+    counts: Mutex<[usize; 3]>,
+    log: Log,
+    is_over: Arc<AtomicBool>,
+}
+
+impl Site {
+    fn is_over(&self) -> bool {
+        self.is_over.load(Ordering::Relaxed)
+    }
+
+    fn is_down(&self) -> bool {
+        self.is_down.load(Ordering::Relaxed)
+    }
+
+    // A wave of clients, which come one after the other and take turns to send.
+    fn wave(&self, addr: SocketAddr, number: usize) {
+        let piece = vec![b'x'; PIECE_BYTES];
+        let (mut clients, mut connected): (Vec<Client>, usize) = (Vec::new(), 0);
+        let (began, mut bytes, mut next) = (Instant::now(), 0.0, 0);
+        while began.elapsed() < WAVE_TIME && !self.is_over() && !self.is_down() {
+            if connected < CLIENTS {
+                let id = format!("flood-{}-{number}-{connected}", self.name);
+                connected += 1;
+                clients.extend(Client::connect(addr, &id));
+            }
+            let due = began.elapsed().as_secs_f64() * BYTES_PER_S;
+            while bytes < due && !clients.is_empty() {
+                next %= clients.len();
+                match clients[next].send(&piece) {
+                    Some(0) => bytes += 100.0,
+                    Some(n) => bytes += n as f64,
+                    None => drop(clients.swap_remove(next)),
+                }
+                next += 1;
+            }
+            if connected == CLIENTS {
+                thread::sleep(Duration::from_millis(2));
             }
-            next += 1;
         }
-        thread::sleep(Duration::from_millis(2));
+        let sent = clients.iter().map(|c| BODY_BYTES - 1 - c.body_left);
+        self.log.line(&format!(
+            "entry {}, wave {number}: {connected} clients, {} are still open and have sent {} \
+             bytes of bodies; all of them leave",
+            self.name,
+            clients.len(),
+            sent.sum::<usize>()
+        ));
+    }
+
+    // The platform ends a process that exceeds the memory of its machine.
+    fn watch(&self, pid: u32, limit_kib: u64) {
+        while !self.is_over() {
+            let held = kit::memory_kib(pid);
+            self.most_kib.fetch_max(held, Ordering::Relaxed);
+            if held > limit_kib && setting("KILL", 1) == 1 {
+                self.log.line(&format!(
+                    "entry {} holds {held} KiB after {:.2} s of processor time; the platform kills \
+                     it",
+                    self.name,
+                    kit::cpu_s(pid)
+                ));
+                let pid = pid.to_string();
+                let kill = std::process::Command::new("kill")
+                    .args(["-s", "KILL", &pid])
+                    .status();
+                assert!(kill.is_ok());
+                self.is_down.store(true, Ordering::Relaxed);
+                return;
+            }
+            thread::sleep(CHECK_INTERVAL);
+        }
+    }
+
+    // Ordinary callers: streams and orders that last a while.
+    fn call_ordinarily(self: &Arc<Self>, addr: SocketAddr) {
+        let mut callers = Vec::new();
+        let mut n = 0;
+        while !self.is_over() {
+            if self.is_down() {
+                thread::sleep(Duration::from_millis(20));
+                continue;
+            }
+            n += 1;
+            let (site, entry, number) = (self.clone(), self.name, n);
+            callers.push(thread::spawn(move || {
+                let (target, id, deadline) = match number % 2 {
+                    0 => (
+                        "/plan/x?events=12&gap_ms=150",
+                        format!("plan-{entry}-{number}"),
+                        6000,
+                    ),
+                    _ => (
+                        "/order/x?work_ms=60",
+                        format!("order-{entry}-{number}"),
+                        1000,
+                    ),
+                };
+                let seen = call(addr, "POST", target, &id, deadline);
+                let kind = match (seen.status, seen.whole) {
+                    (200, true) => 0,
+                    (200, false) | (0, _) => 1,
+                    _ => 2,
+                };
+                site.counts.lock().unwrap()[kind] += 1;
+                if kind > 0 {
+                    site.log
+                        .line(&format!("ordinary caller of {id} saw {seen:?}"));
+                }
+            }));
+            thread::sleep(Duration::from_millis(250));
+        }
+        for caller in callers {
+            let _ = caller.join();
+        }
+    }
+
+    // Starts the entry, again when it has ended, and floods it. Returns how often it ended.
+    fn run(
+        self: &Arc<Self>,
+        ip: std::net::Ipv4Addr,
+        seeds: &[std::net::Ipv4Addr],
+        store: &Store,
+        machine: &Machine,
+        dir: &std::path::Path,
+    ) -> usize {
+        let limit_kib = machine.memory_mb * 1024;
+        let (mut ends, mut wave) = (0, 0);
+        let addr = SocketAddr::from((ip, 8005));
+        let mut ordinary = None;
+        while !self.is_over() {
+            let dir = dir.join(format!("{}-{ends}", self.name));
+            std::fs::create_dir_all(&dir).expect("a folder");
+            let name = format!("edge-north-a-{}", self.name);
+            let entry = Entry::start(&name, ip, seeds, ends == 0, store, machine, dir);
+            entry.wait_until_ready(&self.log);
+            let pid = entry.pid();
+            self.log.line(&format!(
+                "entry {} holds {} KiB at rest",
+                self.name,
+                entry.memory_kib()
+            ));
+            *self.entry.lock().unwrap() = Some(entry);
+            self.is_down.store(false, Ordering::Relaxed);
+            let site = self.clone();
+            let watch = thread::spawn(move || site.watch(pid, limit_kib));
+            if ordinary.is_none() {
+                let site = self.clone();
+                ordinary = Some(thread::spawn(move || site.call_ordinarily(addr)));
+                thread::sleep(Duration::from_secs(1));
+            }
+            while !self.is_over() && !self.is_down() {
+                wave += 1;
+                match with_trouble() {
+                    true => self.wave(addr, wave),
+                    false => thread::sleep(WAVE_TIME),
+                }
+                thread::sleep(PAUSE);
+                let held = kit::memory_kib(pid);
+                if !self.is_down() {
+                    self.log.line(&format!(
+                        "entry {} holds {held} KiB after the wave",
+                        self.name
+                    ));
+                }
+                let mut entry = self.entry.lock().unwrap();
+                if entry.as_mut().is_some_and(Entry::has_ended) {
+                    self.is_down.store(true, Ordering::Relaxed);
+                }
+            }
+            if self.is_down() {
+                ends += 1;
+                let _ = watch.join();
+                self.log
+                    .line(&format!("entry {} has ended {ends} times", self.name));
+                if ends == MAX_ENDS {
+                    break;
+                }
+                thread::sleep(RESTART_DELAY);
+            }
+            *self.entry.lock().unwrap() = None;
+        }
+        // The other entry may still run.
+        while !self.is_over() && ends < MAX_ENDS {
+            thread::sleep(Duration::from_millis(50));
+        }
+        *self.entry.lock().unwrap() = None;
+        ends
     }
-    let (open, sent) = clients.iter().fold((0, 0), |(open, sent), client| {
-        (open + 1, sent + BODY_BYTES - 1 - client.body_left)
-    });
-    log.line(&format!(
-        "wave {number}: {connected} clients connected, {open} are still open and have sent \
-         {sent} bytes of bodies; all of them leave"
-    ));
 }
 
 fn main() {
@@ -118,122 +294,67 @@
     let (mut ips, folder) = (Addresses::new(), Folder::create());
     let store = Store::start(ips.ip());
     store.put("op", "config", &kit::manifest(400, 400));
-    for (id, service) in [
+    let servers = [
         ("i-1", "assistant"),
         ("i-2", "assistant"),
         ("i-3", "orders"),
         ("i-4", "orders"),
-    ] {
+    ];
+    for (id, service) in servers {
         Server::start(id, service, ips.ip(), &store, &log);
     }
-    let machine = Machine {
-        memory_mb: 260,
-        descriptors: 4200,
-        link_mbps: 1000.0,
-    };
-    let mut entry = Entry::start(ips.ip(), &store, &machine, folder.0.clone());
-    entry.wait_until_ready(&log);
-    let (addr, pid) = (entry.frontend(), entry.pid());
-    let limit_kib = machine.memory_mb * 1024;
-    log.line(&format!(
-        "memory at rest {} KiB of {limit_kib} KiB",
-        entry.memory_kib()
-    ));
-
-    // The platform ends a process that exceeds the memory of its machine.
-    let (is_over, most) = (
-        Arc::new(AtomicBool::new(false)),
-        Arc::new(AtomicU64::new(0)),
-    );
-    let watch = {
-        let (log, is_over, most) = (log.clone(), is_over.clone(), most.clone());
-        thread::spawn(move || {
-            while !is_over.load(Ordering::Relaxed) {
-                let held = kit::memory_kib(pid);
-                most.fetch_max(held, Ordering::Relaxed);
-                if held > limit_kib && setting("KILL", 1) == 1 {
-                    log.line(&format!(
-                        "the entry holds {held} KiB after {:.2} s of processor time; the platform \
-                         kills it",
-                        kit::cpu_s(pid)
-                    ));
-                    let pid = pid.to_string();
-                    let _ = std::process::Command::new("kill")
-                        .args(["-s", "KILL", &pid])
-                        .status();
-                    is_over.store(true, Ordering::Relaxed);
-                    return;
-                }
-                thread::sleep(CHECK_INTERVAL);
-            }
+    let entry_ips: Vec<_> = (0..ENTRIES).map(|_| ips.ip()).collect();
+    let is_over = Arc::new(AtomicBool::new(false));
+    let sites: Vec<Arc<Site>> = (0..ENTRIES)
+        .map(|name| {
+            Arc::new(Site {
+                name,
+                entry: Mutex::new(None),
+                is_down: AtomicBool::new(false),
+                most_kib: AtomicU64::new(0),
+                counts: Mutex::default(),
+                log: log.clone(),
+                is_over: is_over.clone(),
+            })
         })
-    };
-
-    // Ordinary callers: streams and payments that last a while.
-    let counts = Arc::new(Mutex::new([0; 3]));
-    let ordinary = {
-        let (log, is_over, counts) = (log.clone(), is_over.clone(), counts.clone());
-        thread::spawn(move || {
-            let mut callers = Vec::new();
-            for n in 0.. {
-                if is_over.load(Ordering::Relaxed) {
-                    break;
-                }
-                let (log, counts) = (log.clone(), counts.clone());
-                callers.push(thread::spawn(move || {
-                    let (method, target, id, deadline) = match n % 2 {
-                        0 => (
-                            "POST",
-                            "/plan/x?events=12&gap_ms=150",
-                            format!("plan-{n}"),
-                            6000,
-                        ),
-                        _ => ("POST", "/order/x?work_ms=60", format!("order-{n}"), 1000),
-                    };
-                    let seen = call(addr, method, target, &id, deadline);
-                    let kind = match (seen.status, seen.whole) {
-                        (200, true) => 0,
-                        (200, false) | (0, _) => 1,
-                        _ => 2,
-                    };
-                    counts.lock().unwrap()[kind] += 1;
-                    if kind > 0 {
-                        log.line(&format!("ordinary caller of {id} saw {seen:?}"));
-                    }
-                }));
-                thread::sleep(Duration::from_millis(250));
-            }
-            for caller in callers {
-                let _ = caller.join();
-            }
+        .collect();
+    let runs: Vec<_> = sites
+        .iter()
+        .cloned()
+        .zip(entry_ips.clone())
+        .map(|(site, ip)| {
+            let (store, seeds, dir) = (store.clone(), entry_ips.clone(), folder.0.clone());
+            thread::spawn(move || {
+                let machine = Machine {
+                    memory_mb: 260,
+                    descriptors: 4200,
+                    link_mbps: 1000.0,
+                };
+                site.run(ip, &seeds, &store, &machine, &dir)
+            })
         })
-    };
-
-    thread::sleep(Duration::from_secs(1));
-    for number in 1..=WAVES {
-        if is_over.load(Ordering::Relaxed) {
-            break;
-        }
-        match with_trouble() {
-            true => wave(addr, number, &log, &is_over),
-            false => thread::sleep(WAVE_TIME),
-        }
-        thread::sleep(PAUSE);
+        .collect();
+    let began = Instant::now();
+    while began.elapsed() < RUN_TIME && !runs.iter().all(|run| run.is_finished()) {
+        thread::sleep(Duration::from_millis(50));
+    }
+    is_over.store(true, Ordering::Relaxed);
+    let ends: Vec<usize> = runs
+        .into_iter()
+        .map(|run| run.join().expect("a run"))
+        .collect();
+    thread::sleep(Duration::from_millis(500));
+    for site in &sites {
+        let [served, cut, refused] = *site.counts.lock().unwrap();
         log.line(&format!(
-            "memory after wave {number}: {} KiB",
-            entry.memory_kib()
+            "entry {}: most memory {} KiB of 266240 KiB; ordinary requests: {served} served, {cut} \
+             cut or unanswered, {refused} refused",
+            site.name,
+            site.most_kib.load(Ordering::Relaxed)
         ));
     }
-    let was_killed = is_over.swap(true, Ordering::Relaxed);
-    let ended_by_itself = !was_killed && entry.has_ended();
-    let _ = (watch.join(), ordinary.join());
-    let [served, cut, refused] = *counts.lock().unwrap();
-    log.line(&format!(
-        "most memory {} KiB of {limit_kib} KiB; ordinary requests: {served} served, {cut} cut or \
-         unanswered, {refused} refused",
-        most.load(Ordering::Relaxed)
-    ));
-    drop(entry);
+    log.line(&format!("the entries ended {ends:?} times by themselves"));
     drop(folder);
-    std::process::exit(i32::from(was_killed || ended_by_itself));
+    let is_broken = ends.iter().all(|ends| *ends >= MAX_ENDS);
+    std::process::exit(i32::from(is_broken));
 }
--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -509,13 +509,22 @@
 }
 
 impl Entry {
-    pub fn start(ip: Ipv4Addr, store: &Store, machine: &Machine, dir: PathBuf) -> Entry {
+    pub fn start(
+        name: &str,
+        ip: Ipv4Addr,
+        seeds: &[Ipv4Addr],
+        is_first: bool,
+        store: &Store,
+        machine: &Machine,
+        dir: PathBuf,
+    ) -> Entry {
+        let seeds: Vec<String> = seeds.iter().map(|ip| format!("\"{ip}:8000\"")).collect();
         let boot = dir.join("node.toml");
         let text = format!(
-            "nodeName = \"edge-north-a-1\"\nrole = \"entry\"\nmachineClass = \"edge\"\n\
+            "nodeName = \"{name}\"\nrole = \"entry\"\nmachineClass = \"edge\"\n\
              serves = [\"edge\",\"control_plane\"]\nip = \"{ip}\"\nzone = \"north-a\"\n\
-             region = \"north\"\ninternalPortRange = [7700,7715]\nseedNodes = [\"{ip}:8000\"]\n\
-             bootstrap = true\ncountsAsLoss = false\ndiscovery = \"platform\"\n\
+             region = \"north\"\ninternalPortRange = [7700,7715]\nseedNodes = [{}]\n\
+             bootstrap = {is_first}\ncountsAsLoss = false\ndiscovery = \"platform\"\n\
              entryPoint = \"virtual_ip\"\nheartbeatIntervalMs = 1200\n\
              contracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"engine\",\
              \"stream\",\"tenants\",\"platform\",\"chunks\"]\n[zones]\nnorth-a = \"north\"\n\
@@ -533,7 +542,11 @@
              transactionTimeoutMs = 3.0\npartWritesPerS = 300\nmaxRowBytes = 65536\n\
              crossPartition = true\nhistoryRetentionS = 20\nmaxBlobBytes = 8388608\n\
              blobLatencyMs = 25.0\nblobMbPerS = 80.0\n",
-            machine.memory_mb, machine.descriptors, machine.link_mbps, store.addr
+            seeds.join(","),
+            machine.memory_mb,
+            machine.descriptors,
+            machine.link_mbps,
+            store.addr
         );
         std::fs::write(&boot, text).expect("settings are written");
         let log = File::create(dir.join("entry.log")).expect("a log");
--- a/review/standins-2/silent_stream.rs
+++ b/review/standins-2/silent_stream.rs
@@ -34,7 +34,9 @@
         descriptors: 4200,
         link_mbps: 1000.0,
     };
-    let mut entry = Entry::start(ips.ip(), &store, &machine, folder.0.clone());
+    let ip = ips.ip();
+    let dir = folder.0.clone();
+    let mut entry = Entry::start("edge-north-a-1", ip, &[ip], true, &store, &machine, dir);
     entry.wait_until_ready(&log);
     let pause = if with_trouble() {
         PAUSE_MS
