--- a/review/standins-2/body_flood.rs
+++ b/review/standins-2/body_flood.rs
@@ -291,6 +291,7 @@
 fn main() {
     let path = std::env::args().nth(1).expect("the path of the record");
     let log = Log::create(&path);
+    kit::end_after(Duration::from_secs(115), &log);
     let (mut ips, folder) = (Addresses::new(), Folder::create());
     let store = Store::start(ips.ip());
     store.put("op", "config", &kit::manifest(400, 400));
--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -38,8 +38,29 @@
     std::env::var("TROUBLE").map_or(true, |value| value != "0")
 }
 
+// Processes that were started and are not known to have ended.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+fn end_started() {
+    for pid in STARTED.lock().unwrap().iter() {
+        let _ = Command::new("kill")
+            .args(["-s", "KILL", &pid.to_string()])
+            .status();
+    }
+}
+
+/// Ends a run that takes longer than `limit`, with all that it started.
+pub fn end_after(limit: Duration, log: &Log) {
+    let log = log.clone();
+    thread::spawn(move || {
+        thread::sleep(limit);
+        cannot_run(&log, "it took too long");
+    });
+}
+
 /// Ends the run if its preparation failed.
 pub fn cannot_run(log: &Log, why: &str) -> ! {
+    end_started();
     log.line(&format!("the case could not run: {why}"));
     eprintln!("the case could not run: {why}");
     std::process::exit(2);
@@ -558,6 +579,7 @@
             .stderr(log)
             .spawn()
             .expect("the program of the deploy file starts");
+        STARTED.lock().unwrap().push(child.id());
         Entry { child, ip, dir }
     }
 
@@ -627,6 +649,8 @@
 
 impl Drop for Entry {
     fn drop(&mut self) {
+        let mut started = STARTED.lock().unwrap();
+        started.retain(|pid| *pid != self.child.id());
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
--- a/review/standins-2/silent_stream.rs
+++ b/review/standins-2/silent_stream.rs
@@ -24,6 +24,7 @@
 fn main() {
     let path = std::env::args().nth(1).expect("the path of the record");
     let log = Log::create(&path);
+    kit::end_after(Duration::from_secs(55), &log);
     let (mut ips, folder) = (Addresses::new(), Folder::create());
     let store = Store::start(ips.ip());
     store.put("op", "config", &kit::manifest(GAP_MS, AIM_MS));
