review: the scripts take free ports

Before, the ports were fixed on addresses of the run's own; a listener on all addresses would have kept a case from running.

--- a/review/standins-2/body_flood.rs
+++ b/review/standins-2/body_flood.rs
@@ -225,7 +225,7 @@
     ) -> usize {
         let limit_kib = machine.memory_mb * 1024;
         let (mut ends, mut wave) = (0, 0);
-        let addr = SocketAddr::from((ip, 8005));
+        let addr = kit::frontend(ip);
         let mut ordinary = None;
         while !self.is_over() {
             let dir = dir.join(format!("{}-{ends}", self.name));
--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -8,7 +8,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -66,6 +66,40 @@
     std::process::exit(2);
 }
 
+/// Free ports, the same on all addresses of this run.
+struct Ports {
+    store: u16,
+    server: u16,
+    frontend: u16,
+    ready: u16,
+    control: u16,
+}
+
+fn ports() -> &'static Ports {
+    static PORTS: OnceLock<Ports> = OnceLock::new();
+    PORTS.get_or_init(|| {
+        // Held together, so that all of them differ; no other run has this address.
+        let ip = Addresses::new().ip();
+        let bind = || TcpListener::bind((ip, 0)).expect("a free port");
+        let held = [bind(), bind(), bind(), bind(), bind()];
+        let [store, server, frontend, ready, control] = held
+            .each_ref()
+            .map(|l| l.local_addr().expect("bound").port());
+        Ports {
+            store,
+            server,
+            frontend,
+            ready,
+            control,
+        }
+    })
+}
+
+/// Address at which an entry accepts callers.
+pub fn frontend(ip: Ipv4Addr) -> SocketAddr {
+    SocketAddr::from((ip, ports().frontend))
+}
+
 /// Loopback addresses that belong to this run.
 pub struct Addresses {
     net: [u8; 2],
@@ -233,7 +267,7 @@
 impl Store {
     pub fn start(ip: Ipv4Addr) -> Store {
         let store = Store {
-            addr: SocketAddr::from((ip, 8007)),
+            addr: SocketAddr::from((ip, ports().store)),
             rows: Arc::default(),
             started: Instant::now(),
         };
@@ -380,7 +414,7 @@
     pub fn start(id: &str, service: &str, ip: Ipv4Addr, store: &Store, log: &Log) {
         let server = Arc::new(Server {
             id: id.into(),
-            addr: SocketAddr::from((ip, 8080)),
+            addr: SocketAddr::from((ip, ports().server)),
             log: log.clone(),
         });
         let inner = server.clone();
@@ -539,7 +573,14 @@
         machine: &Machine,
         dir: PathBuf,
     ) -> Entry {
-        let seeds: Vec<String> = seeds.iter().map(|ip| format!("\"{ip}:8000\"")).collect();
+        let Ports {
+            frontend,
+            ready,
+            control,
+            ..
+        } = ports();
+        let seeds = seeds.iter().map(|ip| format!("\"{ip}:{control}\""));
+        let seeds: Vec<String> = seeds.collect();
         let boot = dir.join("node.toml");
         let text = format!(
             "nodeName = \"{name}\"\nrole = \"entry\"\nmachineClass = \"edge\"\n\
@@ -549,8 +590,8 @@
              entryPoint = \"virtual_ip\"\nheartbeatIntervalMs = 1200\n\
              contracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"engine\",\
              \"stream\",\"tenants\",\"platform\",\"chunks\"]\n[zones]\nnorth-a = \"north\"\n\
-             [listenAddresses]\nfrontend = \"{ip}:8005\"\nready = \"{ip}:8002\"\n\
-             controlPlane = \"{ip}:8000\"\n[limits]\ncpuShare = 0.19\ncpuCores = 1\n\
+             [listenAddresses]\nfrontend = \"{ip}:{frontend}\"\nready = \"{ip}:{ready}\"\n\
+             controlPlane = \"{ip}:{control}\"\n[limits]\ncpuShare = 0.19\ncpuCores = 1\n\
              memoryMb = {}\nfileDescriptors = {}\nlinkMbps = {:.1}\ndiskMb = 0\n\
              [faultTolerance]\nmachineFailures = 1\nzones = 0\nregionFailures = 0\n[bounds]\n\
              seedPropagationS = 3\naddressReuseS = 2\ncontactWindowMs = 3000\n\
@@ -584,12 +625,12 @@
     }
 
     pub fn frontend(&self) -> SocketAddr {
-        SocketAddr::from((self.ip, 8005))
+        frontend(self.ip)
     }
 
     /// Answer to the platform's question whether the entry is ready.
     pub fn is_ready(&self) -> bool {
-        let ready = SocketAddr::from((self.ip, 8002));
+        let ready = SocketAddr::from((self.ip, ports().ready));
         let Ok(mut conn) = TcpStream::connect_timeout(&ready, Duration::from_secs(1)) else {
             return false;
         };
